--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+.PHONY: env demo up test lint measure fuzz generate
+
+PYTHON ?= python3
+VENV ?= .venv
+RUN = $(VENV)/bin/python
+SECONDS ?= 60
+SEED ?= 1
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN) -m pip install -q -r requirements.lock
+	$(RUN) -m pip install -q --no-deps -e .
+	touch $@
+
+demo: env
+	$(RUN) -m tools.demo
+
+up: env
+	$(RUN) -m tools.up $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+test: env
+	$(RUN) -m tools.runtests
+
+lint: env
+	$(RUN) -m ruff format --check .
+	$(RUN) -m ruff check .
+
+measure: env
+	$(RUN) -m measure
+
+fuzz: env
+	$(RUN) -m tools.fuzz --seconds $(SECONDS) --seed $(SEED)
+
+generate: env
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" tools/generate.sh
--- /dev/null
+++ b/fuchsiapin/admission.py
@@ -0,0 +1,68 @@
+"""Slots and the bounded queue of one upstream: who waits, who is refused."""
+
+from collections import deque
+
+from fuchsiapin.requests import Request
+
+__all__ = ["Admission"]
+
+FIRST_SERVICE_MS = 100
+"""Service time assumed before the first answer."""
+SMOOTHING = 0.1
+"""Weight of the newest service time in the mean."""
+
+
+class Admission:
+    """The own upstream's slots, its queue, and its learned service time.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the upstream serves at the same time.
+    queue_limit : int
+        Requests that may wait.
+    """
+
+    def __init__(self, slots: int, queue_limit: int) -> None:
+        self.slots = slots
+        self.queue_limit = queue_limit
+        self.running: dict[bytes, int] = {}
+        self.queue: deque[Request] = deque()
+        self.service_ms = float(FIRST_SERVICE_MS)
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request could start now."""
+        return len(self.running) < self.slots
+
+    def wait_ms(self) -> int:
+        """Return how long a request that arrives now would wait."""
+        ahead = len(self.running) + len(self.queue) - self.slots + 1
+        if ahead <= 0:
+            return 0
+        return int(ahead * self.service_ms / self.slots)
+
+    def accepts(self, now: int, deadline: int) -> bool:
+        """Return whether a request can wait here and end by its deadline."""
+        if len(self.queue) >= self.queue_limit:
+            return False
+        return now + self.wait_ms() + self.service_ms <= deadline
+
+    def enqueue(self, request: Request) -> None:
+        """Let a request wait for a slot."""
+        self.queue.append(request)
+
+    def remove(self, request: Request) -> None:
+        """Take a request out of the queue, if it waits there."""
+        if request in self.queue:
+            self.queue.remove(request)
+
+    def start(self, key: bytes, now: int) -> None:
+        """Note that a request takes a slot."""
+        self.running[key] = now
+
+    def finish(self, key: bytes, now: int) -> None:
+        """Note that a request left its slot, and learn from its time."""
+        started = self.running.pop(key, None)
+        if started is not None:
+            self.service_ms += SMOOTHING * (now - started - self.service_ms)
--- /dev/null
+++ b/fuchsiapin/balancing.py
@@ -0,0 +1,349 @@
+"""The decision core of a balancer: it forwards datagrams whole, by their flow.
+
+The balancer never reads what a caller sends. It keeps nothing that matters, so
+that its death costs a caller one retransmission at the most.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from fuchsiapin import messages
+from fuchsiapin.codec import decode_object
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.messages import BalancerMember, SendPeer
+from fuchsiapin.objects import ObjectUpdater
+from fuchsiapin.ranking import flow_key
+from fuchsiapin.timers import Timers
+from fuchsiapin.views import ViewHistory
+
+__all__ = ["BalancerCore", "make_balancer_core"]
+
+HEARTBEAT_MS = 500
+SILENCE_MS = 2_000
+"""A balancer that is silent for so long is removed from its zone's object."""
+QUIET_MS = 1_000
+"""A stopping balancer ends once no datagram came for so long."""
+MAX_DRAIN_MS = 30_000
+"""A stopping balancer ends after this time whatever comes."""
+
+
+class BalancerCore:
+    """Decisions of one balancer.
+
+    Parameters
+    ----------
+    me : BalancerMember
+        This process as a member of its availability zone.
+    rng : random.Random
+        Source of all random draws.
+    """
+
+    def __init__(self, me: BalancerMember, rng: random.Random) -> None:
+        self.me = me
+        self.rng = rng
+        self.out: list[Any] = []
+        self.timers = Timers()
+        self.now = 0
+        self.views: dict[str, ViewHistory] = {}
+        self.copies: dict[str, messages.ObjectCopy] = {}
+        self.config: messages.Configuration | None = None
+        self.heard: dict[str, int] = {}
+        prefix = f"{me.id}#{me.incarnation}"
+        self.updater = ObjectUpdater(
+            f"balancers/{me.zone}",
+            messages.ZoneBalancers,
+            prefix,
+            self.timers,
+            self.out,
+            rng,
+        )
+        self.checked = 0
+        self.last_datagram = 0
+        self.stopped_at: int | None = None
+        self.is_finished = False
+
+    def handle(self, now: int, event: Any) -> list[Any]:
+        """Take an event; return the effects that it causes.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        event : dataclass
+            An event of the schema.
+
+        Returns
+        -------
+        list
+            Effects of the schema, in order.
+        """
+        self.now = now
+        self.timers.run(now)
+        handler = EVENT_HANDLERS.get(type(event))
+        if handler is not None:
+            handler(self, event)
+        effects = list(self.out)
+        self.out.clear()
+        return effects
+
+    def next_due(self) -> int | None:
+        """Return when the core wants to be woken, in ms."""
+        return self.timers.next_due()
+
+    def report(self, number: int, **fields: Any) -> None:
+        """Add a numbered event for log and metrics."""
+        self.out.append(messages.Report(number, fields))
+
+    def on_start(self, event: messages.Start) -> None:
+        """Announce this balancer and begin to watch the others."""
+        self.checked = self.now
+        self.updater.request(self.now, "announce", self.with_me)
+        self.beat(self.now)
+
+    # Datagrams
+
+    def on_caller_datagram(self, event: messages.CallerDatagram) -> None:
+        """Forward a caller's datagram to the owner of its flow."""
+        self.last_datagram = self.now
+        views = self.views.get(event.service)
+        newest = views.newest if views else None
+        if newest is None:
+            self.report(2101, service=event.service)
+            return
+        owner, _ = newest.pair(flow_key(event.service, event.host, event.port))
+        if owner is None:
+            self.report(2102, service=event.service)
+            return
+        forward = messages.Forward(
+            event.service,
+            event.host,
+            event.port,
+            self.me.id,
+            newest.number,
+            0,
+            event.payload,
+        )
+        self.out.append(SendPeer(owner.host, owner.port, forward))
+
+    def on_peer_message(self, event: messages.PeerMessage) -> None:
+        """Take a message of another process."""
+        handler = MESSAGE_HANDLERS.get(type(event.message))
+        if handler is not None:
+            handler(self, event.sender, event.message)
+
+    def on_reply(self, sender: str, message: messages.Reply) -> None:
+        """Send an answer to its caller; it has to come from the right service."""
+        views = self.views.get(message.service)
+        source = self.find_side(message.service, sender)
+        if source is None:
+            self.report(2103, service=message.service, sender=sender)
+            return
+        self.out.append(
+            messages.SendCaller(
+                message.service, message.host, message.port, message.payload
+            )
+        )
+        if views is not None and message.view > views.number:
+            wanted = messages.ObjectWanted(f"members/{message.service}", 0)
+            self.out.append(SendPeer(source.host, source.port, wanted))
+
+    def find_side(self, service: str, name: str) -> messages.Member | None:
+        """Return a side process of a service in any view that still counts."""
+        views = self.views.get(service)
+        if views is None:
+            return None
+        for placement in reversed(views.placements):
+            for member in placement.view.members:
+                if member.id == name:
+                    return member
+        return None
+
+    # Stored objects
+
+    def see_object(self, event: messages.ObjectSeen) -> None:
+        """Take in a stored object, if it is newer than what is known."""
+        try:
+            self.see_known_object(event)
+        except MalformedObject as error:
+            self.report(2104, key=event.key, error=str(error))
+
+    def see_known_object(self, event: messages.ObjectSeen) -> None:
+        """Take in an object of a kind that matters here."""
+        if event.key == self.updater.key:
+            if self.updater.see(self.now, event):
+                self.note_zone()
+        elif event.key.startswith("members/") and event.value:
+            self.see_members(event)
+        elif event.key.startswith("config/") and event.value:
+            config = decode_object(messages.Configuration, event.value)
+            if self.config is None or config.number > self.config.number:
+                self.config = config
+
+    def see_members(self, event: messages.ObjectSeen) -> None:
+        """Take in the membership of a service."""
+        membership = decode_object(messages.ServiceMembership, event.value)
+        if event.key != f"members/{membership.service}":
+            raise MalformedObject(f"{event.key} holds another service")
+        views = self.views.setdefault(membership.service, ViewHistory())
+        if views.adopt(membership):
+            self.copies[event.key] = messages.ObjectCopy(
+                event.key, event.version, event.value
+            )
+
+    def on_object_copy(self, sender: str, message: messages.ObjectCopy) -> None:
+        """Take a stored object from a peer, as from the store."""
+        self.see_object(
+            messages.ObjectSeen(message.key, message.version, message.value)
+        )
+
+    def on_object_wanted(self, sender: str, message: messages.ObjectWanted) -> None:
+        """Send a stored object to a process that lacks it."""
+        copy = self.copies.get(message.key)
+        service = message.key.removeprefix("members/")
+        source = self.find_side(service, sender)
+        if copy is not None and source is not None:
+            self.out.append(SendPeer(source.host, source.port, copy))
+
+    def on_write_finished(self, event: messages.WriteFinished) -> None:
+        """Take the end of a conditional update."""
+        if event.key == self.updater.key:
+            self.updater.finish(self.now, event)
+
+    # Membership of the availability zone
+
+    def follow(
+        self, stored: messages.ZoneBalancers | None, members: list[BalancerMember]
+    ) -> messages.ZoneBalancers:
+        """Return the next object of the zone."""
+        number = stored.number + 1 if stored else 1
+        ordered = sorted(members, key=lambda member: member.id)
+        change_id = self.updater.next_change_id()
+        return messages.ZoneBalancers(self.me.zone, number, ordered, change_id)
+
+    def with_me(
+        self, stored: messages.ZoneBalancers | None
+    ) -> messages.ZoneBalancers | None:
+        """Return the zone with this balancer as it is now."""
+        members = stored.members if stored else []
+        if self.me in members:
+            return None
+        others = [member for member in members if member.id != self.me.id]
+        return self.follow(stored, [*others, self.me])
+
+    def without(
+        self, stored: messages.ZoneBalancers | None, gone: BalancerMember
+    ) -> messages.ZoneBalancers | None:
+        """Return the zone without one incarnation of a balancer."""
+        members = stored.members if stored else []
+        rest = [
+            member
+            for member in members
+            if (member.id, member.incarnation) != (gone.id, gone.incarnation)
+        ]
+        return self.follow(stored, rest) if len(rest) < len(members) else None
+
+    def peers(self) -> list[BalancerMember]:
+        """Return the other balancers of the zone."""
+        zone = self.updater.value
+        members = zone.members if zone else []
+        return [member for member in members if member.id != self.me.id]
+
+    def note_zone(self) -> None:
+        """Return under a new incarnation after a false removal."""
+        for member in self.peers():
+            self.heard.setdefault(member.id, self.now)
+        members = self.updater.value.members if self.updater.value else []
+        if self.me not in members and self.stopped_at is None:
+            incarnation = max(self.now, self.me.incarnation)
+            self.me = replace(self.me, incarnation=incarnation)
+            self.updater.request(self.now, "announce", self.with_me)
+
+    def beat(self, now: int) -> None:
+        """Send a sign of life, look for silent balancers, and again later."""
+        zone = self.updater.value
+        message = messages.BalancerHeartbeat(
+            self.me.zone,
+            zone.number if zone else 0,
+            self.config.number if self.config else 0,
+        )
+        for member in self.peers():
+            self.out.append(SendPeer(member.host, member.port, message))
+        self.remove_silent(now)
+        self.finish_if_quiet(now)
+        self.timers.add(now + HEARTBEAT_MS, self.beat)
+
+    def remove_silent(self, now: int) -> None:
+        """Take balancers out of the zone that were not heard for too long."""
+        if now - self.checked > SILENCE_MS // 2:
+            self.heard = dict.fromkeys(self.heard, now)
+        self.checked = now
+        for member in self.peers():
+            if now - self.heard.get(member.id, now) > SILENCE_MS:
+                self.remove(now, member)
+
+    def remove(self, now: int, member: BalancerMember) -> None:
+        """Take one balancer out of the zone's object."""
+        self.updater.request(
+            now, f"remove {member.id}", lambda stored: self.without(stored, member)
+        )
+
+    def on_heartbeat(self, sender: str, message: messages.BalancerHeartbeat) -> None:
+        """Note a sign of life."""
+        self.heard[sender] = self.now
+        self.updater.cancel(f"remove {sender}")
+
+    # Stopping
+
+    def on_stop(self, event: messages.StopRequested) -> None:
+        """Leave the zone's object, then forward until nothing comes."""
+        if self.stopped_at is not None:
+            return
+        self.stopped_at = self.now
+        self.updater.cancel("announce")
+        self.updater.request(
+            self.now, "depart", lambda stored: self.without(stored, self.me)
+        )
+
+    def finish_if_quiet(self, now: int) -> None:
+        """End once this balancer has left and no datagram comes."""
+        if self.stopped_at is None or self.is_finished:
+            return
+        zone = self.updater.value
+        is_gone = zone is not None and self.me not in zone.members
+        is_quiet = now - max(self.last_datagram, self.stopped_at) > QUIET_MS
+        is_late = now - self.stopped_at > MAX_DRAIN_MS
+        if (is_gone and is_quiet) or is_late:
+            self.is_finished = True
+            self.out.append(messages.Finished())
+
+
+EVENT_HANDLERS: dict[type, Callable[[BalancerCore, Any], None]] = {
+    messages.Start: BalancerCore.on_start,
+    messages.PeerMessage: BalancerCore.on_peer_message,
+    messages.CallerDatagram: BalancerCore.on_caller_datagram,
+    messages.ObjectSeen: BalancerCore.see_object,
+    messages.WriteFinished: BalancerCore.on_write_finished,
+    messages.StopRequested: BalancerCore.on_stop,
+}
+
+MESSAGE_HANDLERS: dict[type, Callable[[BalancerCore, str, Any], None]] = {
+    messages.Reply: BalancerCore.on_reply,
+    messages.BalancerHeartbeat: BalancerCore.on_heartbeat,
+    messages.ObjectCopy: BalancerCore.on_object_copy,
+    messages.ObjectWanted: BalancerCore.on_object_wanted,
+}
+
+
+def make_balancer_core(me: BalancerMember, seed: int) -> BalancerCore:
+    """Return the decision core of a balancer.
+
+    Parameters
+    ----------
+    me : BalancerMember
+        The process as a member of its availability zone.
+    seed : int
+        Seed of all random draws.
+    """
+    return BalancerCore(me, random.Random(seed))
--- /dev/null
+++ b/fuchsiapin/coap.py
@@ -0,0 +1,234 @@
+"""CoAP messages as the side process needs them, on `aiocoap.Message` as codec.
+
+References
+----------
+.. [1] Z. Shelby, K. Hartke, C. Bormann, RFC 7252, 2014.
+.. [2] K. Hartke, "Observing Resources in CoAP", RFC 7641, 2015.
+.. [3] C. Bormann, Z. Shelby, "Block-wise transfers in CoAP", RFC 7959, 2016.
+.. [4] C. Amsuess et al., "CoAP: Echo, Request-Tag, and Token Processing",
+   RFC 9175, 2022.
+"""
+
+from hashlib import blake2b
+
+from aiocoap import Message
+from aiocoap.error import Error as AiocoapError
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.optionnumbers import OptionNumber
+from aiocoap.numbers.types import Type
+from aiocoap.optiontypes import OpaqueOption
+
+from fuchsiapin.exceptions import MalformedDatagram
+
+__all__ = [
+    "EXCHANGE_LIFETIME_MS",
+    "acknowledgement",
+    "answer_bytes",
+    "answer_for_caller",
+    "is_idempotent",
+    "is_safe",
+    "notification",
+    "parse_datagram",
+    "ping",
+    "refusal",
+    "request_digest",
+    "request_for_upstream",
+    "request_head",
+    "reset",
+]
+
+EXCHANGE_LIFETIME_MS = 247_000
+"""Time after which a message ID may be used anew [1]_."""
+ACK_TIMEOUT_MS = 2_000
+"""First retransmission of a confirmable message [1]_."""
+MAX_RETRANSMIT = 4
+"""Retransmissions of a confirmable message [1]_."""
+SEQUENCE_RANGE = 1 << 24
+"""Observe sequence numbers wrap here [2]_."""
+DIGEST_BYTES = 12
+HEADER_BYTES = 4
+
+SAFE_CODES = frozenset({Code.GET, Code.FETCH})
+IDEMPOTENT_CODES = SAFE_CODES | {Code.PUT, Code.DELETE, Code.iPATCH}
+HOP_OPTIONS = frozenset({OptionNumber.URI_HOST, OptionNumber.URI_PORT})
+"""Options that name the balancer's address, which the upstream doesn't serve."""
+
+
+def parse_datagram(data: bytes) -> Message:
+    """Return the message in a datagram.
+
+    Raises
+    ------
+    MalformedDatagram
+        If it is no CoAP message.
+    """
+    try:
+        message = Message.decode(data)
+    except (AiocoapError, ValueError, IndexError, UnicodeError) as error:
+        raise MalformedDatagram(str(error)) from error
+    token_length = data[0] & 0x0F
+    if token_length > 8 or len(message.token) != token_length:
+        raise MalformedDatagram("token length is reserved or runs past the end")
+    return message
+
+
+def request_digest(flow: bytes, datagram: bytes) -> bytes:
+    """Return the name of a request: a retransmission is the same datagram."""
+    return blake2b(flow + b"\0" + datagram, digest_size=DIGEST_BYTES).digest()
+
+
+def is_safe(message: Message) -> bool:
+    """Return whether the request changes nothing at the upstream."""
+    return message.code in SAFE_CODES
+
+
+def is_idempotent(message: Message) -> bool:
+    """Return whether the request may run twice.
+
+    A later block of an upload only fills a buffer, and the later blocks of an
+    answer are read from one; neither runs anything [3]_.
+    """
+    if message.code in IDEMPOTENT_CODES:
+        return True
+    if message.opt.block1 is not None and message.opt.block1.more:
+        return True
+    return message.opt.block2 is not None and message.opt.block2.block_number > 0
+
+
+def is_blockwise(message: Message) -> bool:
+    """Return whether the request belongs to a block-wise transfer."""
+    return message.opt.block1 is not None or (
+        message.opt.block2 is not None and message.opt.block2.block_number > 0
+    )
+
+
+def transfer_digest(flow: bytes, message: Message) -> bytes:
+    """Return the name of the block-wise transfer that a request belongs to."""
+    path = "/".join(message.opt.uri_path)
+    query = "&".join(message.opt.uri_query)
+    name = f"{int(message.code)}|{path}|{query}|".encode() + flow
+    return blake2b(name, digest_size=8).digest()
+
+
+def request_for_upstream(
+    request: Message, mid: int, token: bytes, confirmable: bool, tag: bytes
+) -> bytes:
+    """Return a caller's request as the side process sends it on.
+
+    Parameters
+    ----------
+    request : Message
+        The caller's request.
+    mid : int
+        Message ID between side process and upstream.
+    token : bytes
+        Token between side process and upstream.
+    confirmable : bool
+        Whether it asks for an acknowledgement.
+    tag : bytes
+        Request-Tag that keeps the transfers of two callers apart [4]_.
+    """
+    kind = Type.CON if confirmable else Type.NON
+    copy = Message(
+        code=request.code, payload=request.payload, _mtype=kind, _mid=mid, _token=token
+    )
+    for option in request.opt.option_list():
+        if option.number not in HOP_OPTIONS:
+            copy.opt.add_option(option)
+    copy.opt.add_option(OpaqueOption(OptionNumber.REQUEST_TAG, tag))
+    return copy.encode()
+
+
+def answer_for_caller(
+    answer: Message, request: Message, mid: int, sequence: int | None = None
+) -> bytes:
+    """Return an upstream's answer as the answer to the caller's own request.
+
+    A confirmable request gets it on the acknowledgement, another one gets a
+    message of its own under `mid`.
+    """
+    piggybacked = request.mtype is Type.CON
+    copy = Message(
+        code=answer.code,
+        payload=answer.payload,
+        _mtype=Type.ACK if piggybacked else Type.NON,
+        _mid=request.mid if piggybacked else mid,
+        _token=request.token,
+    )
+    copy_options(answer, copy)
+    copy.opt.observe = sequence
+    return copy.encode()
+
+
+def notification(
+    answer: Message, token: bytes, mid: int, sequence: int | None
+) -> bytes:
+    """Return a notification of an open observation."""
+    copy = Message(
+        code=answer.code,
+        payload=answer.payload,
+        _mtype=Type.CON,
+        _mid=mid,
+        _token=token,
+    )
+    copy_options(answer, copy)
+    copy.opt.observe = sequence
+    return copy.encode()
+
+
+def answer_bytes(answer: Message) -> bytes:
+    """Return an upstream's answer as a datagram that a peer can read."""
+    copy = Message(
+        code=answer.code, payload=answer.payload, _mtype=Type.ACK, _mid=0, _token=b""
+    )
+    for option in answer.opt.option_list():
+        copy.opt.add_option(option)
+    return copy.encode()
+
+
+def request_head(datagram: bytes) -> bytes:
+    """Return header and token of a request, enough to answer it."""
+    return datagram[: HEADER_BYTES + (datagram[0] & 0x0F)]
+
+
+def copy_options(source: Message, target: Message) -> None:
+    """Copy the options of an answer, all but the sequence number."""
+    for option in source.opt.option_list():
+        if option.number != OptionNumber.OBSERVE:
+            target.opt.add_option(option)
+
+
+def refusal(request: Message, code: Code, mid: int, max_age_s: int, text: str) -> bytes:
+    """Return a final answer of the side process itself.
+
+    Parameters
+    ----------
+    request : Message
+        The caller's request.
+    code : Code
+        5.03 or 4.29 say that it was not run, 5.04 that the outcome is unknown.
+    mid : int
+        Message ID, used when the request is not confirmable.
+    max_age_s : int
+        When the caller may come back, in seconds.
+    text : str
+        Diagnostic payload.
+    """
+    answer = Message(code=code, payload=text.encode())
+    answer.opt.max_age = max_age_s
+    return answer_for_caller(answer, request, mid)
+
+
+def acknowledgement(mid: int) -> bytes:
+    """Return an empty acknowledgement."""
+    return Message(code=Code.EMPTY, _mtype=Type.ACK, _mid=mid, _token=b"").encode()
+
+
+def reset(mid: int) -> bytes:
+    """Return a reset."""
+    return Message(code=Code.EMPTY, _mtype=Type.RST, _mid=mid, _token=b"").encode()
+
+
+def ping(mid: int) -> bytes:
+    """Return an empty confirmable message, which is answered with a reset."""
+    return Message(code=Code.EMPTY, _mtype=Type.CON, _mid=mid, _token=b"").encode()
--- /dev/null
+++ b/fuchsiapin/codec.py
@@ -0,0 +1,140 @@
+"""Messages to plain values and back: msgpack between processes, JSON in the store."""
+
+import dataclasses
+import json
+import typing
+from functools import cache
+from typing import Any, TypeVar
+
+import msgpack
+from cattrs import Converter
+from cattrs.errors import BaseValidationError
+
+from fuchsiapin import messages
+from fuchsiapin.exceptions import MalformedEnvelope, MalformedObject
+
+__all__ = ["decode_object", "encode_object", "pack_message", "unpack_message"]
+
+T = TypeVar("T")
+
+WIRE_TYPES = [
+    messages.Forward,
+    messages.Reply,
+    messages.Heartbeat,
+    messages.BalancerHeartbeat,
+    messages.Claim,
+    messages.ClaimAnswer,
+    messages.Install,
+    messages.Installed,
+    messages.RecordPut,
+    messages.RecordAck,
+    messages.ObservationPut,
+    messages.BacklogAsk,
+    messages.BacklogTell,
+    messages.Handoff,
+    messages.HandoffResult,
+    messages.Suspect,
+    messages.SuspectAnswer,
+    messages.ObjectWanted,
+    messages.ObjectCopy,
+]
+"""Types that travel; the place in the list is the number on the wire."""
+
+NUMBER_OF = {kind: number for number, kind in enumerate(WIRE_TYPES)}
+
+converter = Converter(forbid_extra_keys=False)
+
+
+def as_values(message: Any) -> list[Any]:
+    """Return the fields of a message in order, nested messages likewise."""
+    return [getattr(message, name) for name in field_names(type(message))]
+
+
+@cache
+def field_names(kind: type) -> tuple[str, ...]:
+    """Return the names of the fields of a message type."""
+    return tuple(field.name for field in dataclasses.fields(kind))
+
+
+@cache
+def nested_fields(kind: type) -> tuple[tuple[int, type, bool], ...]:
+    """Return place, type and whether it is a list, for each nested message."""
+    found = []
+    hints = typing.get_type_hints(kind)
+    for place, name in enumerate(field_names(kind)):
+        hint = hints[name]
+        repeated = typing.get_origin(hint) is list
+        inner = typing.get_args(hint)[0] if repeated else hint
+        if dataclasses.is_dataclass(inner):
+            found.append((place, inner, repeated))
+    return tuple(found)
+
+
+def from_values(kind: type[T], values: list[Any]) -> T:
+    """Build a message of a type from its field values."""
+    for place, inner, repeated in nested_fields(kind):
+        value = values[place]
+        values[place] = (
+            [from_values(inner, item) for item in value]
+            if repeated
+            else from_values(inner, value)
+        )
+    return kind(*values)
+
+
+def pack_message(sender: str, incarnation: int, sequence: int, message: Any) -> bytes:
+    """Return the bytes of a message with its sender.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the sending process.
+    incarnation : int
+        Start time of the sender, in ms.
+    sequence : int
+        Count of messages of this incarnation, against replay.
+    message : dataclass
+        One of `WIRE_TYPES`.
+
+    Returns
+    -------
+    bytes
+        A msgpack array.
+    """
+    body = [sender, incarnation, sequence, NUMBER_OF[type(message)]]
+    body.extend(as_values(message))
+    return msgpack.packb(body, default=as_values)
+
+
+def unpack_message(data: bytes) -> tuple[str, int, int, Any]:
+    """Return sender, incarnation, sequence and message.
+
+    Raises
+    ------
+    MalformedEnvelope
+        If the bytes are no message of the schema.
+    """
+    try:
+        sender, incarnation, sequence, number, *values = msgpack.unpackb(data)
+        return sender, incarnation, sequence, from_values(WIRE_TYPES[number], values)
+    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+        raise MalformedEnvelope(str(error)) from error
+
+
+def encode_object(value: Any) -> bytes:
+    """Return a stored object as JSON text."""
+    return json.dumps(converter.unstructure(value), separators=(",", ":")).encode()
+
+
+def decode_object(kind: type[T], data: bytes) -> T:
+    """Return a stored object read from JSON text.
+
+    Raises
+    ------
+    MalformedObject
+        If the text is no object of that kind.
+    """
+    try:
+        return converter.structure(json.loads(data), kind)
+    except (ValueError, TypeError, BaseValidationError) as error:
+        raise MalformedObject(f"no {kind.__name__}: {error}") from error
--- /dev/null
+++ b/fuchsiapin/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted shells around the decision cores, and the binaries."""
--- /dev/null
+++ b/fuchsiapin/daemons/balancer.py
@@ -0,0 +1,89 @@
+"""The binary `fuchsiapin-balancer`."""
+
+import random
+from pathlib import Path
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.protocol import DatagramProtocol
+
+from fuchsiapin import messages
+from fuchsiapin.balancing import make_balancer_core
+from fuchsiapin.clock import SystemClock
+from fuchsiapin.daemons.shell import Shell
+from fuchsiapin.settings import Settings, read_settings
+
+__all__ = ["main", "run_balancer"]
+
+SOCKET_BYTES = 65_536
+
+
+class CallerSocket(DatagramProtocol):
+    """The socket of the callers of one service."""
+
+    def __init__(self, service: str, shell: Shell) -> None:
+        self.service = service
+        self.shell = shell
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Give a caller's datagram to the core."""
+        self.shell.feed(
+            messages.CallerDatagram(self.service, addr[0], addr[1], datagram)
+        )
+
+
+class BalancerShell(Shell):
+    """A balancer with its callers' sockets."""
+
+    def __init__(self, reactor_: Any, settings: Settings, clock: SystemClock) -> None:
+        super().__init__(reactor_, clock, settings, clock.now())
+        self.sockets: dict[str, CallerSocket] = {}
+        self.effects[messages.SendCaller] = self.send_caller
+
+    def listen(self) -> None:
+        """Open the callers' sockets."""
+        for address in self.settings.callers:
+            socket = CallerSocket(address.service, self)
+            self.reactor.listenUDP(address.port, socket, address.host, SOCKET_BYTES)
+            self.sockets[address.service] = socket
+
+    def send_caller(self, effect: messages.SendCaller) -> None:
+        """Send an answer to a caller from the address of its service."""
+        socket = self.sockets.get(effect.service)
+        if socket is not None:
+            socket.transport.write(effect.payload, (effect.host, effect.port))
+
+
+def run_balancer(settings_file: Path) -> None:
+    """Run a balancer on an entry VM.
+
+    Parameters
+    ----------
+    settings_file : Path
+        Settings, JSON with comments.
+    """
+    settings = read_settings(settings_file)
+    clock = SystemClock()
+    shell = BalancerShell(reactor, settings, clock)
+    port = shell.peers.listen(settings.peer.host, settings.peer.port)
+    me = messages.BalancerMember(
+        settings.name,
+        shell.peers.sealer.incarnation,
+        settings.peer.host,
+        port,
+        settings.availability_zone,
+        "live",
+    )
+    core = make_balancer_core(me, random.SystemRandom().getrandbits(64))
+    shell.listen()
+    shell.run(core)
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(run_balancer)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fuchsiapin/daemons/side.py
@@ -0,0 +1,82 @@
+"""The binary `fuchsiapin-side`."""
+
+import random
+from pathlib import Path
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.protocol import DatagramProtocol
+
+from fuchsiapin import messages
+from fuchsiapin.clock import SystemClock
+from fuchsiapin.daemons.shell import Shell
+from fuchsiapin.serving import SideOptions, make_side_core
+from fuchsiapin.settings import Settings, read_settings
+
+__all__ = ["main", "run_side"]
+
+SOCKET_BYTES = 65_536
+
+
+class UpstreamSocket(DatagramProtocol):
+    """The socket towards the own upstream."""
+
+    def __init__(self, shell: Shell) -> None:
+        self.shell = shell
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Give a datagram of the upstream to the core, and of nobody else."""
+        upstream = self.shell.settings.upstream
+        if addr == (upstream.host, upstream.port):
+            self.shell.feed(messages.UpstreamDatagram(datagram))
+
+
+class SideShell(Shell):
+    """A side process with its upstream's socket."""
+
+    def __init__(self, reactor_: Any, settings: Settings, clock: SystemClock) -> None:
+        super().__init__(reactor_, clock, settings, clock.now())
+        self.socket = UpstreamSocket(self)
+        self.effects[messages.SendUpstream] = self.send_upstream
+
+    def send_upstream(self, effect: messages.SendUpstream) -> None:
+        """Send a datagram to the upstream."""
+        upstream = self.settings.upstream
+        self.socket.transport.write(effect.payload, (upstream.host, upstream.port))
+
+
+def run_side(settings_file: Path) -> None:
+    """Run a side process beside its upstream.
+
+    Parameters
+    ----------
+    settings_file : Path
+        Settings, JSON with comments.
+    """
+    settings = read_settings(settings_file)
+    clock = SystemClock()
+    shell = SideShell(reactor, settings, clock)
+    port = shell.peers.listen(settings.peer.host, settings.peer.port)
+    reactor.listenUDP(0, shell.socket, settings.peer.host, SOCKET_BYTES)
+    me = messages.Member(
+        settings.name,
+        shell.peers.sealer.incarnation,
+        settings.peer.host,
+        port,
+        settings.availability_zone,
+        settings.weight,
+        "live",
+    )
+    seed = random.SystemRandom().getrandbits(64)
+    core = make_side_core(settings.service, me, seed, SideOptions(slots=settings.slots))
+    shell.run(core)
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(run_side)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fuchsiapin/flowstate.py
@@ -0,0 +1,85 @@
+"""What one side process keeps of flows: records, observations and uploads."""
+
+from collections.abc import Callable, Iterable
+
+from fuchsiapin.messages import Observation, Record, Upload
+from fuchsiapin.observing import Observations, observation_key
+from fuchsiapin.ranking import flow_key
+from fuchsiapin.records import RecordTable
+
+__all__ = ["KeptFlows"]
+
+MAX_UPLOADS = 10_000
+
+
+class KeptFlows:
+    """The flow state of one side process, as ownership hands it on.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    table : RecordTable
+        Records.
+    observations : Observations
+        Observations.
+    is_withdrawn : callable
+        Tells of a record's key whether the request can never run here.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        table: RecordTable,
+        observations: Observations,
+        is_withdrawn: Callable[[bytes], bool],
+    ) -> None:
+        self.service = service
+        self.table = table
+        self.opened = observations
+        self.is_withdrawn = is_withdrawn
+        self.transfers: dict[bytes, Upload] = {}
+
+    def records(self) -> Iterable[Record]:
+        """Return all records, save those withdrawn before they could run."""
+        return [record for record in self.table if not self.is_withdrawn(record.key)]
+
+    def observations(self) -> Iterable[Observation]:
+        """Return all observations, also those handed over or witnessed."""
+        return self.opened.all()
+
+    def uploads(self) -> Iterable[Upload]:
+        """Return the block-wise transfers under way."""
+        return self.transfers.values()
+
+    def put_record(self, record: Record) -> None:
+        """Keep a record."""
+        self.table.put(record)
+
+    def drop_record(self, key: bytes) -> None:
+        """Forget a record that its owner withdrew."""
+        self.table.drop(key)
+
+    def put_observation(self, observation: Observation) -> None:
+        """Keep an observation."""
+        self.opened.keep(observation)
+
+    def drop_observation(self, observation: Observation) -> None:
+        """Forget an observation that its owner closed."""
+        self.opened.drop(observation_key(observation))
+
+    def put_upload(self, upload: Upload) -> None:
+        """Keep a block-wise transfer, within the bound on their number."""
+        if upload.tag in self.transfers or len(self.transfers) < MAX_UPLOADS:
+            self.transfers[upload.tag] = upload
+
+    def expire(self, now: int) -> None:
+        """Forget what is too old to matter."""
+        self.table.expire(now)
+        old = [tag for tag, upload in self.transfers.items() if upload.expires <= now]
+        for tag in old:
+            del self.transfers[tag]
+
+    def flow_of(self, item: Record | Observation | Upload) -> bytes:
+        """Return the flow key of an item."""
+        return flow_key(self.service, item.host, item.port)
--- /dev/null
+++ b/fuchsiapin/membership.py
@@ -0,0 +1,319 @@
+"""Membership of a service, kept by its side processes themselves.
+
+Members announce themselves by conditional update of the service's membership
+object, watch each other by heartbeats, and remove a silent one when a second
+member finds it silent too. Writes follow changes, not the size of the fleet.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from fuchsiapin.messages import (
+    Heartbeat,
+    Member,
+    ObjectSeen,
+    SendPeer,
+    ServiceMembership,
+    Suspect,
+    SuspectAnswer,
+    View,
+)
+from fuchsiapin.objects import ObjectUpdater
+from fuchsiapin.ownership import Ownership
+from fuchsiapin.timers import Timers
+
+__all__ = ["Membership", "base_view", "next_membership"]
+
+HEARTBEAT_MS = 500
+SILENCE_MS = 2_000
+"""A member that is silent for so long is suspected."""
+CHECK_MS = 250
+HISTORY_LIMIT = 16
+"""Views kept at the most; flows of older ones would be uncertain."""
+
+
+def base_view(views: list[View], actives: dict[str, set[int]]) -> int:
+    """Return the newest view that all its live members were active in.
+
+    Parameters
+    ----------
+    views : list of View
+        Oldest first.
+    actives : dict
+        For each member id the numbers of the views it was active in.
+
+    Returns
+    -------
+    int
+        Its number, or that of the oldest view when there is none.
+    """
+    for view in reversed(views):
+        live = [member for member in view.members if member.state == "live"]
+        if all(view.number in actives.get(member.id, ()) for member in live):
+            return view.number
+    return views[0].number if views else 0
+
+
+def next_membership(
+    service: str,
+    stored: ServiceMembership | None,
+    members: list[Member],
+    change_id: str,
+    actives: dict[str, set[int]],
+) -> ServiceMembership:
+    """Return the membership object that follows the stored one.
+
+    The history keeps the views that may still be claimed from: from the
+    newest one that was active everywhere.
+    """
+    if stored is None:
+        return ServiceMembership(service, View(1, members), [], change_id)
+    views = [*stored.history, stored.view]
+    base = base_view(views, actives)
+    history = [view for view in views if view.number >= base][-HISTORY_LIMIT:]
+    view = View(stored.view.number + 1, members)
+    return ServiceMembership(service, view, history, change_id)
+
+
+class Membership:
+    """One side process as a member of its service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    me : Member
+        This member.
+    ownership : Ownership
+        Told of each newer view.
+    timers, out, rng
+        Timers, effects and random numbers of the core.
+    backlog_ms : callable
+        Returns how long new work would wait here.
+    on_returned : callable
+        Called with the new incarnation after a false removal.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        me: Member,
+        ownership: Ownership,
+        timers: Timers,
+        out: list,
+        rng: random.Random,
+        backlog_ms: Callable[[], int],
+        on_returned: Callable[[int], None],
+    ) -> None:
+        self.service = service
+        self.me = me
+        self.ownership = ownership
+        self.timers = timers
+        self.out = out
+        self.rng = rng
+        self.backlog_ms = backlog_ms
+        self.on_returned = on_returned
+        self.key = f"members/{service}"
+        prefix = f"{me.id}#{me.incarnation}"
+        self.updater = ObjectUpdater(
+            self.key, ServiceMembership, prefix, timers, out, rng
+        )
+        self.heard: dict[str, int] = {}
+        self.actives: dict[str, set[int]] = {}
+        self.backlogs: dict[str, int] = {}
+        self.config = 0
+        self.checked = 0
+        self.is_joined = False
+        self.is_departing = False
+        self.is_removed = False
+
+    def start(self, now: int) -> None:
+        """Announce this member and begin to watch the others."""
+        self.checked = now
+        self.announce(now)
+        self.beat(now)
+        self.timers.add(now + CHECK_MS, self.check)
+
+    # Changes of the stored object
+
+    def announce(self, now: int) -> None:
+        """Add this member, or its newer incarnation or state."""
+        self.updater.request(now, "announce", self.with_me)
+
+    def with_me(self, stored: ServiceMembership | None) -> ServiceMembership | None:
+        """Return the membership with this member as it is now."""
+        members = stored.view.members if stored else []
+        if self.me in members:
+            return None
+        others = [member for member in members if member.id != self.me.id]
+        return self.follow(stored, [*others, self.me])
+
+    def follow(
+        self, stored: ServiceMembership | None, members: list[Member]
+    ) -> ServiceMembership:
+        """Return the next membership, with a change id of this process."""
+        self.note_active(self.me.id, self.ownership.active)
+        change_id = self.updater.next_change_id()
+        ordered = sorted(members, key=lambda member: member.id)
+        return next_membership(self.service, stored, ordered, change_id, self.actives)
+
+    def set_state(self, now: int, state: str) -> None:
+        """Change whether this member may own flows."""
+        if self.me.state != state:
+            self.me = replace(self.me, state=state)
+            self.announce(now)
+
+    def depart(self, now: int) -> None:
+        """Remove this member for good."""
+        self.is_departing = True
+        self.updater.cancel("announce")
+        self.updater.request(
+            now, "depart", lambda stored: self.without(stored, self.me)
+        )
+
+    def without(
+        self, stored: ServiceMembership | None, gone: Member
+    ) -> ServiceMembership | None:
+        """Return the membership without one incarnation of a member."""
+        members = stored.view.members if stored else []
+        rest = [
+            member
+            for member in members
+            if (member.id, member.incarnation) != (gone.id, gone.incarnation)
+        ]
+        return self.follow(stored, rest) if len(rest) < len(members) else None
+
+    def see(self, now: int, event: ObjectSeen) -> bool:
+        """Take in the membership object; return whether it held a newer view."""
+        if not self.updater.see(now, event) or self.updater.value is None:
+            return False
+        membership = self.updater.value
+        if not self.ownership.adopt(now, membership):
+            return False
+        for member in membership.view.members:
+            self.heard.setdefault(member.id, now)
+        self.note_own_place(now, membership.view)
+        return True
+
+    def note_own_place(self, now: int, view: View) -> None:
+        """Return as a new incarnation when others removed this member."""
+        ids = {(member.id, member.incarnation) for member in view.members}
+        if (self.me.id, self.me.incarnation) in ids:
+            self.is_joined = True
+            return
+        if self.is_departing:
+            self.is_removed = True
+        elif self.is_joined:
+            self.return_anew(now)
+
+    def return_anew(self, now: int) -> None:
+        """Announce this member under a new incarnation."""
+        self.is_joined = False
+        self.me = replace(self.me, incarnation=max(now, self.me.incarnation + 1))
+        self.ownership.renew(self.me.incarnation)
+        self.on_returned(self.me.incarnation)
+        self.announce(now)
+
+    # Heartbeats and suspicion
+
+    def peers(self) -> list[Member]:
+        """Return the other members of the newest view."""
+        return [
+            member
+            for member in self.ownership.history.members()
+            if member.id != self.me.id
+        ]
+
+    def peer(self, name: str) -> Member | None:
+        """Return another member of the newest view by id."""
+        for member in self.peers():
+            if member.id == name:
+                return member
+        return None
+
+    def beat(self, now: int) -> None:
+        """Send a sign of life to the peers, and again later."""
+        message = Heartbeat(
+            self.service,
+            self.ownership.view,
+            self.ownership.active,
+            self.config,
+            self.backlog_ms(),
+        )
+        for member in self.peers():
+            self.out.append(SendPeer(member.host, member.port, message))
+        self.timers.add(now + HEARTBEAT_MS, self.beat)
+
+    def on_heartbeat(self, now: int, sender: str, beat: Heartbeat) -> None:
+        """Note a peer's sign of life; ask for a view that is newer there."""
+        self.heard[sender] = now
+        self.backlogs[sender] = beat.backlog_ms
+        self.updater.cancel(f"remove {sender}")
+        self.note_active(sender, beat.active)
+        member = self.peer(sender)
+        if beat.view > self.ownership.view and member is not None:
+            self.ownership.want_view(member)
+
+    def note_active(self, member: str, view: int) -> None:
+        """Note a view that a member was active in."""
+        views = self.actives.setdefault(member, set())
+        views.add(view)
+        if len(views) > 2 * HISTORY_LIMIT:
+            views.remove(min(views))
+
+    def is_silent(self, now: int, name: str) -> bool:
+        """Return whether a member was not heard for too long."""
+        return now - self.heard.get(name, now) > SILENCE_MS
+
+    def check(self, now: int) -> None:
+        """Suspect silent members, and look again later.
+
+        A process that was paused itself has heard nobody; it starts afresh.
+        """
+        if now - self.checked > SILENCE_MS // 2:
+            self.heard = dict.fromkeys(self.heard, now)
+        self.checked = now
+        for member in self.peers():
+            if self.is_silent(now, member.id):
+                self.suspect(now, member)
+        self.timers.add(now + CHECK_MS, self.check)
+
+    def suspect(self, now: int, member: Member) -> None:
+        """Ask the others whether they find a member silent too."""
+        others = [
+            other
+            for other in self.peers()
+            if other.id != member.id and not self.is_silent(now, other.id)
+        ]
+        if not others and len(self.peers()) == 1:
+            self.remove(now, member)
+            return
+        message = Suspect(self.service, member.id, member.incarnation)
+        for other in others:
+            self.out.append(SendPeer(other.host, other.port, message))
+
+    def on_suspect(self, now: int, sender: str, message: Suspect) -> None:
+        """Tell whether a suspected member is silent here too."""
+        asker = self.peer(sender)
+        if asker is None:
+            return
+        silent = self.is_silent(now, message.member)
+        answer = SuspectAnswer(
+            self.service, message.member, message.incarnation, silent
+        )
+        self.out.append(SendPeer(asker.host, asker.port, answer))
+
+    def on_suspect_answer(self, now: int, sender: str, answer: SuspectAnswer) -> None:
+        """Remove a member that a second one finds silent."""
+        member = self.peer(answer.member)
+        if member is None or not answer.silent or sender == answer.member:
+            return
+        if member.incarnation == answer.incarnation and self.is_silent(now, member.id):
+            self.remove(now, member)
+
+    def remove(self, now: int, member: Member) -> None:
+        """Take a silent member out of the view."""
+        self.updater.request(
+            now, f"remove {member.id}", lambda stored: self.without(stored, member)
+        )
--- /dev/null
+++ b/fuchsiapin/observing.py
@@ -0,0 +1,207 @@
+"""Open observations: boards and balances that survive their upstream.
+
+References
+----------
+.. [1] K. Hartke, "Observing Resources in CoAP", RFC 7641, 2015.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from aiocoap import Message
+
+from fuchsiapin.coap import (
+    ACK_TIMEOUT_MS,
+    MAX_RETRANSMIT,
+    SEQUENCE_RANGE,
+    notification,
+    parse_datagram,
+)
+from fuchsiapin.messages import Observation
+from fuchsiapin.timers import Timers
+
+__all__ = [
+    "ObservationKey",
+    "Observations",
+    "Watched",
+    "next_sequence",
+    "observation_key",
+    "registration",
+]
+
+ObservationKey = tuple[str, int, bytes]
+"""Host and port of the caller, and its token."""
+
+SEQUENCE_TICK_MS = 8
+"""A sequence number stands for so many ms; they wrap after 37 hours."""
+
+SendToCaller = Callable[[Observation, bytes], None]
+
+
+def next_sequence(last: int, now: int) -> int:
+    """Return a sequence number after `last` that any later owner will pass.
+
+    Numbers follow the time, so that an owner that only knows an old number
+    still sends a newer one.
+
+    Examples
+    --------
+    >>> next_sequence(5, 800)
+    100
+    >>> next_sequence(100, 800)
+    101
+    """
+    timed = (now // SEQUENCE_TICK_MS) % SEQUENCE_RANGE
+    ahead = (timed - last) % SEQUENCE_RANGE
+    if 0 < ahead < SEQUENCE_RANGE // 2:
+        return timed
+    return (last + 1) % SEQUENCE_RANGE
+
+
+class Watched:
+    """An observation that this process serves.
+
+    Parameters
+    ----------
+    observation : Observation
+        What has to be known to take it over.
+    """
+
+    def __init__(self, observation: Observation) -> None:
+        self.observation = observation
+        self.upstream_token = b""
+        self.mid = -1
+        self.pending = b""
+        self.attempt = 0
+
+
+class Observations:
+    """Observations served here, and those kept for others.
+
+    Parameters
+    ----------
+    timers : Timers
+        Timers of the core.
+    send : callable
+        Sends a datagram to the caller of an observation.
+    on_lost : callable
+        Called with the time and the key when a caller is gone.
+    first_mid : int
+        First message ID; drawn at random, so that two owners of a flow hardly
+        ever use the same one.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        send: SendToCaller,
+        on_lost: Callable[[int, ObservationKey], None],
+        first_mid: int = 0,
+    ) -> None:
+        self.timers = timers
+        self.send = send
+        self.on_lost = on_lost
+        self.kept: dict[ObservationKey, Observation] = {}
+        self.watched: dict[ObservationKey, Watched] = {}
+        self.by_token: dict[bytes, ObservationKey] = {}
+        self.next_mid = first_mid
+
+    def all(self) -> Iterable[Observation]:
+        """Return all that are known, newest state."""
+        for key, observation in self.kept.items():
+            watched = self.watched.get(key)
+            yield watched.observation if watched else observation
+
+    def keep(self, observation: Observation) -> None:
+        """Keep an observation for its owner, or to take it over."""
+        key = observation_key(observation)
+        known = self.kept.get(key)
+        if known is None or key not in self.watched:
+            self.kept[key] = observation
+
+    def drop(self, key: ObservationKey) -> Watched | None:
+        """Forget an observation; return what was served here."""
+        self.kept.pop(key, None)
+        return self.unwatch(key)
+
+    def unwatch(self, key: ObservationKey) -> Watched | None:
+        """Stop to serve an observation; return what was served."""
+        watched = self.watched.pop(key, None)
+        if watched is not None:
+            self.by_token.pop(watched.upstream_token, None)
+        return watched
+
+    def watch(self, observation: Observation) -> Watched:
+        """Begin to serve an observation."""
+        key = observation_key(observation)
+        watched = Watched(observation)
+        self.watched[key] = watched
+        self.kept[key] = observation
+        return watched
+
+    def bind(self, key: ObservationKey, token: bytes) -> None:
+        """Note the token that the upstream notifies an observation under."""
+        self.watched[key].upstream_token = token
+        self.by_token[token] = key
+
+    def release(self, key: ObservationKey) -> Watched | None:
+        """Stop to serve an observation that another owner takes over."""
+        watched = self.unwatch(key)
+        if watched is not None:
+            self.kept[key] = watched.observation
+        return watched
+
+    def advance(self, key: ObservationKey, now: int) -> int:
+        """Return the sequence number of the next notification."""
+        watched = self.watched[key]
+        sequence = next_sequence(watched.observation.sequence, now)
+        watched.observation = replace(watched.observation, sequence=sequence)
+        self.kept[key] = watched.observation
+        return sequence
+
+    def notify(self, now: int, key: ObservationKey, answer: Message) -> None:
+        """Send a new state; it replaces one that is still unacknowledged."""
+        watched = self.watched[key]
+        is_open = answer.code.is_successful()
+        sequence = self.advance(key, now) if is_open else None
+        self.next_mid = (self.next_mid + 1) % (1 << 16)
+        watched.mid = self.next_mid
+        watched.pending = notification(
+            answer, watched.observation.token, watched.mid, sequence
+        )
+        watched.attempt = 0
+        self.transmit(now, key, watched, watched.mid)
+
+    def transmit(
+        self, now: int, key: ObservationKey, watched: Watched, mid: int
+    ) -> None:
+        """Send the pending notification until it is acknowledged."""
+        if self.watched.get(key) is not watched or watched.mid != mid:
+            return
+        if not watched.pending:
+            return
+        if watched.attempt > MAX_RETRANSMIT:
+            self.on_lost(now, key)
+            return
+        self.send(watched.observation, watched.pending)
+        due = now + (ACK_TIMEOUT_MS << watched.attempt)
+        watched.attempt += 1
+        self.timers.add(due, lambda later: self.transmit(later, key, watched, mid))
+
+    def acknowledge(self, host: str, port: int, mid: int) -> ObservationKey | None:
+        """Note the acknowledgement of a notification; return which it was of."""
+        for key, watched in self.watched.items():
+            if key[:2] == (host, port) and watched.mid == mid:
+                watched.pending = b""
+                return key
+        return None
+
+
+def observation_key(observation: Observation) -> ObservationKey:
+    """Return the key of an observation."""
+    return observation.host, observation.port, observation.token
+
+
+def registration(observation: Observation) -> Message:
+    """Return the request that registered an observation."""
+    return parse_datagram(observation.request)
--- /dev/null
+++ b/fuchsiapin/ownership.py
@@ -0,0 +1,527 @@
+"""Which flows a side process may act for: claims, fences and witnesses.
+
+Each view gives every flow an owner and a witness. A node acts as owner by view
+v only after it has asked the owner or the witness of each earlier view that
+may have been active, and after its witness of view v holds what was learned.
+A node that was asked by view v promises never to act by an earlier one.
+
+References
+----------
+.. [1] L. Lamport, D. Malkhi, L. Zhou, "Vertical Paxos and primary-backup
+   replication", PODC 2009.
+"""
+
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Protocol
+
+from fuchsiapin.coap import EXCHANGE_LIFETIME_MS
+from fuchsiapin.messages import (
+    Claim,
+    ClaimAnswer,
+    Install,
+    Installed,
+    Member,
+    ObjectWanted,
+    Observation,
+    Pairing,
+    Record,
+    SendPeer,
+    ServiceMembership,
+    UncertainRange,
+    Upload,
+    View,
+)
+from fuchsiapin.ranking import member_key
+from fuchsiapin.timers import Timers
+from fuchsiapin.views import Placement, ViewHistory, pair_of
+
+__all__ = ["FlowState", "Ownership", "Standing"]
+
+RESEND_MS = 150
+"""Claims and installs are sent again after this time."""
+PATIENCE_PRESENT_MS = 2_000
+"""Wait for the answer of a member of the newest view."""
+PATIENCE_ABSENT_MS = 500
+"""Wait for the answer of a member that was removed."""
+NO_WITNESS = ""
+"""Stands for the witness in a view of a single live member."""
+
+
+class Standing(Enum):
+    """What a node may do for a flow."""
+
+    FOREIGN = "foreign"
+    """Another node owns the flow."""
+    SETTLING = "settling"
+    """Earlier owners and witnesses are still asked."""
+    UNWITNESSED = "unwitnessed"
+    """The witness doesn't hold the flow yet: only idempotent requests run."""
+    UNCERTAIN = "uncertain"
+    """Records may be lost: a request may be a retransmission of one that ran."""
+    READY = "ready"
+    """All requests run."""
+
+
+class FlowState(Protocol):
+    """What the owner of flows keeps, as ownership needs it."""
+
+    def records(self) -> Iterable[Record]:
+        """Return all records, save those withdrawn before they could run."""
+
+    def observations(self) -> Iterable[Observation]:
+        """Return all observations, also those handed over or witnessed."""
+
+    def uploads(self) -> Iterable[Upload]:
+        """Return the block-wise transfers under way."""
+
+    def put_record(self, record: Record) -> None:
+        """Keep a record."""
+
+    def drop_record(self, key: bytes) -> None:
+        """Forget a record that its owner withdrew."""
+
+    def put_observation(self, observation: Observation) -> None:
+        """Keep an observation."""
+
+    def drop_observation(self, observation: Observation) -> None:
+        """Forget an observation that its owner closed."""
+
+    def put_upload(self, upload: Upload) -> None:
+        """Keep a block-wise transfer."""
+
+    def flow_of(self, item: Record | Observation | Upload) -> bytes:
+        """Return the flow key of an item."""
+
+
+class Ownership:
+    """Claims of one side process, view by view.
+
+    Parameters
+    ----------
+    service : str
+        Service of the side process.
+    member : str
+        Its member id.
+    incarnation : int
+        Its start time in ms.
+    state : FlowState
+        What it keeps.
+    timers : Timers
+        Timers of the core.
+    out : list
+        Effects of the core.
+    on_progress : callable
+        Called with the time when flows may have become ready.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        member: str,
+        incarnation: int,
+        state: FlowState,
+        timers: Timers,
+        out: list,
+        on_progress: Callable[[int], None],
+    ) -> None:
+        self.service = service
+        self.member = member
+        self.incarnation = incarnation
+        self.incarnations = {incarnation}
+        self.state = state
+        self.timers = timers
+        self.out = out
+        self.on_progress = on_progress
+        self.history = ViewHistory()
+        self.owned: set[tuple[int, str]] = set()
+        self.witnessed: set[tuple[int, str]] = set()
+        self.uncertain: list[UncertainRange] = []
+        self.awaited: dict[str, Member] = {}
+        self.answers: dict[str, ClaimAnswer] = {}
+        self.installing: dict[str, Member] = {}
+        self.is_settled = False
+        self.active = 0
+
+    @property
+    def view(self) -> int:
+        """Number of the newest view; nothing is done by a lower one."""
+        return self.history.number
+
+    def pair(self, flow: bytes) -> tuple[Member | None, Member | None]:
+        """Return owner and witness of a flow by the newest view."""
+        newest = self.history.newest
+        return newest.pair(flow) if newest else (None, None)
+
+    def is_self(self, member: Member | None) -> bool:
+        """Return whether a member is this process, now or before a return."""
+        return (
+            member is not None
+            and member.id == self.member
+            and member.incarnation in self.incarnations
+        )
+
+    def renew(self, incarnation: int) -> None:
+        """Go on as a new incarnation after a removal; nothing is forgotten."""
+        self.incarnation = incarnation
+        self.incarnations.add(incarnation)
+
+    # Adopting a view
+
+    def adopt(self, now: int, membership: ServiceMembership) -> bool:
+        """Take in a membership object; return whether it held a newer view."""
+        if not self.history.adopt(membership):
+            return False
+        oldest = self.history.placements[0].number
+        self.owned = {pair for pair in self.owned if pair[0] >= oldest}
+        self.witnessed = {pair for pair in self.witnessed if pair[0] >= oldest}
+        self.uncertain = [item for item in self.uncertain if item.until > now]
+        self.answers = {}
+        self.installing = {}
+        self.is_settled = False
+        self.awaited = self.find_awaited()
+        self.send_claims(now, self.view)
+        self.give_up_later(now)
+        self.settle_if_complete(now)
+        return True
+
+    def find_awaited(self) -> dict[str, Member]:
+        """Return the members whose promise is needed, by member key."""
+        newest = {member.id: member for member in self.history.members()}
+        awaited = {}
+        for placement in self.history.earlier():
+            for member in placement.view.members:
+                successor = newest.get(member.id)
+                is_replaced = successor is not None and (
+                    successor.incarnation > member.incarnation
+                )
+                is_gone = is_replaced or member.id == self.member
+                if member.state == "live" and not is_gone:
+                    awaited[member_key(member)] = member
+        return awaited
+
+    def send_claims(self, now: int, view: int) -> None:
+        """Ask all that have not answered, and again later."""
+        if view != self.view or not self.awaited:
+            return
+        for member in self.awaited.values():
+            claim = Claim(self.service, view, member.incarnation)
+            self.out.append(SendPeer(member.host, member.port, claim))
+        self.timers.add(now + RESEND_MS, lambda later: self.send_claims(later, view))
+
+    def give_up_later(self, now: int) -> None:
+        """Bound the wait for members that don't answer."""
+        view = self.view
+        present = {member_key(member) for member in self.history.members()}
+
+        def give_up_absent(later: int) -> None:
+            if view == self.view:
+                for key in set(self.awaited) - present:
+                    del self.awaited[key]
+                self.settle_if_complete(later)
+
+        def give_up_all(later: int) -> None:
+            if view == self.view:
+                self.awaited.clear()
+                self.settle_if_complete(later)
+
+        self.timers.add(now + PATIENCE_ABSENT_MS, give_up_absent)
+        self.timers.add(now + PATIENCE_PRESENT_MS, give_up_all)
+
+    # Being asked
+
+    def on_claim(self, now: int, claimer: Member, claim: Claim) -> None:
+        """Answer a claim by the newest view; promise not to act by earlier ones.
+
+        An unknown view is asked for first: the claim comes again.
+        """
+        if claim.view > self.view:
+            self.want_view(claimer)
+            return
+        if claim.view < self.view or self.history.newest is None:
+            return
+        is_known = claim.incarnation in self.incarnations
+        answer = self.answer_for(claimer, claim) if is_known else self.empty_answer()
+        self.out.append(SendPeer(claimer.host, claimer.port, answer))
+
+    def want_view(self, member: Member) -> None:
+        """Ask a member for the membership object."""
+        wanted = ObjectWanted(f"members/{self.service}", 0)
+        self.out.append(SendPeer(member.host, member.port, wanted))
+
+    def empty_answer(self) -> ClaimAnswer:
+        """Return the answer of a process that knows nothing of the view."""
+        return ClaimAnswer(
+            self.service, self.view, self.incarnation, [], [], [], [], [], []
+        )
+
+    def answer_for(self, claimer: Member, claim: Claim) -> ClaimAnswer:
+        """Return what is known of the flows that the claimer owns now."""
+
+        def is_claimed(item: Record | Observation | Upload) -> bool:
+            owner, _ = self.pair(self.state.flow_of(item))
+            return owner is not None and owner.id == claimer.id
+
+        return ClaimAnswer(
+            service=self.service,
+            view=claim.view,
+            incarnation=claim.incarnation,
+            owned=[Pairing(*pair) for pair in sorted(self.owned)],
+            witnessed=[Pairing(*pair) for pair in sorted(self.witnessed)],
+            records=[item for item in self.state.records() if is_claimed(item)],
+            observations=[
+                item for item in self.state.observations() if is_claimed(item)
+            ],
+            uploads=[item for item in self.state.uploads() if is_claimed(item)],
+            uncertain=self.uncertain,
+        )
+
+    # Settling
+
+    def on_claim_answer(self, now: int, sender: str, answer: ClaimAnswer) -> None:
+        """Take the answer to a claim."""
+        if answer.view != self.view or self.is_settled:
+            return
+        keys = [key for key, member in self.awaited.items() if member.id == sender]
+        for key in keys:
+            member = self.awaited[key]
+            if member.incarnation == answer.incarnation:
+                self.answers[key] = answer
+                del self.awaited[key]
+            elif answer.incarnation > member.incarnation:
+                del self.awaited[key]
+        self.settle_if_complete(now)
+
+    def settle_if_complete(self, now: int) -> None:
+        """Take over the flows once nobody is waited for any more."""
+        if self.is_settled or self.awaited:
+            return
+        self.is_settled = True
+        self.take_over()
+        self.note_uncertain(now)
+        self.begin_install(now)
+        self.on_progress(now)
+
+    def authority(self, flow: bytes) -> str | None:
+        """Return whose word on a flow counts.
+
+        Returns
+        -------
+        str or None
+            The member key of the newest earlier owner that was active, or of
+            its witness; empty when there was none; None when neither could be
+            asked.
+        """
+        for placement in self.history.earlier():
+            owner, witness = placement.pair(flow)
+            if owner is None:
+                continue
+            peer = witness.id if witness else NO_WITNESS
+            if self.has_word(owner):
+                if (placement.number, peer) in self.pairings(owner, "owned"):
+                    return member_key(owner)
+            elif witness is not None and self.has_word(witness):
+                if (placement.number, owner.id) in self.pairings(witness, "witnessed"):
+                    return member_key(witness)
+            else:
+                return None
+        return ""
+
+    def has_word(self, member: Member) -> bool:
+        """Return whether a member answered, or is this process."""
+        return self.is_self(member) or member_key(member) in self.answers
+
+    def pairings(self, member: Member, role: str) -> set[tuple[int, str]]:
+        """Return the views that were active at a member, with the other side."""
+        if self.is_self(member):
+            return self.owned if role == "owned" else self.witnessed
+        answer = self.answers[member_key(member)]
+        pairs = answer.owned if role == "owned" else answer.witnessed
+        return {(pair.view, pair.peer) for pair in pairs}
+
+    def take_over(self) -> None:
+        """Keep what the answers say of flows for which their word counts."""
+        self.drop_withdrawn()
+        for key, answer in self.answers.items():
+            for record in answer.records:
+                if self.authority(self.state.flow_of(record)) == key:
+                    self.state.put_record(record)
+            for observation in answer.observations:
+                if self.authority(self.state.flow_of(observation)) == key:
+                    self.state.put_observation(observation)
+            for upload in answer.uploads:
+                if self.authority(self.state.flow_of(upload)) == key:
+                    self.state.put_upload(upload)
+            self.uncertain.extend(answer.uncertain)
+
+    def drop_withdrawn(self) -> None:
+        """Forget what the one whose word counts no longer has."""
+        self.drop_withdrawn_intents()
+        self.drop_closed_observations()
+
+    def drop_withdrawn_intents(self) -> None:
+        """Forget intents that a living owner withdrew before they could run."""
+        for record in list(self.state.records()):
+            flow = self.state.flow_of(record)
+            if record.state != "intent" or not self.is_self(self.pair(flow)[0]):
+                continue
+            answer = self.answers.get(self.authority(flow) or "")
+            if answer is not None and not any(
+                item.key == record.key for item in answer.records
+            ):
+                self.state.drop_record(record.key)
+
+    def drop_closed_observations(self) -> None:
+        """Forget observations that were closed at their last owner."""
+        for observation in list(self.state.observations()):
+            flow = self.state.flow_of(observation)
+            if not self.is_self(self.pair(flow)[0]):
+                continue
+            answer = self.answers.get(self.authority(flow) or "")
+            if answer is not None and not any(
+                is_same_observation(item, observation) for item in answer.observations
+            ):
+                self.state.drop_observation(observation)
+
+    def note_uncertain(self, now: int) -> None:
+        """Keep the ranges of which owner and witness were both silent."""
+        until = now + EXCHANGE_LIFETIME_MS
+        for placement in self.history.earlier():
+            live = [m for m in placement.view.members if m.state == "live"]
+            lost = [member.id for member in live if not self.has_word(member)]
+            if len(lost) >= min(2, len(live)) and lost:
+                view = View(placement.number, live)
+                self.uncertain.append(UncertainRange(view, lost, until))
+
+    # Installing at the witness
+
+    def begin_install(self, now: int) -> None:
+        """Hand the flows to their witnesses."""
+        live = [m for m in self.history.members() if m.state == "live"]
+        if not any(self.is_self(member) for member in live):
+            self.active = self.view
+            return
+        others = [member for member in live if not self.is_self(member)]
+        if not others:
+            self.owned.add((self.view, NO_WITNESS))
+        self.installing = {member.id: member for member in others}
+        self.send_installs(now, self.view)
+        self.note_active()
+
+    def send_installs(self, now: int, view: int) -> None:
+        """Send what each witness lacks, and again later."""
+        if view != self.view or not self.installing:
+            return
+        for witness in self.installing.values():
+            self.out.append(SendPeer(witness.host, witness.port, self.install(witness)))
+        self.timers.add(now + RESEND_MS, lambda later: self.send_installs(later, view))
+
+    def install(self, witness: Member) -> Install:
+        """Return what a witness has to hold by the newest view."""
+        earlier = self.history.earlier()
+        before = earlier[0] if earlier else None
+
+        def is_lacking(item: Record | Observation) -> bool:
+            flow = self.state.flow_of(item)
+            owner, second = self.pair(flow)
+            if not self.is_self(owner) or second is None or second.id != witness.id:
+                return False
+            return not self.was_installed(before, flow, witness)
+
+        return Install(
+            service=self.service,
+            view=self.view,
+            records=[item for item in self.state.records() if is_lacking(item)],
+            observations=[
+                item for item in self.state.observations() if is_lacking(item)
+            ],
+            uncertain=self.uncertain,
+        )
+
+    def was_installed(
+        self, before: Placement | None, flow: bytes, witness: Member
+    ) -> bool:
+        """Return whether the same pair held the flow in the view before."""
+        if before is None or (before.number, witness.id) not in self.owned:
+            return False
+        owner, second = before.pair(flow)
+        return (
+            self.is_self(owner)
+            and second is not None
+            and member_key(second) == member_key(witness)
+        )
+
+    def on_install(self, now: int, owner: Member, install: Install) -> None:
+        """Hold an owner's flows as its witness."""
+        if install.view > self.view:
+            self.want_view(owner)
+            return
+        is_current = install.view == self.view
+        if is_current:
+            self.hold(install)
+            self.witnessed.add((install.view, owner.id))
+        answer = Installed(self.service, install.view, is_current)
+        self.out.append(SendPeer(owner.host, owner.port, answer))
+
+    def hold(self, install: Install) -> None:
+        """Keep what an owner handed over."""
+        for record in install.records:
+            self.state.put_record(record)
+        for observation in install.observations:
+            self.state.put_observation(observation)
+        known = set(map(repr, self.uncertain))
+        for item in install.uncertain:
+            if repr(item) not in known:
+                self.uncertain.append(item)
+
+    def on_installed(self, now: int, sender: str, answer: Installed) -> None:
+        """Note that a witness holds the flows."""
+        if answer.view != self.view or not answer.ok:
+            return
+        if self.installing.pop(sender, None) is None:
+            return
+        self.owned.add((answer.view, sender))
+        self.note_active()
+        self.on_progress(now)
+
+    def note_active(self) -> None:
+        """Note when all witnesses of the newest view hold their flows."""
+        if self.is_settled and not self.installing:
+            self.active = self.view
+
+    # Standing
+
+    def is_witness_for(self, view: int, owner: str) -> bool:
+        """Return whether records of an owner may be kept by a view."""
+        return view == self.view and (view, owner) in self.witnessed
+
+    def standing(self, flow: bytes, now: int) -> Standing:
+        """Return what may be done for a flow."""
+        owner, witness = self.pair(flow)
+        if not self.is_self(owner):
+            return Standing.FOREIGN
+        if not self.is_settled:
+            return Standing.SETTLING
+        peer = witness.id if witness else NO_WITNESS
+        if (self.view, peer) not in self.owned:
+            return Standing.UNWITNESSED
+        if self.is_uncertain(flow, now):
+            return Standing.UNCERTAIN
+        return Standing.READY
+
+    def is_uncertain(self, flow: bytes, now: int) -> bool:
+        """Return whether records of the flow may be lost."""
+        return any(item.until > now and covers(item, flow) for item in self.uncertain)
+
+
+def is_same_observation(one: Observation, other: Observation) -> bool:
+    """Return whether two are of the same caller under the same token."""
+    return (one.host, one.port, one.token) == (other.host, other.port, other.token)
+
+
+def covers(item: UncertainRange, flow: bytes) -> bool:
+    """Return whether a range holds a flow: owner and witness are both lost."""
+    owner, witness = pair_of(flow, item.view.members)
+    if owner is None or owner.id not in item.lost:
+        return False
+    return witness is None or witness.id in item.lost
--- /dev/null
+++ b/fuchsiapin/ranking.py
@@ -0,0 +1,73 @@
+"""Ranking of members for a flow.
+
+References
+----------
+.. [1] D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit
+   rates", IEEE/ACM Transactions on Networking, 1998.
+.. [2] J. Schindelhauer and G. Schomaker, "Weighted distributed hash tables",
+   SPAA 2005.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+from fuchsiapin.messages import Member
+from fuchsiapin.registry import Registry
+
+__all__ = ["flow_key", "member_key", "rank_members", "rankers"]
+
+rankers = Registry("ranker")
+
+HASH_RANGE = float(2**64)
+
+
+def flow_key(service: str, host: str, port: int) -> bytes:
+    """Return the key of the flow of a caller at a service.
+
+    Examples
+    --------
+    >>> flow_key("ledger", "10.0.0.1", 4000)
+    b'ledger|10.0.0.1|4000'
+    """
+    return f"{service}|{host}|{port}".encode()
+
+
+def member_key(member: Member) -> str:
+    """Return the name of one incarnation of a member."""
+    return f"{member.id}#{member.incarnation}"
+
+
+@rankers.register("rendezvous")
+def rank_members(
+    key: bytes, members: Iterable[Member], count: int = 2
+) -> Sequence[Member]:
+    """Rank members for a key by weighted rendezvous hashing [1]_ [2]_.
+
+    Parameters
+    ----------
+    key : bytes
+        Flow key.
+    members : iterable of Member
+        Those that may own flows; each weighs by its connections.
+    count : int
+        How many to return at the most.
+
+    Returns
+    -------
+    list of Member
+        The highest ranked first.
+
+    Notes
+    -----
+    A member that joins or leaves moves its own share of the flows and no other.
+    The incarnation takes no part, so that a restart in place moves nothing.
+    """
+    scored = []
+    for member in members:
+        digest = xxh3_64_intdigest(key, seed=xxh3_64_intdigest(member.id.encode()))
+        draw = (digest + 1) / (HASH_RANGE + 1)
+        scored.append((-max(member.weight, 1) / math.log(draw), member.id, member))
+    scored.sort(reverse=True)
+    return [member for _, _, member in scored[:count]]
--- /dev/null
+++ b/fuchsiapin/registry.py
@@ -0,0 +1,53 @@
+"""Registries of behaviour that varies, filled by decorators."""
+
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiapin.exceptions import UnknownVariant
+
+__all__ = ["Registry"]
+
+
+class Registry:
+    """Functions of one kind by name.
+
+    Parameters
+    ----------
+    kind : str
+        What the functions are, for error texts.
+
+    Examples
+    --------
+    >>> greeters = Registry("greeter")
+    >>> @greeters.register("short")
+    ... def greet():
+    ...     return "hi"
+    >>> greeters.get("short")()
+    'hi'
+    """
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self.variants: dict[str, Callable[..., Any]] = {}
+
+    def register(self, name: str) -> Callable[[Callable], Callable]:
+        """Return a decorator that files a function under `name`."""
+
+        def add(function: Callable) -> Callable:
+            self.variants[name] = function
+            return function
+
+        return add
+
+    def get(self, name: str) -> Callable[..., Any]:
+        """Return the function filed under `name`.
+
+        Raises
+        ------
+        UnknownVariant
+            If there is none.
+        """
+        if name not in self.variants:
+            known = ", ".join(sorted(self.variants))
+            raise UnknownVariant(f"no {self.kind} named {name!r}; known: {known}")
+        return self.variants[name]
--- /dev/null
+++ b/fuchsiapin/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, upstreams, callers and the fabric."""
--- /dev/null
+++ b/fuchsiapin/tests/test_world.py
@@ -0,0 +1,66 @@
+"""Whole sessions of all cores on simulated time, against the oracle."""
+
+import unittest
+
+from measure.world import Links, Oracle, World
+
+FLOWS = 20
+REQUESTS = 10
+
+
+def make_busy_world(seed: int, loss: float = 0.02) -> World:
+    """Return a world with open boards and claims under way."""
+    world = World(seed, links=Links(loss=loss, duplicate=0.01))
+    world.run(3_000)
+    for flow in range(FLOWS):
+        caller = world.add_caller()
+        caller.open_board()
+        for number in range(REQUESTS):
+            name = f"claim-{flow}-{number}"
+            due = world.now + world.rng.uniform(0, 30_000)
+            world.at(due, lambda c=caller, n=name: c.post("claims", n))
+    world.run(8_000)
+    return world
+
+
+class SessionTest(unittest.TestCase):
+    """Promises over a whole session with one change."""
+
+    def check(self, world: World) -> None:
+        """Let the session end and check every promise."""
+        world.run(100_000)
+        self.assertEqual(Oracle(world).faults(), [])
+        self.assertEqual(world.tally.silent, 0)
+        now = world.clock.seconds()
+        for caller in world.callers.values():
+            self.assertTrue(caller.is_open)
+            self.assertLess(now - caller.last_heard, 10)
+
+    def test_leaving_upstream_cuts_nothing(self) -> None:
+        world = make_busy_world(1)
+        world.stop("swapdesk-3")
+        self.check(world)
+        self.assertNotIn("swapdesk-3", world.nodes)
+        self.assertEqual(world.tally.done, FLOWS * REQUESTS)
+
+    def test_killed_side_process_runs_nothing_twice(self) -> None:
+        world = make_busy_world(2)
+        world.kill("swapdesk-3")
+        self.check(world)
+
+    def test_paused_owner_wakes_after_its_removal(self) -> None:
+        world = make_busy_world(3)
+        world.freeze("swapdesk-3")
+        world.run(12_000)
+        world.thaw("swapdesk-3")
+        self.check(world)
+
+    def test_killed_balancer_breaks_no_flow(self) -> None:
+        world = make_busy_world(4)
+        world.kill("balancer-2")
+        self.check(world)
+        self.assertEqual(world.tally.done, FLOWS * REQUESTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fuchsiapin/upstream.py
@@ -0,0 +1,160 @@
+"""Exchanges of a side process with its own upstream over CoAP."""
+
+from collections.abc import Callable
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+
+from fuchsiapin.coap import acknowledgement, parse_datagram, ping, request_for_upstream
+from fuchsiapin.exceptions import MalformedDatagram
+from fuchsiapin.messages import SendUpstream
+from fuchsiapin.timers import Timers
+
+__all__ = ["UpstreamLink"]
+
+RETRANSMIT_MS = 1_000
+"""First retransmission of an idempotent request to the upstream."""
+MAX_RETRANSMIT = 4
+PING_INTERVAL_MS = 1_000
+SILENCE_LIMIT_MS = 4_000
+"""An upstream that says nothing for so long is down."""
+MID_RANGE = 1 << 16
+
+OnAnswer = Callable[[int, Message], None]
+
+
+class Exchange:
+    """One request at the upstream, or one registered observation."""
+
+    def __init__(self, token: bytes, mid: int, data: bytes, call: OnAnswer) -> None:
+        self.token = token
+        self.mid = mid
+        self.data = data
+        self.call = call
+        self.is_acknowledged = False
+        self.stays_open = False
+
+
+class UpstreamLink:
+    """Matches the upstream's answers to requests by token.
+
+    Parameters
+    ----------
+    timers : Timers
+        Timers of the core.
+    out : list
+        Effects of the core.
+    """
+
+    def __init__(self, timers: Timers, out: list) -> None:
+        self.timers = timers
+        self.out = out
+        self.exchanges: dict[bytes, Exchange] = {}
+        self.mids: dict[int, Exchange] = {}
+        self.next_mid = 1
+        self.next_token = 1
+        self.last_heard = 0
+
+    def start(self, now: int) -> None:
+        """Begin to watch the upstream."""
+        self.last_heard = now
+        self.ping(now)
+
+    def ping(self, now: int) -> None:
+        """Ask for a sign of life, and again later."""
+        self.out.append(SendUpstream(ping(self.take_mid())))
+        self.timers.add(now + PING_INTERVAL_MS, self.ping)
+
+    def is_silent(self, now: int) -> bool:
+        """Return whether the upstream seems to be down."""
+        return now - self.last_heard > SILENCE_LIMIT_MS
+
+    def take_mid(self) -> int:
+        """Return a message ID that was not used for long."""
+        self.next_mid = (self.next_mid + 1) % MID_RANGE
+        return self.next_mid
+
+    def request(
+        self,
+        now: int,
+        message: Message,
+        tag: bytes,
+        call: OnAnswer,
+        repeat: bool,
+        stays_open: bool = False,
+    ) -> bytes:
+        """Send a request; return its token.
+
+        A request that must not run twice is sent once only: an upstream that
+        restarts has forgotten the message IDs that it has seen.
+        """
+        token = self.next_token.to_bytes(4, "big")
+        self.next_token += 1
+        mid = self.take_mid()
+        data = request_for_upstream(message, mid, token, True, tag)
+        exchange = Exchange(token, mid, data, call)
+        exchange.stays_open = stays_open
+        self.exchanges[token] = exchange
+        self.mids[mid] = exchange
+        self.out.append(SendUpstream(data))
+        if repeat:
+            self.repeat_later(now, exchange, 0)
+        return token
+
+    def cancel(self, now: int, message: Message, token: bytes, tag: bytes) -> None:
+        """Cancel an observation that was registered under a token."""
+        self.forget(token)
+        mid = self.take_mid()
+        data = request_for_upstream(message, mid, token, True, tag)
+        self.out.append(SendUpstream(data))
+
+    def repeat_later(self, now: int, exchange: Exchange, count: int) -> None:
+        """Send a request again unless it is acknowledged by then."""
+
+        def repeat(later: int) -> None:
+            if exchange.is_acknowledged or exchange.token not in self.exchanges:
+                return
+            self.out.append(SendUpstream(exchange.data))
+            if count + 1 < MAX_RETRANSMIT:
+                self.repeat_later(later, exchange, count + 1)
+
+        self.timers.add(now + (RETRANSMIT_MS << count), repeat)
+
+    def forget(self, token: bytes) -> None:
+        """Stop to wait for answers under a token."""
+        exchange = self.exchanges.pop(token, None)
+        if exchange is not None:
+            self.mids.pop(exchange.mid, None)
+
+    def receive(self, now: int, data: bytes) -> bool:
+        """Take a datagram of the upstream; return whether it made sense."""
+        try:
+            message = parse_datagram(data)
+        except MalformedDatagram:
+            return False
+        self.last_heard = now
+        if message.mtype in (Type.ACK, Type.RST):
+            self.acknowledge(message)
+        if message.code is Code.EMPTY:
+            return True
+        if message.mtype is Type.CON:
+            self.out.append(SendUpstream(acknowledgement(message.mid)))
+        return self.answer(now, message)
+
+    def acknowledge(self, message: Message) -> None:
+        """Note that the upstream has a request."""
+        exchange = self.mids.pop(message.mid, None)
+        if exchange is not None:
+            exchange.is_acknowledged = True
+
+    def answer(self, now: int, message: Message) -> bool:
+        """Hand an answer to whoever waits under its token."""
+        exchange = self.exchanges.get(message.token)
+        if exchange is None:
+            return False
+        exchange.is_acknowledged = True
+        if not exchange.stays_open or message.opt.observe is None:
+            self.forget(exchange.token)
+        exchange.call(now, message)
+        return True
--- /dev/null
+++ b/fuchsiapin/views.py
@@ -0,0 +1,104 @@
+"""Views of a service's members, and who owns and who witnesses a flow in each."""
+
+from functools import lru_cache
+
+from fuchsiapin.messages import Member, ServiceMembership, View
+from fuchsiapin.ranking import rank_members
+
+__all__ = ["Pair", "Placement", "ViewHistory", "pair_of"]
+
+PLACEMENT_CACHE = 8_192
+"""Flows whose pair is remembered per view."""
+
+Pair = tuple[Member | None, Member | None]
+"""Owner and witness of a flow."""
+
+
+def pair_of(key: bytes, members: list[Member]) -> Pair:
+    """Return owner and witness of a flow among the members of a view.
+
+    Parameters
+    ----------
+    key : bytes
+        Flow key.
+    members : list of Member
+        Members of the view, whatever their state.
+
+    Returns
+    -------
+    tuple of Member or None
+        The owner is the first of the ranking. The witness is the next one in
+        another availability zone, or the second where there is no such zone.
+        Either is None where there are too few members.
+    """
+    live = [member for member in members if member.state == "live"]
+    ranked = rank_members(key, live, len(live))
+    if not ranked:
+        return None, None
+    owner, others = ranked[0], ranked[1:]
+    for member in others:
+        if member.zone != owner.zone:
+            return owner, member
+    return owner, (others[0] if others else None)
+
+
+class Placement:
+    """Pairs of one view, with a bounded memory.
+
+    Parameters
+    ----------
+    view : View
+        The view.
+    """
+
+    def __init__(self, view: View) -> None:
+        self.view = view
+        self.number = view.number
+        self.pair = lru_cache(maxsize=PLACEMENT_CACHE)(self.compute)
+
+    def compute(self, key: bytes) -> Pair:
+        """Return owner and witness of a flow, not remembered."""
+        return pair_of(key, self.view.members)
+
+
+class ViewHistory:
+    """The newest view of a service and those that may still be claimed from.
+
+    Attributes
+    ----------
+    placements : list of Placement
+        Oldest first; the last is the newest view.
+    """
+
+    def __init__(self) -> None:
+        self.placements: list[Placement] = []
+
+    @property
+    def number(self) -> int:
+        """Number of the newest view, 0 when there is none."""
+        return self.placements[-1].number if self.placements else 0
+
+    @property
+    def newest(self) -> Placement | None:
+        """The newest view's placement."""
+        return self.placements[-1] if self.placements else None
+
+    def members(self) -> list[Member]:
+        """Return the members of the newest view."""
+        return self.placements[-1].view.members if self.placements else []
+
+    def earlier(self) -> list[Placement]:
+        """Return the placements before the newest, newest of them first."""
+        return self.placements[-2::-1]
+
+    def adopt(self, membership: ServiceMembership) -> bool:
+        """Take in a membership object; return whether it was newer.
+
+        A lower or equal number changes nothing: views never revert.
+        """
+        if membership.view.number <= self.number:
+            return False
+        views = [*membership.history, membership.view]
+        known = {placement.number: placement for placement in self.placements}
+        self.placements = [known.get(view.number) or Placement(view) for view in views]
+        return True
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision cores and of the daemons."""
--- /dev/null
+++ b/measure/world.py
@@ -0,0 +1,494 @@
+"""Decision cores joined by a seeded, simulated clock, links and object store.
+
+The same stand-ins of upstreams and callers that the daemons are tested with are
+driven here on simulated time, so that a fault and its seed replay exactly.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fuchsiapin import messages
+from fuchsiapin.balancing import make_balancer_core
+from fuchsiapin.codec import pack_message, unpack_message
+from fuchsiapin.serving import SideOptions, make_side_core
+from fuchsiapin.tests.standins.caller import Caller, Tally
+from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
+
+__all__ = ["Links", "Node", "Oracle", "World", "WorldOptions"]
+
+EPOCH_MS = 1_700_000_000_000
+"""Start of simulated time."""
+PEER_PORT = 7000
+CALLER_PORT = 5683
+MAX_INBOX = 4_096
+"""Datagrams that wait for a paused process."""
+
+
+@dataclass
+class WorldOptions:
+    """Size and shape of a world."""
+
+    service: str = "swapdesk"
+    sides: int = 7
+    balancers: int = 3
+    zones: tuple[str, ...] = ("bole", "arada", "kirkos")
+    service_ms: float = 100.0
+    slots: int = 2
+    queue: int = 64
+    deadline_ms: int = 20_000
+    board_ms: float = 1_000.0
+
+
+@dataclass
+class Links:
+    """Delay, loss and cuts between processes; all in ms and shares."""
+
+    delay_ms: float = 4.0
+    jitter_ms: float = 1.0
+    caller_ms: float = 3.0
+    loss: float = 0.0
+    duplicate: float = 0.0
+    cuts: set[tuple[str, str]] = field(default_factory=set)
+
+
+class WorldClock:
+    """The reactor that stand-ins see."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+        return self.world.now / 1000
+
+    def callLater(self, delay: float, call: Callable, *args: Any) -> None:
+        """Call later, `delay` in seconds."""
+        self.world.at(self.world.now + delay * 1000, lambda: call(*args))
+
+
+class Wire:
+    """The transport that a stand-in writes to."""
+
+    def __init__(self, write: Callable[[bytes, tuple[str, int]], None]) -> None:
+        self.write = write
+
+
+class Node:
+    """One process: its core, and whether it runs."""
+
+    def __init__(self, name: str, host: str, zone: str, core: Any) -> None:
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.core = core
+        self.is_alive = True
+        self.is_frozen = False
+        self.inbox: deque[Any] = deque(maxlen=MAX_INBOX)
+        self.upstream: Upstream | None = None
+        self.wake_due: float | None = None
+        self.reports: list[messages.Report] = []
+        self.sent_bytes = 0
+        self.sequence = 0
+
+
+@dataclass
+class Store:
+    """The object store: values with versions, and its faults."""
+
+    revision: int = 0
+    objects: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    is_down: bool = False
+    delay_ms: float = 3.0
+    lose_answers: int = 0
+    unreachable: set[str] = field(default_factory=set)
+    reads: int = 0
+    writes: int = 0
+
+
+class World:
+    """All processes of one service, on simulated time.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything that is drawn.
+    options : WorldOptions, optional
+        Size and shape.
+    links : Links, optional
+        Links.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        options: WorldOptions | None = None,
+        links: Links | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.options = options or WorldOptions()
+        self.links = links or Links()
+        self.now: float = EPOCH_MS
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.clock = WorldClock(self)
+        self.store = Store()
+        self.nodes: dict[str, Node] = {}
+        self.by_address: dict[tuple[str, int], Node] = {}
+        self.callers: dict[tuple[str, int], Caller] = {}
+        self.tally = Tally()
+        self.upstreams: list[Upstream] = []
+        self.balancer_addresses: list[tuple[str, int]] = []
+        for place in range(self.options.balancers):
+            self.add_balancer(f"balancer-{place + 1}", self.zone_of(place))
+        for place in range(self.options.sides):
+            self.add_side(f"{self.options.service}-{place + 1}", self.zone_of(place))
+
+    def zone_of(self, place: int) -> str:
+        """Return the availability zone of a place."""
+        return self.options.zones[place % len(self.options.zones)]
+
+    # Time
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        """Call at a time."""
+        self.count += 1
+        heapq.heappush(self.heap, (max(time, self.now), self.count, call))
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        end = self.now + duration_ms
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.heap)
+            call()
+        self.now = end
+
+    # Processes
+
+    def add_balancer(self, name: str, zone: str) -> Node:
+        """Start a balancer."""
+        host = f"10.1.{len(self.nodes) // 250}.{len(self.nodes) % 250 + 1}"
+        me = messages.BalancerMember(name, int(self.now), host, PEER_PORT, zone, "live")
+        core = make_balancer_core(me, self.rng.getrandbits(32))
+        node = self.add_node(name, host, zone, core)
+        self.balancer_addresses.append((host, CALLER_PORT))
+        return node
+
+    def add_side(self, name: str, zone: str, upstream: Upstream | None = None) -> Node:
+        """Start a side process, beside a new upstream unless one is given."""
+        host = f"10.2.{len(self.nodes) // 250}.{len(self.nodes) % 250 + 1}"
+        me = messages.Member(name, int(self.now), host, PEER_PORT, zone, 2000, "live")
+        options = SideOptions(
+            self.options.slots, self.options.queue, 100_000, self.options.deadline_ms
+        )
+        core = make_side_core(
+            self.options.service, me, self.rng.getrandbits(32), options
+        )
+        node = self.add_node(name, host, zone, core)
+        node.upstream = upstream or self.make_upstream(name)
+        node.upstream.sink = lambda data, address: self.at(
+            self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
+        )
+        return node
+
+    def make_upstream(self, name: str) -> Upstream:
+        """Start an upstream stand-in."""
+        options = UpstreamOptions(
+            name,
+            self.options.service,
+            self.options.slots,
+            self.options.service_ms,
+            self.options.board_ms,
+            self.rng.getrandbits(32),
+        )
+        upstream = Upstream(options, self.clock)
+        upstream.startProtocol()
+        self.upstreams.append(upstream)
+        return upstream
+
+    def add_node(self, name: str, host: str, zone: str, core: Any) -> Node:
+        """Join a process to the world and start it."""
+        node = Node(name, host, zone, core)
+        self.nodes[name] = node
+        self.by_address[(host, PEER_PORT)] = node
+        self.at(self.now + self.rng.uniform(0, 5), lambda: self.boot(node))
+        return node
+
+    def boot(self, node: Node) -> None:
+        """Start a process and let it see the store."""
+        self.feed(node, messages.Start())
+        self.resync(node)
+
+    def kill(self, name: str) -> Node:
+        """End a process without warning; its upstream lives on."""
+        node = self.nodes.pop(name)
+        node.is_alive = False
+        self.balancer_addresses = [
+            address for address in self.balancer_addresses if address[0] != node.host
+        ]
+        return node
+
+    def freeze(self, name: str) -> None:
+        """Pause a process; what comes for it waits."""
+        self.nodes[name].is_frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        node = self.nodes[name]
+        node.is_frozen = False
+        waiting = list(node.inbox)
+        node.inbox.clear()
+        for event in waiting:
+            self.feed(node, event)
+        self.feed(node, messages.Wake())
+
+    def stop(self, name: str) -> None:
+        """Ask a process for a planned stop."""
+        node = self.nodes[name]
+        self.balancer_addresses = [
+            address for address in self.balancer_addresses if address[0] != node.host
+        ]
+        self.feed(node, messages.StopRequested())
+
+    def feed(self, node: Node, event: Any) -> None:
+        """Give an event to a process and carry out the effects."""
+        if not node.is_alive:
+            return
+        if node.is_frozen:
+            if not isinstance(event, messages.Wake):
+                node.inbox.append(event)
+            return
+        for effect in node.core.handle(int(self.now), event):
+            EFFECTS[type(effect)](self, node, effect)
+        self.plan_wake(node)
+
+    def plan_wake(self, node: Node) -> None:
+        """Wake a process when its next timer is due."""
+        due = node.core.next_due()
+        if due is None or (node.wake_due is not None and node.wake_due <= due):
+            return
+        node.wake_due = due
+
+        def wake() -> None:
+            if node.wake_due == due:
+                node.wake_due = None
+                self.feed(node, messages.Wake())
+
+        self.at(due, wake)
+
+    # Links
+
+    def delay(self, base: float) -> float:
+        """Return the delay of one datagram."""
+        return base + self.rng.uniform(0, self.links.jitter_ms)
+
+    def deliver(
+        self, source: str, target: str, base: float, call: Callable[[], None]
+    ) -> None:
+        """Carry a datagram, or lose or repeat it."""
+        if (source, target) in self.links.cuts:
+            return
+        copies = 1
+        if self.links.loss and self.rng.random() < self.links.loss:
+            copies = 0
+        elif self.links.duplicate and self.rng.random() < self.links.duplicate:
+            copies = 2
+        for _ in range(copies):
+            self.at(self.now + self.delay(base), call)
+
+    def send_peer(self, node: Node, effect: messages.SendPeer) -> None:
+        """Carry a message between processes, by its wire form."""
+        target = self.by_address.get((effect.host, effect.port))
+        if target is None:
+            return
+        node.sequence += 1
+        data = pack_message(node.name, 0, node.sequence, effect.message)
+        node.sent_bytes += len(data)
+        base = 0.3 if node.zone == target.zone else self.links.delay_ms
+
+        def arrive() -> None:
+            sender, incarnation, _, message = unpack_message(data)
+            self.feed(target, messages.PeerMessage(sender, incarnation, message))
+
+        self.deliver(node.name, target.name, base, arrive)
+
+    def send_caller(self, node: Node, effect: messages.SendCaller) -> None:
+        """Carry a datagram to a caller."""
+        caller = self.callers.get((effect.host, effect.port))
+        if caller is not None:
+            self.deliver(
+                node.name,
+                "caller",
+                self.links.caller_ms,
+                lambda: caller.datagramReceived(effect.payload, (node.host, 0)),
+            )
+
+    def send_upstream(self, node: Node, effect: messages.SendUpstream) -> None:
+        """Carry a datagram to the upstream of the same VM."""
+        address = (node.host, CALLER_PORT)
+        self.at(
+            self.now, lambda: node.upstream.datagramReceived(effect.payload, address)
+        )
+
+    def add_caller(self) -> Caller:
+        """Add a caller with a flow of its own."""
+        rng = random.Random(self.rng.getrandbits(32))
+        address = (f"10.9.{len(self.callers) // 250}.{len(self.callers) % 250}", 4000)
+        caller = Caller(
+            self.options.service,
+            self.balancer_addresses,
+            self.tally,
+            self.clock,
+            rng,
+        )
+        caller.transport = Wire(
+            lambda data, target: self.call_balancer(address, data, target)
+        )
+        caller.spray = lambda data: self.call_balancer(
+            address, data, rng.choice(self.balancer_addresses or [("", 0)])
+        )
+        self.callers[address] = caller
+        return caller
+
+    def call_balancer(
+        self, source: tuple[str, int], data: bytes, target: tuple[str, int]
+    ) -> None:
+        """Carry a caller's datagram to a balancer."""
+        node = self.by_address.get((target[0], PEER_PORT))
+        if node is None:
+            return
+        event = messages.CallerDatagram(
+            self.options.service, source[0], source[1], data
+        )
+        self.deliver(
+            "caller", node.name, self.links.caller_ms, lambda: self.feed(node, event)
+        )
+
+    # Object store
+
+    def is_store_reachable(self, node: Node) -> bool:
+        """Return whether a process reaches the store."""
+        return not self.store.is_down and node.name not in self.store.unreachable
+
+    def write_object(self, node: Node, effect: messages.WriteObject) -> None:
+        """Carry out a conditional update."""
+
+        def write() -> None:
+            outcome = "unreachable"
+            if self.is_store_reachable(node):
+                outcome = self.put(effect.key, effect.version, effect.value)
+                if outcome == "done" and self.store.lose_answers:
+                    self.store.lose_answers -= 1
+                    outcome = "unreachable"
+            event = messages.WriteFinished(effect.key, effect.change_id, outcome)
+            self.at(
+                self.now + self.delay(self.store.delay_ms),
+                lambda: self.feed(node, event),
+            )
+
+        self.at(self.now + self.delay(self.store.delay_ms), write)
+
+    def put(self, key: str, version: int, value: bytes) -> str:
+        """Replace one version of an object."""
+        self.store.writes += 1
+        if self.store.objects.get(key, (0, b""))[0] != version:
+            return "conflict"
+        self.store.revision += 1
+        self.store.objects[key] = (self.store.revision, value)
+        for node in list(self.nodes.values()):
+            self.push(node, key)
+        return "done"
+
+    def push(self, node: Node, key: str) -> None:
+        """Let a process see an object by its watch."""
+        version, value = self.store.objects[key]
+
+        def see() -> None:
+            if self.is_store_reachable(node):
+                self.feed(node, messages.ObjectSeen(key, version, value))
+
+        self.at(self.now + self.delay(self.store.delay_ms), see)
+
+    def resync(self, node: Node) -> None:
+        """Let a process see all objects, as a new watch does."""
+        if self.is_store_reachable(node):
+            for key in self.store.objects:
+                self.push(node, key)
+
+    def set_store(self, is_down: bool) -> None:
+        """Begin or end an outage of the store."""
+        self.store.is_down = is_down
+        if not is_down:
+            for node in self.nodes.values():
+                self.resync(node)
+
+    def read_object(self, node: Node, effect: messages.ReadObject) -> None:
+        """Answer a read, or stay silent."""
+
+        def answer() -> None:
+            if self.is_store_reachable(node):
+                self.store.reads += 1
+                version, value = self.store.objects.get(effect.key, (0, b""))
+                event = messages.ObjectSeen(effect.key, version, value)
+                self.feed(node, event)
+
+        self.at(self.now + 2 * self.delay(self.store.delay_ms), answer)
+
+    def report(self, node: Node, effect: messages.Report) -> None:
+        """Keep a numbered event."""
+        node.reports.append(effect)
+
+    def finish(self, node: Node, effect: messages.Finished) -> None:
+        """End a process that has finished."""
+        self.nodes.pop(node.name, None)
+        node.is_alive = False
+
+
+EFFECTS: dict[type, Callable[[World, Node, Any], None]] = {
+    messages.SendPeer: World.send_peer,
+    messages.SendCaller: World.send_caller,
+    messages.SendUpstream: World.send_upstream,
+    messages.WriteObject: World.write_object,
+    messages.ReadObject: World.read_object,
+    messages.Report: World.report,
+    messages.Finished: World.finish,
+}
+
+
+class Oracle:
+    """What must hold of each request, told from executions and answers.
+
+    Parameters
+    ----------
+    world : World
+        The world that is checked.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each request ran, by its name."""
+        counts: dict[str, int] = {}
+        for upstream in self.world.upstreams:
+            for execution in upstream.executions:
+                counts[execution["body"]] = counts.get(execution["body"], 0) + 1
+        return counts
+
+    def faults(self) -> list[str]:
+        """Return every broken promise found, empty when all hold."""
+        runs = self.runs()
+        found = [
+            f"{name} ran {count} times" for name, count in runs.items() if count > 1
+        ]
+        for name, told in self.world.tally.told.items():
+            if told == "refused" and runs.get(name):
+                found.append(f"{name} was told not run, but ran")
+            if told == "done" and not runs.get(name):
+                found.append(f"{name} was told done, but never ran")
+        if self.world.tally.wrong:
+            found.append(f"{self.world.tally.wrong} wrong answers")
+        return found
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository: starter, demo, test runner, fuzzer."""
