--- /dev/null
+++ b/fuchsiapin/dispatching.py
@@ -0,0 +1,381 @@
+"""Requests of own flows: from the datagram to the final answer.
+
+A request that is not idempotent runs only after the witness holds its record,
+and "not run" is told only after the witness holds that it was refused.
+"""
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+
+from fuchsiapin import coap, messages
+from fuchsiapin.messages import Record, SendPeer
+from fuchsiapin.ownership import Standing
+from fuchsiapin.ranking import member_key
+from fuchsiapin.requests import Request, Stage
+
+if TYPE_CHECKING:
+    from fuchsiapin.serving import SideCore
+
+__all__ = ["Dispatcher"]
+
+RESEND_MS = 200
+"""A record is sent to the witness again after this time."""
+MAX_REQUESTS = 4_096
+"""Requests under way at one side process."""
+MAX_SLOT_MS = 120_000
+"""A slot is taken to be free again after this time without an answer."""
+MIN_RETRY_AFTER_S = 1
+
+
+class Dispatcher:
+    """The requests of one side process.
+
+    Parameters
+    ----------
+    core : SideCore
+        The core that this is a part of.
+    """
+
+    def __init__(self, core: "SideCore") -> None:
+        self.core = core
+
+    def receive_request(
+        self, flow: bytes, host: str, port: int, message: Message, datagram: bytes
+    ) -> None:
+        """Take a request, unless it is a retransmission."""
+        key = coap.request_digest(flow, datagram)
+        if key in self.core.requests:
+            return
+        record = self.core.table.get(key)
+        if record is not None:
+            self.answer_again(record)
+            return
+        if len(self.core.requests) >= MAX_REQUESTS:
+            self.core.report(4105, flow=flow.decode())
+            return
+        deadline = self.core.now + self.core.deadline_ms
+        request = Request(key, flow, host, port, message, datagram, deadline)
+        self.core.requests[key] = request
+        self.core.timers.add(deadline, lambda now: self.expire_request(request))
+        if message.opt.observe == 1:
+            self.core.watcher.close_observation((host, port, message.token))
+        self.admit(request)
+
+    def answer_again(self, record: Record) -> None:
+        """Answer a retransmission from its record."""
+        if record.response:
+            self.core.send_to_caller(record.host, record.port, record.response)
+            return
+        if not self.is_present(record.executor):
+            self.tell_unknown(record)
+
+    def is_present(self, executor: str) -> bool:
+        """Return whether one incarnation of a member is in the newest view."""
+        members = self.core.ownership.history.members()
+        return any(member_key(member) == executor for member in members)
+
+    def tell_unknown(self, record: Record) -> None:
+        """Tell a caller that it can't be known whether its request ran."""
+        message = coap.parse_datagram(record.head)
+        answer = coap.refusal(
+            message, Code.GATEWAY_TIMEOUT, self.core.take_mid(), 5, "outcome unknown"
+        )
+        self.core.table.put(replace(record, state="unknown", response=answer))
+        self.core.report(3104, host=record.host, port=record.port)
+        self.core.send_to_caller(record.host, record.port, answer)
+
+    def admit(self, request: Request) -> None:
+        """Let a request wait for its turn, or refuse it at once."""
+        if coap.is_blockwise(request.message) and self.core.transfers.follow_upload(
+            request
+        ):
+            return
+        if self.core.admission.accepts(self.core.now, request.deadline):
+            self.core.admission.enqueue(request)
+        else:
+            request.refused = "busy"
+        self.advance(request)
+        self.pump()
+
+    def advance(self, request: Request) -> None:
+        """Take the next step for a request that has not started."""
+        if request.key not in self.core.requests or request.has_started:
+            return
+        standing = self.core.ownership.standing(request.flow, self.core.now)
+        if request.origin:
+            return
+        if standing is Standing.FOREIGN:
+            self.pass_on_if_foreign(request)
+        elif coap.is_safe(request.message):
+            if request.refused:
+                self.refuse(request)
+        elif standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
+            self.give_up(request)
+        elif standing in (Standing.READY, Standing.UNCERTAIN):
+            self.record_intent(request)
+
+    def record_intent(self, request: Request) -> None:
+        """Have the witness keep what will become of a request."""
+        if request.recorded_in == self.core.ownership.view:
+            return
+        state = "refused" if request.refused else "intent"
+        record = self.new_record(request, state, b"")
+        self.core.table.put(record)
+        self.put_at_witness(request, record)
+
+    def new_record(self, request: Request, state: str, response: bytes) -> Record:
+        """Return a record of a request."""
+        return Record(
+            key=request.key,
+            host=request.host,
+            port=request.port,
+            head=coap.request_head(request.datagram),
+            state=state,
+            executor=member_key(self.core.membership.me),
+            response=response,
+            expires=self.core.now + coap.EXCHANGE_LIFETIME_MS,
+        )
+
+    def put_at_witness(self, request: Request, record: Record) -> None:
+        """Send a record to the witness until it has it."""
+        _, witness = self.core.ownership.pair(request.flow)
+        if witness is None:
+            self.note_recorded(request, record.state)
+            return
+        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
+        self.core.out.append(SendPeer(witness.host, witness.port, put))
+        view = self.core.ownership.view
+
+        def resend(now: int) -> None:
+            is_open = request.key in self.core.requests and not request.has_started
+            if is_open and request.recorded_in != view == self.core.ownership.view:
+                self.put_at_witness(request, record)
+
+        self.core.timers.add(self.core.now + RESEND_MS, resend)
+
+    def on_record_put(self, sender: str, message: messages.RecordPut) -> None:
+        """Keep a record as the witness, unless a newer view is known."""
+        owner = self.core.membership.peer(sender)
+        if owner is None:
+            return
+        record = message.record
+        ok = self.core.ownership.is_witness_for(message.view, sender)
+        ok = ok and not (
+            self.core.table.is_full and self.core.table.get(record.key) is None
+        )
+        if ok or record.state == "done":
+            self.core.table.put(record)
+        answer = messages.RecordAck(
+            self.core.service, message.view, record.key, record.state, ok
+        )
+        self.core.out.append(SendPeer(owner.host, owner.port, answer))
+
+    def on_record_ack(self, sender: str, message: messages.RecordAck) -> None:
+        """Take the witness's word on a record."""
+        request = self.core.requests.get(message.key)
+        if (
+            request is None
+            or message.view != self.core.ownership.view
+            or not message.ok
+        ):
+            return
+        _, witness = self.core.ownership.pair(request.flow)
+        if witness is not None and witness.id == sender:
+            self.note_recorded(request, message.state)
+
+    def note_recorded(self, request: Request, state: str) -> None:
+        """Note that the witness holds what will become of a request."""
+        if request.has_started or state != ("refused" if request.refused else "intent"):
+            return
+        request.recorded_in = self.core.ownership.view
+        if request.refused:
+            self.refuse(request)
+        else:
+            self.pump()
+            self.core.mover.consider_move(request)
+
+    def settle_intents(self) -> None:
+        """Tell callers at once when an earlier owner died with their request."""
+        if not self.core.ownership.is_settled:
+            return
+        for record in list(self.core.table):
+            is_open = record.state == "intent" and record.key not in self.core.requests
+            flow = self.core.flows.flow_of(record)
+            if not is_open or self.core.ownership.standing(flow, self.core.now) in (
+                Standing.FOREIGN,
+                Standing.SETTLING,
+            ):
+                continue
+            if not self.is_present(record.executor):
+                self.tell_unknown(record)
+
+    def pump(self) -> None:
+        """Start waiting requests while the upstream has free slots."""
+        while self.core.admission.has_free_slot and not self.core.link.is_silent(
+            self.core.now
+        ):
+            request = self.next_startable()
+            if request is None:
+                return
+            self.core.admission.remove(request)
+            self.start_request(request)
+
+    def next_startable(self) -> Request | None:
+        """Return the first waiting request that may run now."""
+        for request in self.core.admission.queue:
+            if self.may_start(request):
+                return request
+        return None
+
+    def may_start(self, request: Request) -> bool:
+        """Return whether a request may run by the newest view."""
+        if request.origin:
+            return True
+        standing = self.core.ownership.standing(request.flow, self.core.now)
+        if coap.is_idempotent(request.message):
+            return standing not in (Standing.FOREIGN, Standing.SETTLING)
+        return standing is Standing.READY and (
+            request.recorded_in == self.core.ownership.view
+        )
+
+    def start_request(self, request: Request) -> None:
+        """Send a request to the own upstream."""
+        request.stage = Stage.RUNNING
+        self.core.admission.start(request.key, self.core.now)
+        observe = request.message.opt.observe == 0
+        token = self.core.link.request(
+            self.core.now,
+            request.message,
+            coap.transfer_digest(request.flow, request.message),
+            lambda now, answer: self.on_answer(request, token, answer),
+            coap.is_idempotent(request.message),
+            observe,
+        )
+        self.core.timers.add(
+            self.core.now + MAX_SLOT_MS, lambda now: self.free_slot(request, token)
+        )
+
+    def free_slot(self, request: Request, token: bytes) -> None:
+        """Stop to wait for an answer that never came."""
+        if request.key in self.core.admission.running:
+            self.core.admission.finish(request.key, self.core.now)
+            self.core.link.forget(token)
+
+    def on_answer(self, request: Request, token: bytes, answer: Message) -> None:
+        """Take the upstream's answer to a request."""
+        if token in self.core.observations.by_token:
+            self.core.watcher.on_notification(token, answer)
+            return
+        self.core.admission.finish(request.key, self.core.now)
+        if request.key in self.core.requests:
+            self.complete(request, token, answer)
+        self.pump()
+
+    def complete(self, request: Request, token: bytes, answer: Message) -> None:
+        """Give the caller the whole answer."""
+        if request.origin:
+            self.core.mover.return_result(request, "done", coap.answer_bytes(answer))
+            return
+        sequence = None
+        if answer.opt.observe is not None and request.message.opt.observe == 0:
+            sequence = self.core.watcher.open_observation(request, token)
+        datagram = coap.answer_for_caller(
+            answer, request.message, self.core.take_mid(), sequence
+        )
+        self.core.transfers.note_upload(request, answer)
+        self.finish(request, "done", datagram)
+
+    def finish(self, request: Request, state: str, datagram: bytes) -> None:
+        """Send the final answer and keep it for retransmissions."""
+        self.forget_request(request)
+        self.core.send_to_caller(request.host, request.port, datagram)
+        if coap.is_safe(request.message):
+            return
+        record = self.new_record(request, state, datagram)
+        self.core.table.put(record)
+        self.share_outcome(request, record)
+
+    def share_outcome(self, request: Request, record: Record) -> None:
+        """Tell the witness, and the owner where the flow has moved."""
+        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
+        for member in self.core.ownership.pair(request.flow):
+            if member is not None and not self.core.ownership.is_self(member):
+                self.core.out.append(SendPeer(member.host, member.port, put))
+
+    def refuse(self, request: Request) -> None:
+        """Tell the caller that its request was not run, and when to come back."""
+        self.core.report(
+            3101, host=request.host, port=request.port, reason=request.refused
+        )
+        answer = coap.refusal(
+            request.message,
+            Code.SERVICE_UNAVAILABLE,
+            self.core.take_mid(),
+            self.retry_after_s(),
+            f"not run: {request.refused}",
+        )
+        self.finish(request, "refused", answer)
+
+    def retry_after_s(self) -> int:
+        """Return when a refused caller may come back, in seconds."""
+        wait = self.core.admission.wait_ms() / 1000
+        return MIN_RETRY_AFTER_S + int(wait * self.core.rng.uniform(1.0, 1.5))
+
+    def give_up(self, request: Request) -> None:
+        """Tell the caller that it can't be known whether its request ran."""
+        self.core.report(3102, host=request.host, port=request.port)
+        answer = coap.refusal(
+            request.message,
+            Code.GATEWAY_TIMEOUT,
+            self.core.take_mid(),
+            self.retry_after_s(),
+            "outcome unknown",
+        )
+        self.finish(request, "unknown", answer)
+
+    def expire_request(self, request: Request) -> None:
+        """Give the final answer at the deadline."""
+        if request.key not in self.core.requests:
+            return
+        if request.origin:
+            outcome = "unknown" if request.has_started else "not_run"
+            self.core.mover.return_result(request, outcome, b"")
+        elif coap.is_safe(request.message) and not request.has_started:
+            request.refused = "deadline"
+            self.refuse(request)
+        else:
+            self.give_up(request)
+
+    def forget_request(self, request: Request) -> None:
+        """Take a request out of all queues."""
+        self.core.requests.pop(request.key, None)
+        self.core.admission.remove(request)
+
+    def pass_on_if_foreign(self, request: Request) -> None:
+        """Give a request that has not started to the new owner of its flow."""
+        if (
+            self.core.ownership.standing(request.flow, self.core.now)
+            is not Standing.FOREIGN
+        ):
+            return
+        self.forget_request(request)
+        self.core.table.drop(request.key)
+        owner, _ = self.core.ownership.pair(request.flow)
+        if owner is not None:
+            self.core.pass_on(owner, request.host, request.port, request.datagram)
+
+    def is_withdrawn(self, key: bytes) -> bool:
+        """Return whether a recorded request can no more run here.
+
+        A request that waits is withdrawn once its flow has another owner.
+        """
+        request = self.core.requests.get(key)
+        if request is None or request.origin or request.has_started:
+            return False
+        return (
+            self.core.ownership.standing(request.flow, self.core.now)
+            is Standing.FOREIGN
+        )
--- /dev/null
+++ b/fuchsiapin/transfers.py
@@ -0,0 +1,61 @@
+"""Block-wise transfers stay at the upstream where they began.
+
+References
+----------
+.. [1] C. Bormann, Z. Shelby, "Block-wise transfers in CoAP", RFC 7959, 2016.
+"""
+
+from typing import TYPE_CHECKING
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+
+from fuchsiapin import coap, messages
+from fuchsiapin.requests import Request
+
+if TYPE_CHECKING:
+    from fuchsiapin.serving import SideCore
+
+__all__ = ["Transfers"]
+
+
+class Transfers:
+    """The block-wise transfers of one side process.
+
+    Parameters
+    ----------
+    core : SideCore
+        The core that this is a part of.
+    """
+
+    def __init__(self, core: "SideCore") -> None:
+        self.core = core
+
+    def follow_upload(self, request: Request) -> bool:
+        """Send a block to the member where its transfer began, if elsewhere."""
+        tag = coap.transfer_digest(request.flow, request.message)
+        upload = self.core.flows.transfers.get(tag)
+        if upload is None or upload.executor == self.core.membership.me.id:
+            return False
+        peer = self.core.membership.peer(upload.executor)
+        if peer is None:
+            return False
+        request.tries = 1
+        self.core.mover.hand_off(request, peer)
+        return True
+
+    def note_upload(self, request: Request, answer: Message) -> None:
+        """Remember where a transfer goes on, while it is under way."""
+        tag = coap.transfer_digest(request.flow, request.message)
+        goes_on = answer.code is Code.CONTINUE or (
+            answer.opt.block2 is not None and answer.opt.block2.more
+        )
+        if goes_on:
+            expires = self.core.now + coap.EXCHANGE_LIFETIME_MS
+            self.core.flows.put_upload(
+                messages.Upload(
+                    request.host, request.port, tag, self.core.membership.me.id, expires
+                )
+            )
+        else:
+            self.core.flows.transfers.pop(tag, None)
--- /dev/null
+++ b/fuchsiapin/watching.py
@@ -0,0 +1,151 @@
+"""Observations of own flows: opened, taken over, notified and closed."""
+
+from typing import TYPE_CHECKING
+
+from aiocoap import Message
+
+from fuchsiapin import coap, messages
+from fuchsiapin.messages import SendPeer
+from fuchsiapin.observing import (
+    ObservationKey,
+    Watched,
+    observation_key,
+    registration,
+)
+from fuchsiapin.ownership import Standing
+from fuchsiapin.requests import Request
+
+if TYPE_CHECKING:
+    from fuchsiapin.serving import SideCore
+
+__all__ = ["Watcher"]
+
+
+class Watcher:
+    """The observations of one side process and its upstream.
+
+    Parameters
+    ----------
+    core : SideCore
+        The core that this is a part of.
+    """
+
+    def __init__(self, core: "SideCore") -> None:
+        self.core = core
+
+    def open_observation(self, request: Request, token: bytes) -> int:
+        """Begin an observation; return its first sequence number."""
+        key = (request.host, request.port, request.message.token)
+        self.cancel_upstream(self.core.observations.drop(key))
+        watched = self.core.observations.watch(
+            messages.Observation(
+                host=request.host,
+                port=request.port,
+                token=request.message.token,
+                request=request.datagram,
+                sequence=0,
+                balancer=self.core.routes.get(request.flow, ""),
+            )
+        )
+        self.core.observations.bind(key, token)
+        sequence = self.core.observations.advance(key, self.core.now)
+        self.put_observation(watched.observation, True)
+        return sequence
+
+    def put_observation(self, observation: messages.Observation, is_open: bool) -> None:
+        """Have the witness keep or drop an observation."""
+        flow = self.core.flows.flow_of(observation)
+        _, witness = self.core.ownership.pair(flow)
+        if witness is None or self.core.ownership.is_self(witness):
+            return
+        put = messages.ObservationPut(
+            self.core.service,
+            self.core.ownership.view,
+            coap.request_digest(flow, observation.token),
+            observation,
+            is_open,
+        )
+        self.core.out.append(SendPeer(witness.host, witness.port, put))
+
+    def on_observation_put(self, sender: str, message: messages.ObservationPut) -> None:
+        """Keep or drop an observation as the witness."""
+        if not self.core.ownership.is_witness_for(message.view, sender):
+            return
+        if message.open:
+            self.core.observations.keep(message.observation)
+        else:
+            self.core.observations.drop(observation_key(message.observation))
+
+    def take_over_observations(self) -> None:
+        """Register the observations of newly owned flows at the own upstream."""
+        for observation in list(self.core.observations.kept.values()):
+            key = observation_key(observation)
+            if key in self.core.observations.watched:
+                continue
+            flow = self.core.flows.flow_of(observation)
+            standing = self.core.ownership.standing(flow, self.core.now)
+            if standing not in (Standing.FOREIGN, Standing.SETTLING):
+                self.register_observation(key, observation)
+
+    def register_observation(
+        self, key: ObservationKey, observation: messages.Observation
+    ) -> None:
+        """Register an observation that another member opened."""
+        self.core.observations.watch(observation)
+        message = registration(observation)
+        flow = self.core.flows.flow_of(observation)
+        token = self.core.link.request(
+            self.core.now,
+            message,
+            coap.transfer_digest(flow, message),
+            lambda now, answer: self.on_notification(token, answer),
+            True,
+            True,
+        )
+        self.core.observations.bind(key, token)
+
+    def on_notification(self, token: bytes, answer: Message) -> None:
+        """Send a new state to the caller that observes it."""
+        key = self.core.observations.by_token.get(token)
+        if key is None:
+            return
+        self.core.observations.notify(self.core.now, key, answer)
+        if not answer.code.is_successful():
+            self.close_observation(key)
+
+    def send_notification(
+        self, observation: messages.Observation, datagram: bytes
+    ) -> None:
+        """Send a notification by the balancer that the flow last used."""
+        self.core.send_to_caller(observation.host, observation.port, datagram)
+
+    def close_observation(self, key: ObservationKey) -> None:
+        """End an observation everywhere."""
+        watched = self.core.observations.drop(key)
+        if watched is not None:
+            self.cancel_upstream(watched)
+            self.put_observation(watched.observation, False)
+
+    def lose_caller(self, now: int, key: ObservationKey) -> None:
+        """End the observation of a caller that answers no more."""
+        self.core.report(3106, host=key[0], port=key[1])
+        self.close_observation(key)
+
+    def release_observation(self, key: ObservationKey) -> None:
+        """Leave an observation to the new owner of its flow."""
+        self.cancel_upstream(self.core.observations.release(key))
+
+    def cancel_upstream(self, watched: Watched | None) -> None:
+        """Cancel a registration at the own upstream."""
+        if watched is None or not watched.upstream_token:
+            return
+        self.core.link.forget(watched.upstream_token)
+        message = registration(watched.observation)
+        message.opt.observe = 1
+        flow = self.core.flows.flow_of(watched.observation)
+        self.core.link.cancel(
+            self.core.now,
+            message,
+            watched.upstream_token,
+            coap.transfer_digest(flow, message),
+        )
