Register observations again at an upstream that restarted

Cause: an upstream that restarts forgets its observers, and the side process went on as if they were registered: boards fell silent.

Ruled out: registering again by a timer, which at 5,000 observations a side process costs a steady share of the upstream for a rare event.

Change: an unanswered ping marks the upstream; when it is heard again all observations are registered anew. Also, a record without an answer no longer shields itself from a newer intent: an owner's refusal that was never told could hide its successor's intent at the witness.

--- a/fuchsiapin/records.py
+++ b/fuchsiapin/records.py
@@ -11,6 +11,11 @@
 """States of a record by how much they tell."""
 
 
+def is_lesser(record: Record, known: Record) -> bool:
+    """Return whether a record tells less of a request than the known one."""
+    return not record.response or KNOWLEDGE[record.state] < KNOWLEDGE[known.state]
+
+
 class RecordTable:
     """Records by request digest, each kept until it expires.
 
@@ -42,9 +47,9 @@
         return self.records.get(key)
 
     def put(self, record: Record) -> None:
-        """Keep a record, unless more is known of the request already."""
+        """Keep a record; one that holds an answer is not replaced by a lesser one."""
         known = self.records.get(record.key)
-        if known is not None and KNOWLEDGE[known.state] > KNOWLEDGE[record.state]:
+        if known is not None and known.response and is_lesser(record, known):
             return
         if known is None:
             heapq.heappush(self.expiries, (record.expires, record.key))
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -104,7 +104,7 @@
         self.balancer_versions: dict[str, int] = {}
         self.config: messages.Configuration | None = None
         self.admission = Admission(options.slots, options.queue)
-        self.link = UpstreamLink(self.timers, self.out)
+        self.link = UpstreamLink(self.timers, self.out, self.watcher.register_again)
         self.observations = Observations(
             self.timers,
             self.watcher.send_notification,
--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -55,6 +55,12 @@
         world.thaw("swapdesk-3")
         self.check(world)
 
+    def test_restarted_upstream_is_observed_again(self) -> None:
+        world = make_busy_world(5)
+        node = world.nodes["swapdesk-3"]
+        world.restart_upstream(node, silent_ms=2_500)
+        self.check(world)
+
     def test_killed_balancer_breaks_no_flow(self) -> None:
         world = make_busy_world(4)
         world.kill("balancer-2")
--- a/fuchsiapin/upstream.py
+++ b/fuchsiapin/upstream.py
@@ -45,9 +45,14 @@
         Timers of the core.
     out : list
         Effects of the core.
+    on_return : callable
+        Called with the time when the upstream is heard again after it left a
+        ping unanswered: it may have restarted and forgotten its observers.
     """
 
-    def __init__(self, timers: Timers, out: list) -> None:
+    def __init__(
+        self, timers: Timers, out: list, on_return: Callable[[int], None]
+    ) -> None:
         self.timers = timers
         self.out = out
         self.exchanges: dict[bytes, Exchange] = {}
@@ -55,6 +60,8 @@
         self.next_mid = 1
         self.next_token = 1
         self.last_heard = 0
+        self.pinged = 0
+        self.on_return = on_return
 
     def start(self, now: int) -> None:
         """Begin to watch the upstream."""
@@ -64,8 +71,15 @@
     def ping(self, now: int) -> None:
         """Ask for a sign of life, and again later."""
         self.out.append(SendUpstream(ping(self.take_mid())))
+        if not self.has_missed_ping:
+            self.pinged = now
         self.timers.add(now + PING_INTERVAL_MS, self.ping)
 
+    @property
+    def has_missed_ping(self) -> bool:
+        """Whether the upstream owes a sign of life."""
+        return self.pinged > self.last_heard
+
     def is_silent(self, now: int) -> bool:
         """Return whether the upstream seems to be down."""
         return now - self.last_heard > SILENCE_LIMIT_MS
@@ -133,7 +147,10 @@
             message = parse_datagram(data)
         except MalformedDatagram:
             return False
+        was_missed = self.has_missed_ping and now - self.pinged >= PING_INTERVAL_MS
         self.last_heard = now
+        if was_missed:
+            self.on_return(now)
         if message.mtype in (Type.ACK, Type.RST):
             self.acknowledge(message)
         if message.code is Code.EMPTY:
--- a/fuchsiapin/watching.py
+++ b/fuchsiapin/watching.py
@@ -104,6 +104,13 @@
         )
         self.core.observations.bind(key, token)
 
+    def register_again(self, now: int) -> None:
+        """Register all observations at an upstream that may have restarted."""
+        for key in list(self.core.observations.watched):
+            watched = self.core.observations.release(key)
+            self.core.link.forget(watched.upstream_token)
+            self.register_observation(key, watched.observation)
+
     def on_notification(self, token: bytes, answer: Message) -> None:
         """Send a new state to the caller that observes it."""
         key = self.core.observations.by_token.get(token)
--- a/measure/world.py
+++ b/measure/world.py
@@ -209,6 +209,19 @@
         self.upstreams.append(upstream)
         return upstream
 
+    def restart_upstream(self, node: Node, silent_ms: float) -> None:
+        """Replace an upstream by one that remembers nothing, after a silence."""
+        node.upstream.sink = lambda data, address: None
+        node.upstream.datagramReceived = lambda data, address: None
+
+        def begin() -> None:
+            node.upstream = self.make_upstream(node.name)
+            node.upstream.sink = lambda data, address: self.at(
+                self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
+            )
+
+        self.at(self.now + silent_ms, begin)
+
     def add_node(self, name: str, host: str, zone: str, core: Any) -> Node:
         """Join a process to the world and start it."""
         node = Node(name, host, zone, core)
