Start the set on addresses of its own and say ready only when it serves

Cause: the starter slept for a fixed time, shared 127.0.0.1 between VMs and left its children behind when it was killed. Readiness now is read from the membership objects and a CoAP ping through every caller address; children die with the starter.

--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,389 @@
+"""The processes of one deployment on loopback: started, looked after, stopped.
+
+Only the tools of the repository start processes; the product's processes start
+nothing. Each VM has a loopback address of its own.
+"""
+
+import ctypes
+import json
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+from urllib.error import HTTPError, URLError
+from urllib.request import Request, urlopen
+
+__all__ = ["DEPLOYMENTS", "Deployment", "Fleet", "Process", "wait_until"]
+
+KEY = "00112233445566778899aabbccddeeff"
+READY_S = 90.0
+"""Time that a set may take until all of it is ready."""
+STOP_S = 40.0
+"""Time that a planned stop of one process may take."""
+POLL_S = 0.1
+CALL_TIMEOUT_S = 2.0
+PING_TIMEOUT_S = 0.5
+PING = bytes([0x40, 0, 0, 1])
+"""An empty confirmable message, which is answered with a reset."""
+RESET_TYPE = 3
+SET_PARENT_DEATH_SIGNAL = 1
+"""Request number of prctl."""
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Availability zones and services of one user."""
+
+    name: str
+    zones: list[str]
+    services: dict[str, int]
+
+
+DEPLOYMENTS = {
+    "little-threads": Deployment(
+        "little-threads", ["bole", "arada", "kirkos"], {"swapdesk": 7, "intake": 3}
+    ),
+    "casa-popescu": Deployment(
+        "casa-popescu", ["buc-a", "buc-b", "buc-c"], {"ledger": 7, "scan-intake": 3}
+    ),
+}
+
+
+@dataclass
+class Process:
+    """One process of the set."""
+
+    name: str
+    role: str
+    zone: str
+    service: str = ""
+    host: str = "127.0.0.1"
+    port: int = 0
+    admin: str = ""
+    callers: dict[str, tuple[str, int]] = field(default_factory=dict)
+    handle: subprocess.Popen | None = None
+
+    def describe(self) -> dict[str, Any]:
+        """Return what `run/addresses.json` says of this process."""
+        entry = {name: value for name, value in vars(self).items() if name != "handle"}
+        entry["availability_zone"] = entry.pop("zone")
+        return entry | {"pid": self.handle.pid}
+
+
+def wait_until(condition: Callable[[], bool], seconds: float, what: str) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        If it doesn't hold in time.
+    """
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f"not in {seconds} s: {what}")
+        time.sleep(POLL_S)
+
+
+def free_port(host: str, taken: set[tuple[str, int]]) -> int:
+    """Return a port that is free for UDP and TCP, and note it as taken."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((host, port))
+            except OSError:
+                continue
+            if (host, port) not in taken:
+                taken.add((host, port))
+                return port
+
+
+def call(method: str, url: str, value: Any = None) -> Any:
+    """Return the JSON that an HTTP call answers, None when there is none."""
+    body = None if value is None else json.dumps(value).encode()
+    try:
+        request = Request(url, data=body, method=method)
+        with urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
+            return json.loads(answer.read() or b"null")
+    except (HTTPError, URLError, OSError, ValueError):
+        return None
+
+
+def answers_ping(address: tuple[str, int]) -> bool:
+    """Return whether a CoAP ping to an address is answered with a reset."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        udp.settimeout(PING_TIMEOUT_S)
+        try:
+            udp.sendto(PING, address)
+            answer = udp.recv(64)
+        except OSError:
+            return False
+    return len(answer) == len(PING) and (answer[0] >> 4) & 3 == RESET_TYPE
+
+
+def die_with_starter() -> None:
+    """Have the kernel end this process when its starter is gone."""
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
+class Fleet:
+    """The processes of one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    folder : Path
+        Where settings and logs go.
+    service_ms : float
+        Mean service time of the upstream stand-ins.
+    """
+
+    def __init__(
+        self, deployment: Deployment, folder: Path, service_ms: float = 100.0
+    ) -> None:
+        self.deployment = deployment
+        self.folder = folder / deployment.name
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.service_ms = service_ms
+        self.octet = random.SystemRandom().randrange(1, 255)
+        self.hosts = 0
+        self.taken: set[tuple[str, int]] = set()
+        self.processes: dict[str, Process] = {}
+        self.object_api = ""
+
+    # Starting
+
+    def next_host(self) -> str:
+        """Return the address of a new VM."""
+        self.hosts += 1
+        return f"127.{self.octet}.{self.hosts // 250}.{self.hosts % 250 + 1}"
+
+    def launch(self, process: Process, command: list[str]) -> Process:
+        """Start one process with its log in the folder."""
+        with (self.folder / f"{process.name}.log").open("ab") as log:
+            process.handle = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=die_with_starter,
+            )
+        self.processes[process.name] = process
+        return process
+
+    def start(self) -> None:
+        """Start everything."""
+        self.start_object_api()
+        for zone in self.deployment.zones:
+            self.start_balancer(f"balancer-{zone}", zone)
+        for service, count in self.deployment.services.items():
+            for number in range(1, count + 1):
+                zone = self.deployment.zones[number % len(self.deployment.zones)]
+                name = f"{service}-{number}"
+                self.start_upstream(name, service, zone, number)
+                self.start_side(name)
+
+    def start_object_api(self, port: int = 0) -> Process:
+        """Start the object API stand-in."""
+        host = self.next_host()
+        process = Process("object-api", "object-api", "", host=host)
+        process.port = free_port(host, self.taken)
+        self.object_api = f"http://{host}:{process.port}"
+        return self.launch(
+            process,
+            ["fuchsiapin.tests.standins.objectapi"]
+            + ["--host", host, "--port", str(process.port)],
+        )
+
+    def start_balancer(self, name: str, zone: str) -> Process:
+        """Start a balancer with a caller address per service."""
+        process = Process(name, "balancer", zone, host=self.next_host())
+        process.port = free_port(process.host, self.taken)
+        for service in self.deployment.services:
+            port = free_port(process.host, self.taken)
+            process.callers[service] = (process.host, port)
+        callers = [
+            {"service": service, "host": host, "port": port}
+            for service, (host, port) in process.callers.items()
+        ]
+        settings = self.common(process) | {"callers": callers}
+        path = self.write(process, settings)
+        return self.launch(process, ["fuchsiapin.daemons.balancer", str(path)])
+
+    def start_upstream(self, name: str, service: str, zone: str, seed: int) -> Process:
+        """Start an upstream stand-in."""
+        process = Process(f"upstream-{name}", "upstream", zone, service)
+        process.host = self.next_host()
+        process.port = free_port(process.host, self.taken)
+        admin = free_port(process.host, self.taken)
+        process.admin = f"http://{process.host}:{admin}"
+        return self.launch(
+            process,
+            ["fuchsiapin.tests.standins.upstream", "--host", process.host]
+            + ["--port", str(process.port), "--admin-port", str(admin)]
+            + ["--name", name, "--service", service, "--seed", str(seed)]
+            + ["--service-ms", str(self.service_ms)],
+        )
+
+    def start_side(self, name: str) -> Process:
+        """Start a side process beside its upstream, on the same VM."""
+        upstream = self.processes[f"upstream-{name}"]
+        process = Process(name, "side", upstream.zone, upstream.service)
+        process.host = upstream.host
+        process.port = free_port(process.host, self.taken)
+        settings = self.common(process) | {
+            "service": upstream.service,
+            "upstream": {"host": upstream.host, "port": upstream.port},
+        }
+        path = self.write(process, settings)
+        return self.launch(process, ["fuchsiapin.daemons.side", str(path)])
+
+    def common(self, process: Process) -> dict[str, Any]:
+        """Return the settings that all roles have."""
+        admin = free_port(process.host, self.taken)
+        process.admin = f"http://{process.host}:{admin}"
+        return {
+            "name": process.name,
+            "availability_zone": process.zone,
+            "deployment": self.deployment.name,
+            "peer": {"host": process.host, "port": process.port},
+            "admin": {"host": process.host, "port": admin},
+            "object_api": self.object_api,
+            "keys": [KEY],
+        }
+
+    def write(self, process: Process, settings: dict[str, Any]) -> Path:
+        """Write a settings file; return its path."""
+        path = self.folder / f"{process.name}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        return path
+
+    # Looking
+
+    def of_role(self, role: str, service: str = "") -> list[Process]:
+        """Return the processes of a role, and of a service where one is named."""
+        return [
+            process
+            for process in self.processes.values()
+            if process.role == role and service in ("", process.service)
+        ]
+
+    def stored(self, key: str) -> Any:
+        """Return an object of the object API, None where there is none."""
+        return call("GET", f"{self.object_api}/objects/{key}")
+
+    def set_faults(self, **faults: Any) -> None:
+        """Have the object API fail, or work again."""
+        call("PUT", f"{self.object_api}/faults", faults)
+
+    def members(self, service: str) -> dict[str, str]:
+        """Return the state of each member of a service."""
+        found = self.stored(f"members/{service}")
+        members = found["view"]["members"] if found else []
+        return {member["id"]: member["state"] for member in members}
+
+    def balancers(self, zone: str) -> set[str]:
+        """Return the balancers that an availability zone's object names."""
+        found = self.stored(f"balancers/{zone}")
+        return {member["id"] for member in found["members"]} if found else set()
+
+    def executions(self, service: str) -> dict[str, list[dict[str, Any]]]:
+        """Return the execution log of each upstream of a service."""
+        logs = {}
+        for process in self.of_role("upstream", service):
+            logs[process.name] = call("GET", f"{process.admin}/executions") or []
+        return logs
+
+    def addresses(self, service: str) -> list[tuple[str, int]]:
+        """Return the caller addresses of a service, one per balancer."""
+        return [process.callers[service] for process in self.of_role("balancer")]
+
+    def is_balancer_ready(self, name: str) -> bool:
+        """Return whether a balancer is a member and serves all its callers."""
+        process = self.processes[name]
+        return name in self.balancers(process.zone) and all(
+            answers_ping(address) for address in process.callers.values()
+        )
+
+    def is_side_ready(self, name: str) -> bool:
+        """Return whether a side process is a live member of its service."""
+        return self.members(self.processes[name].service).get(name) == "live"
+
+    def is_ready(self) -> bool:
+        """Return whether every process serves."""
+        for service in self.deployment.services:
+            members = self.members(service)
+            sides = self.of_role("side", service)
+            if any(members.get(side.name) != "live" for side in sides):
+                return False
+        return all(self.is_balancer_ready(p.name) for p in self.of_role("balancer"))
+
+    def check_alive(self) -> None:
+        """Check that no process ended by itself.
+
+        Raises
+        ------
+        RuntimeError
+            With the names of those that ended and where their logs are.
+        """
+        ended = [p.name for p in self.processes.values() if p.handle.poll() is not None]
+        if ended:
+            raise RuntimeError(f"ended: {', '.join(ended)}; logs in {self.folder}")
+
+    def wait_ready(self) -> None:
+        """Wait until every process serves."""
+
+        def is_ready() -> bool:
+            self.check_alive()
+            return self.is_ready()
+
+        wait_until(is_ready, READY_S, f"{self.deployment.name} ready")
+
+    def describe(self) -> dict[str, Any]:
+        """Return what `run/addresses.json` says of this deployment."""
+        return {
+            "object_api": self.object_api,
+            "services": {
+                service: [list(address) for address in self.addresses(service)]
+                for service in self.deployment.services
+            },
+            "processes": [process.describe() for process in self.processes.values()],
+        }
+
+    # Stopping
+
+    def kill(self, name: str) -> None:
+        """End one process without warning."""
+        process = self.processes.pop(name)
+        process.handle.kill()
+        process.handle.wait()
+
+    def stop(self, name: str) -> int:
+        """Stop one process as planned; return its exit code."""
+        process = self.processes.pop(name)
+        process.handle.terminate()
+        try:
+            return process.handle.wait(STOP_S)
+        finally:
+            process.handle.kill()
+
+    def stop_all(self) -> None:
+        """End every process, also paused ones."""
+        for process in self.processes.values():
+            process.handle.kill()
+        for process in self.processes.values():
+            process.handle.wait()
+        self.processes.clear()
