Give members an admin address and processes a status in the schema

Cause: the command line has to find each process's status, and only the membership objects know who runs. Ruled out: a list of admin addresses in the register; processes announce themselves and the register holds only upstreams. Change: optional 'admin' on Member and BalancerMember; ProcessStatus.

--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -26,6 +26,7 @@
     zone: str
     weight: int
     state: Literal["live", "leaving", "down"]
+    admin: str = ""
 
 
 @dataclass(frozen=True)
@@ -62,6 +63,7 @@
     port: int
     zone: str
     state: Literal["live", "leaving"]
+    admin: str = ""
 
 
 @dataclass(frozen=True)
@@ -137,6 +139,53 @@
     apart: list[Separation]
 
 
+@dataclass(frozen=True)
+class ViewStatus:
+    """
+    What a process knows of one service's members.
+    """
+
+    service: str
+    number: int
+    active: int
+    members: list[str]
+
+
+@dataclass(frozen=True)
+class EventCount:
+    """
+    How often a process reported a numbered event for one reason.
+    """
+
+    number: int
+    reason: str
+    count: int
+
+
+@dataclass(frozen=True)
+class ProcessStatus:
+    """
+    What one process tells at its admin address.
+    """
+
+    name: str
+    role: Literal["side", "balancer"]
+    service: str
+    zone: str
+    version: str
+    incarnation: int
+    state: Literal["live", "leaving", "down"]
+    not_ready: list[str]
+    object_api: Literal["unknown", "reachable", "unreachable"]
+    config: int
+    views: list[ViewStatus]
+    in_flight: int
+    waiting: int
+    observations: int
+    records: int
+    counts: list[EventCount]
+
+
 @dataclass(frozen=True)
 class Forward:
     """
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -6,7 +6,7 @@
   --input fuchsiapin/schema/messages.json --input-file-type jsonschema \
   --output fuchsiapin/messages.py \
   --output-model-type dataclasses.dataclass --frozen-dataclasses \
-  --use-schema-description --use-standard-collections --use-union-operator \
+  --strict-nullable --use-schema-description --use-standard-collections --use-union-operator \
   --enum-field-as-literal all --target-python-version 3.11 --disable-timestamp \
   --custom-file-header '"""Messages, stored objects, events and effects, generated from the schema."""' \
   --formatters ruff-format
