Report how each request ended, with its waiting and latency

Cause: histograms per service and class need both times, and only the core knows when a request came and left for an upstream. Ruled out: timing in the shell, which can't match answers to requests. Change: event 3107 at each final answer; a count of repeats to the upstream.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -58,6 +58,7 @@
             return
         deadline = self.core.now + self.core.deadline_ms
         request = Request(key, flow, host, port, message, datagram, deadline)
+        request.received = self.core.now
         self.core.requests[key] = request
         self.core.timers.add(deadline, lambda now: self.expire_request(request))
         if message.opt.observe == 1:
@@ -244,6 +245,7 @@
     def start_request(self, request: Request) -> None:
         """Send a request to the own upstream."""
         request.stage = Stage.RUNNING
+        request.started = self.core.now
         self.core.admission.start(request.key, self.core.now)
         observe = request.message.opt.observe == 0
         token = self.core.link.request(
@@ -291,6 +293,7 @@
     def finish(self, request: Request, state: str, datagram: bytes) -> None:
         """Send the final answer and keep it for retransmissions."""
         self.forget_request(request)
+        self.report_end(request, state)
         self.core.send_to_caller(request.host, request.port, datagram)
         if coap.is_safe(request.message):
             return
@@ -298,6 +301,17 @@
         self.core.table.put(record)
         self.share_outcome(request, record)
 
+    def report_end(self, request: Request, state: str) -> None:
+        """Report how a request ended and how long it took."""
+        now = self.core.now
+        self.core.report(
+            3107,
+            outcome=state,
+            tenant=request.tenant,
+            wait_ms=(request.started or now) - request.received,
+            latency_ms=now - request.received,
+        )
+
     def share_outcome(self, request: Request, record: Record) -> None:
         """Tell the witness, and the owner where the flow has moved."""
         put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -106,6 +106,7 @@
     def hand_off(self, request: Request, peer: Member) -> None:
         """Let a peer run a request; from now on it may have run."""
         request.stage = Stage.HANDED
+        request.started = self.core.now
         self.core.admission.remove(request)
         self.core.report(3103, host=request.host, port=request.port, peer=peer.id)
         self.send_handoff(request, peer)
--- a/fuchsiapin/requests.py
+++ b/fuchsiapin/requests.py
@@ -39,6 +39,14 @@
         When the final answer is due, ms since the epoch.
     origin : str
         Name of the peer that handed it over; empty for an own flow.
+
+    Attributes
+    ----------
+    received, started : int
+        When it came and when it left for an upstream, ms since the epoch; 0
+        for not yet.
+    tenant : str
+        Class of the caller; empty where callers have none.
     """
 
     def __init__(
@@ -65,6 +73,9 @@
         self.refused = ""
         self.tries = 0
         self.offers: dict[str, int] = {}
+        self.received = 0
+        self.started = 0
+        self.tenant = ""
 
     @property
     def has_started(self) -> bool:
--- a/fuchsiapin/upstream.py
+++ b/fuchsiapin/upstream.py
@@ -59,6 +59,7 @@
         self.mids: dict[int, Exchange] = {}
         self.next_mid = 1
         self.next_token = 1
+        self.repeats = 0
         self.last_heard = 0
         self.pinged = 0
         self.on_return = on_return
@@ -129,6 +130,7 @@
         def repeat(later: int) -> None:
             if exchange.is_acknowledged or exchange.token not in self.exchanges:
                 return
+            self.repeats += 1
             self.out.append(SendUpstream(exchange.data))
             if count + 1 < MAX_RETRANSMIT:
                 self.repeat_later(later, exchange, count + 1)
