Serve liveness, readiness, status and metrics on each admin address

Cause: operators and the command line could not see what a process does, and logs were free text. An error inside the core no longer ends in a traceback but in event 1302.

--- /dev/null
+++ b/fuchsiapin/daemons/admin.py
@@ -0,0 +1,95 @@
+"""HTTP endpoints of one process for operators, scrapers and the platform."""
+
+import dataclasses
+import json
+from collections.abc import Callable
+from typing import Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from fuchsiapin.messages import ProcessStatus
+
+__all__ = ["AdminResource", "listen_admin"]
+
+JSON = b"application/json"
+TEXT = b"text/plain; version=0.0.4; charset=utf-8"
+OK, NOT_FOUND, NOT_ALLOWED, UNAVAILABLE = 200, 404, 405, 503
+
+Answer = tuple[int, bytes, bytes]
+"""Status code, content type and body."""
+
+
+class AdminResource(Resource):
+    """`/live`, `/ready`, `/status` and `/metrics`.
+
+    Parameters
+    ----------
+    status : callable
+        Returns the status of the process.
+    metrics : callable
+        Returns its metrics as text.
+    """
+
+    isLeaf = True
+
+    def __init__(
+        self, status: Callable[[], ProcessStatus], metrics: Callable[[], bytes]
+    ) -> None:
+        super().__init__()
+        self.status = status
+        self.metrics = metrics
+        self.pages: dict[bytes, Callable[[], Answer]] = {
+            b"/live": self.live_page,
+            b"/ready": self.ready_page,
+            b"/status": self.status_page,
+            b"/metrics": self.metrics_page,
+        }
+
+    def render(self, request: Any) -> bytes:
+        """Answer a GET or HEAD of one of the pages."""
+        page = self.pages.get(request.path)
+        if request.method not in (b"GET", b"HEAD"):
+            code, kind, body = NOT_ALLOWED, JSON, b'{"error": "only GET"}\n'
+            request.setHeader(b"Allow", b"GET, HEAD")
+        elif page is None:
+            code, kind, body = NOT_FOUND, JSON, as_json({"pages": self.names()})
+        else:
+            code, kind, body = page()
+        request.setResponseCode(code)
+        request.setHeader(b"Content-Type", kind)
+        request.setHeader(b"Content-Length", str(len(body)).encode())
+        return b"" if request.method == b"HEAD" else body
+
+    def names(self) -> list[str]:
+        """Return the names of the pages."""
+        return [name.decode() for name in self.pages]
+
+    def live_page(self) -> Answer:
+        """Tell that the loop runs."""
+        return OK, JSON, as_json({"live": True})
+
+    def ready_page(self) -> Answer:
+        """Tell whether the process can do its whole work, and else why not."""
+        reasons = self.status().not_ready
+        code = UNAVAILABLE if reasons else OK
+        return code, JSON, as_json({"ready": not reasons, "reasons": reasons})
+
+    def status_page(self) -> Answer:
+        """Tell everything that the operator's command line reads."""
+        return OK, JSON, as_json(dataclasses.asdict(self.status()))
+
+    def metrics_page(self) -> Answer:
+        """Tell all metrics."""
+        return OK, TEXT, self.metrics()
+
+
+def as_json(values: Any) -> bytes:
+    """Return values as one line of JSON."""
+    return json.dumps(values).encode() + b"\n"
+
+
+def listen_admin(reactor: Any, host: str, port: int, resource: AdminResource) -> int:
+    """Open the admin address, and no other; return its port."""
+    bound = reactor.listenTCP(port, Site(resource), interface=host)
+    return bound.getHost().port
--- a/fuchsiapin/daemons/balancer.py
+++ b/fuchsiapin/daemons/balancer.py
@@ -37,7 +37,7 @@
     """A balancer with its callers' sockets."""
 
     def __init__(self, reactor_: Any, settings: Settings, clock: SystemClock) -> None:
-        super().__init__(reactor_, clock, settings, clock.now())
+        super().__init__(reactor_, clock, settings, clock.now(), "balancer")
         self.sockets: dict[str, CallerSocket] = {}
         self.effects[messages.SendCaller] = self.send_caller
 
@@ -74,6 +74,7 @@
         port,
         settings.availability_zone,
         "live",
+        shell.listen_admin(),
     )
     core = make_balancer_core(me, random.SystemRandom().getrandbits(64))
     shell.listen()
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -4,20 +4,26 @@
 from collections.abc import Callable
 from typing import Any
 
-from absl import logging
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
 
-from fuchsiapin import messages
+from fuchsiapin import __version__, messages
 from fuchsiapin.clock import Clock
+from fuchsiapin.daemons.admin import AdminResource, listen_admin
+from fuchsiapin.daemons.eventlog import EventLog, write_json_lines
 from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
 from fuchsiapin.daemons.transport import PeerTransport
 from fuchsiapin.envelope import Opener, Sealer
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
+from fuchsiapin.metrics import Metrics
 from fuchsiapin.settings import Settings
+from fuchsiapin.statuses import describers
 
 __all__ = ["Shell"]
 
 MS_PER_S = 1000
+REFRESH_S = 1.0
+"""How often changes of the process's own status are looked for."""
 
 
 class Shell:
@@ -33,15 +39,29 @@
         Settings of the process.
     incarnation : int
         Start time in ms.
+    role : str
+        Role of the process.
     """
 
     def __init__(
-        self, reactor: Any, clock: Clock, settings: Settings, incarnation: int
+        self,
+        reactor: Any,
+        clock: Clock,
+        settings: Settings,
+        incarnation: int,
+        role: str,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.settings = settings
+        self.role = role
         self.core: Any = None
+        self.log = EventLog(clock, settings.name)
+        self.metrics = Metrics(
+            settings.name, role, settings.availability_zone, settings.service
+        )
+        self.api_state = "unknown"
+        self.described: messages.ProcessStatus | None = None
         keys = [bytes.fromhex(key) for key in settings.keys]
         self.peers = PeerTransport(
             reactor,
@@ -49,11 +69,11 @@
             Opener(keys),
             self.on_message,
             self.on_dropped,
+            self.metrics.note_sent,
         )
         self.api = ObjectApiClient(reactor, settings.object_api)
         self.wake_call: Any = None
         self.wake_due: int | None = None
-        self.dropped = 0
         self.effects: dict[type, Callable[[Any], None]] = {
             messages.SendPeer: self.send_peer,
             messages.WriteObject: self.write_object,
@@ -62,9 +82,25 @@
             messages.Finished: self.finish,
         }
 
+    def listen_admin(self) -> str:
+        """Open the admin address; return it, empty when there is none."""
+        admin = self.settings.admin
+        if admin is None:
+            return ""
+        resource = AdminResource(self.status, self.render_metrics)
+        port = listen_admin(self.reactor, admin.host, admin.port, resource)
+        return f"{admin.host}:{port}"
+
     def run(self, core: Any) -> None:
         """Start the core and serve until it has finished."""
         self.core = core
+        write_json_lines()
+        self.note(
+            1101,
+            role=self.role,
+            version=__version__,
+            incarnation=self.peers.sealer.incarnation,
+        )
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.on_signal)
         self.reactor.callWhenRunning(self.start)
@@ -74,14 +110,25 @@
         """Begin to watch the object API and start the core."""
         self.feed(messages.Start())
         ensureDeferred(self.api.watch(self.on_object, self.on_api_state))
+        LoopingCall(self.refresh).start(REFRESH_S, now=False)
 
     def on_signal(self, number: int, frame: Any) -> None:
         """Ask for a planned stop."""
-        self.reactor.callFromThread(self.feed, messages.StopRequested())
+        self.reactor.callFromThread(self.stop)
+
+    def stop(self) -> None:
+        """Let the core begin a planned stop."""
+        self.note(1102)
+        self.feed(messages.StopRequested())
 
     def feed(self, event: Any) -> None:
         """Give the core an event and carry out what it wants."""
-        for effect in self.core.handle(self.clock.now(), event):
+        try:
+            effects = self.core.handle(self.clock.now(), event)
+        except Exception as error:  # noqa: BLE001 - no event may stop the process
+            self.note(1302, event=type(event).__name__, error=repr(error))
+            effects = []
+        for effect in effects:
             self.effects[type(effect)](effect)
         self.plan_wake()
 
@@ -106,9 +153,8 @@
         self.feed(messages.PeerMessage(sender, incarnation, message))
 
     def on_dropped(self, error: MalformedEnvelope) -> None:
-        """Count a refused envelope and log it at a bounded rate."""
-        self.dropped += 1
-        logging.log_every_n_seconds(logging.WARNING, "dropped: %s", 10, error)
+        """Count a refused envelope."""
+        self.note(1301, error=str(error))
 
     def on_object(self, stored: StoredObject) -> None:
         """Give the core a stored object."""
@@ -116,6 +162,13 @@
 
     def on_api_state(self, is_reachable: bool) -> None:
         """Note whether the object API answers."""
+        state = "reachable" if is_reachable else "unreachable"
+        if state != self.api_state:
+            self.api_state = state
+            if is_reachable:
+                self.note(1202)
+            else:
+                self.note(1201)
 
     def send_peer(self, effect: messages.SendPeer) -> None:
         """Send a message to another process."""
@@ -142,14 +195,59 @@
         """Read an object and give it to the core."""
         try:
             self.on_object(await self.api.read(key))
-        except ObjectApiError:
-            logging.log_every_n_seconds(logging.WARNING, "can't read %s", 10, key)
+        except ObjectApiError as error:
+            self.note(1203, key=key, error=str(error))
+
+    # What operators see
 
     def report(self, effect: messages.Report) -> None:
-        """Log a numbered event."""
-        logging.info("%d %s", effect.number, effect.fields)
+        """Log and count a numbered event of the core."""
+        self.log.note(effect.number, effect.fields)
+        self.metrics.note(effect.number, effect.fields)
+
+    def note(self, number: int, **fields: Any) -> None:
+        """Log and count a numbered event of the shell itself."""
+        self.report(messages.Report(number, fields))
+
+    def status(self) -> messages.ProcessStatus:
+        """Return what the process tells of itself."""
+        describe = describers.get(self.role)
+        return describe(self.core, __version__, self.api_state, self.log.counts())
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics of the process as text."""
+        link = getattr(self.core, "link", None)
+        self.metrics.note_status(self.status(), link.repeats if link else 0)
+        return self.metrics.render()
+
+    def refresh(self) -> None:
+        """Log what changed in the process's own status."""
+        before, now = self.described, self.status()
+        self.described = now
+        reasons = before.not_ready if before else None
+        if now.not_ready and now.not_ready != reasons:
+            self.note(1105, reasons=now.not_ready)
+        elif not now.not_ready and reasons != []:
+            self.note(1104)
+        if now.config != (before.config if before else 0):
+            self.note(1403, config=now.config)
+        self.note_views(before.views if before else [], now.views)
+
+    def note_views(
+        self, before: list[messages.ViewStatus], now: list[messages.ViewStatus]
+    ) -> None:
+        """Log newer views."""
+        known = {view.service: view for view in before}
+        for view in now:
+            earlier = known.get(view.service)
+            if view.number != (earlier.number if earlier else 0):
+                members = len(view.members)
+                self.note(1401, service=view.service, view=view.number, members=members)
+            if view.active != (earlier.active if earlier else 0):
+                self.note(1402, service=view.service, view=view.active)
 
     def finish(self, effect: messages.Finished) -> None:
         """End the process after what was sent has left."""
+        self.note(1103)
         self.api.stop()
         self.reactor.callLater(0.05, self.reactor.stop)
--- a/fuchsiapin/daemons/side.py
+++ b/fuchsiapin/daemons/side.py
@@ -36,7 +36,7 @@
     """A side process with its upstream's socket."""
 
     def __init__(self, reactor_: Any, settings: Settings, clock: SystemClock) -> None:
-        super().__init__(reactor_, clock, settings, clock.now())
+        super().__init__(reactor_, clock, settings, clock.now(), "side")
         self.socket = UpstreamSocket(self)
         self.effects[messages.SendUpstream] = self.send_upstream
 
@@ -67,6 +67,7 @@
         settings.availability_zone,
         settings.weight,
         "live",
+        shell.listen_admin(),
     )
     seed = random.SystemRandom().getrandbits(64)
     core = make_side_core(settings.service, me, seed, SideOptions(slots=settings.slots))
--- a/fuchsiapin/daemons/transport.py
+++ b/fuchsiapin/daemons/transport.py
@@ -108,6 +108,8 @@
         Called with sender, incarnation and message.
     on_dropped : callable
         Called with the error of an envelope that was refused.
+    on_sent : callable
+        Called with type and size of each envelope sent.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         opener: Opener,
         on_message: OnMessage,
         on_dropped: Callable[[MalformedEnvelope], None],
+        on_sent: Callable[[str, int], None],
     ) -> None:
         self.reactor = reactor
         self.sealer = sealer
@@ -125,7 +128,7 @@
         self.on_dropped = on_dropped
         self.datagrams = PeerDatagrams(self)
         self.streams: dict[tuple[str, int], PeerClient] = {}
-        self.sent_bytes = 0
+        self.on_sent = on_sent
 
     def listen(self, host: str, port: int) -> int:
         """Open the peer port, UDP and TCP; return its number."""
@@ -137,7 +140,7 @@
     def send(self, host: str, port: int, message: Any) -> None:
         """Send a message, by datagram where it fits."""
         envelope = self.sealer.seal(message)
-        self.sent_bytes += len(envelope)
+        self.on_sent(type(message).__name__, len(envelope))
         if len(envelope) <= MAX_DATAGRAM_BYTES:
             self.datagrams.transport.write(envelope, (host, port))
             return
--- /dev/null
+++ b/fuchsiapin/events.py
@@ -0,0 +1,362 @@
+"""Catalogue of the numbered events that processes log and count.
+
+The first digit tells the source: 1 the shell around a core, 2 a balancer, 3 a
+caller's request or observation, 4 a side process. `docs/events.md` is made
+from this module.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["CATALOGUE", "Event", "Field", "event_page", "reason_of"]
+
+
+@dataclass(frozen=True)
+class Field:
+    """One field of an event."""
+
+    name: str
+    kind: str = "text"
+
+
+@dataclass(frozen=True)
+class Event:
+    """One kind of event.
+
+    Parameters
+    ----------
+    number : int
+        Number in logs and counts.
+    name : str
+        Short name.
+    level : str
+        `debug` events are counted only; the others are logged too.
+    meaning : str
+        What happened.
+    advice : str
+        What an operator does about it.
+    fields : tuple of Field
+        What each occurrence tells.
+    is_bounded : bool
+        Whether outsiders can cause it at will, so that the log takes a few
+        lines of it only.
+    """
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+    advice: str
+    fields: tuple[Field, ...] = ()
+    is_bounded: bool = False
+
+
+SERVICE = Field("service")
+SENDER = Field("sender")
+FLOW = Field("flow")
+KEY = Field("key")
+ERROR = Field("error")
+CALLER = (Field("host"), Field("port", "integer"))
+
+NOTHING = "Nothing."
+
+EVENTS = (
+    Event(
+        1101,
+        "process started",
+        "info",
+        "The process has read its settings and begins to serve.",
+        NOTHING,
+        (Field("role"), Field("version"), Field("incarnation", "integer")),
+    ),
+    Event(
+        1102,
+        "planned stop requested",
+        "info",
+        "A stop signal arrived; what is in flight is finished first.",
+        NOTHING,
+    ),
+    Event(1103, "process finished", "info", "The planned stop is complete.", NOTHING),
+    Event(
+        1104,
+        "ready",
+        "info",
+        "The process can do its whole work.",
+        NOTHING,
+    ),
+    Event(
+        1105,
+        "not ready",
+        "warning",
+        "The process can't do its whole work; the reasons are listed.",
+        "Wait for a few seconds after a change; if it stays, follow the reason.",
+        (Field("reasons", "list of text"),),
+    ),
+    Event(
+        1201,
+        "object API unreachable",
+        "warning",
+        "The object API doesn't answer. What is in force stays in force; no "
+        "membership and no configuration can change.",
+        "See to the object API.",
+    ),
+    Event(
+        1202,
+        "object API reachable",
+        "info",
+        "The object API answers (again).",
+        NOTHING,
+    ),
+    Event(
+        1203,
+        "object not read",
+        "warning",
+        "One read of the object API failed; it is tried again.",
+        "See to the object API if it goes on.",
+        (KEY, ERROR),
+        is_bounded=True,
+    ),
+    Event(
+        1301,
+        "envelope dropped",
+        "warning",
+        "A datagram or frame on the peer port bears no valid tag, came before, or "
+        "can't be read.",
+        "If it goes on: compare the keys in the settings; look for foreign senders.",
+        (ERROR,),
+        is_bounded=True,
+    ),
+    Event(
+        1302,
+        "event failed",
+        "error",
+        "An error inside the process; the event that caused it was dropped.",
+        "Report it with the log line.",
+        (Field("event"), ERROR),
+        is_bounded=True,
+    ),
+    Event(
+        1401,
+        "view known",
+        "info",
+        "The process follows a newer view of a service.",
+        NOTHING,
+        (SERVICE, Field("view", "integer"), Field("members", "integer")),
+    ),
+    Event(
+        1402,
+        "view active",
+        "info",
+        "The process acts as an owner by a view.",
+        NOTHING,
+        (SERVICE, Field("view", "integer")),
+    ),
+    Event(
+        1403,
+        "configuration in force",
+        "info",
+        "The process follows a newer configuration.",
+        NOTHING,
+        (Field("config", "integer"),),
+    ),
+    Event(
+        2101,
+        "no view of the service",
+        "warning",
+        "A caller's datagram was dropped: the balancer knows no member of the service.",
+        "Check that side processes of the service run and reach the object API.",
+        (SERVICE,),
+        is_bounded=True,
+    ),
+    Event(
+        2102,
+        "no live upstream",
+        "warning",
+        "A caller's datagram was dropped: every upstream of the service leaves or "
+        "is down.",
+        "Return an upstream, or see why they are down.",
+        (SERVICE,),
+        is_bounded=True,
+    ),
+    Event(
+        2103,
+        "answer of a stranger",
+        "warning",
+        "An answer was dropped: its sender is no member of the service.",
+        "Look for a process with the settings of another service.",
+        (SERVICE, SENDER),
+        is_bounded=True,
+    ),
+    Event(
+        2104,
+        "broken object",
+        "error",
+        "A stored object doesn't follow the schema; what was known stays in force.",
+        "Repair the object; see which program wrote it.",
+        (KEY, ERROR),
+        is_bounded=True,
+    ),
+    Event(
+        3101,
+        "refused, not run",
+        "info",
+        "A caller was told that its request was not run, and when to come back.",
+        "Nothing when rare; add upstreams when `busy` goes on.",
+        (*CALLER, Field("reason")),
+        is_bounded=True,
+    ),
+    Event(
+        3102,
+        "given up, outcome unknown",
+        "warning",
+        "A caller was told that it can't be known whether its request ran: its "
+        "deadline passed while an upstream had it, or the records were lost.",
+        "See whether an upstream is slow or was lost.",
+        CALLER,
+        is_bounded=True,
+    ),
+    Event(
+        3103,
+        "request moved",
+        "debug",
+        "A request that had not started was given to a less loaded upstream.",
+        NOTHING,
+        (*CALLER, Field("peer")),
+    ),
+    Event(
+        3104,
+        "owner lost, outcome unknown",
+        "warning",
+        "The side process that ran a request is gone; its caller was told that the "
+        "outcome is unknown.",
+        "See why the side process ended.",
+        CALLER,
+        is_bounded=True,
+    ),
+    Event(
+        3106,
+        "caller lost",
+        "info",
+        "A caller acknowledged no notification any more; its observation was closed.",
+        NOTHING,
+        CALLER,
+        is_bounded=True,
+    ),
+    Event(
+        3107,
+        "request ended",
+        "debug",
+        "A request got its final answer.",
+        NOTHING,
+        (
+            Field("outcome"),
+            Field("tenant"),
+            Field("wait_ms", "integer"),
+            Field("latency_ms", "integer"),
+        ),
+    ),
+    Event(
+        4101,
+        "message of another service",
+        "warning",
+        "A message was dropped: it belongs to another service.",
+        "Look for a reused address or wrong settings.",
+        (SENDER, SERVICE),
+        is_bounded=True,
+    ),
+    Event(
+        4102,
+        "broken object",
+        "error",
+        "A stored object doesn't follow the schema; what was known stays in force.",
+        "Repair the object; see which program wrote it.",
+        (KEY, ERROR),
+        is_bounded=True,
+    ),
+    Event(
+        4103,
+        "no owner",
+        "warning",
+        "A datagram was dropped: no live member may own its flow.",
+        "Return an upstream, or see why they are down.",
+        (FLOW,),
+        is_bounded=True,
+    ),
+    Event(
+        4104,
+        "malformed datagram",
+        "info",
+        "A caller's datagram is no CoAP message and was dropped.",
+        NOTHING,
+        (FLOW,),
+        is_bounded=True,
+    ),
+    Event(
+        4105,
+        "too many requests",
+        "warning",
+        "A request was dropped: as many as are allowed are under way.",
+        "Add upstreams, or look for a flood.",
+        (FLOW,),
+        is_bounded=True,
+    ),
+    Event(
+        4106,
+        "no balancer",
+        "warning",
+        "An answer was dropped: no balancer is known. The caller asks again.",
+        "Check that balancers run and reach the object API.",
+        (FLOW,),
+        is_bounded=True,
+    ),
+)
+
+CATALOGUE: dict[int, Event] = {event.number: event for event in EVENTS}
+"""Events by number."""
+
+REASON_FIELDS = ("reason", "outcome")
+
+
+def reason_of(fields: dict) -> str:
+    """Return the reason or outcome that an event's fields tell, else nothing.
+
+    Examples
+    --------
+    >>> reason_of({"host": "10.0.0.1", "reason": "busy"})
+    'busy'
+    """
+    for name in REASON_FIELDS:
+        if name in fields:
+            return str(fields[name])
+    return ""
+
+
+def event_page() -> str:
+    """Return the text of the page that lists all events."""
+    lines = [
+        "# Events",
+        "",
+        "Each process writes one line of JSON per event to its standard error:",
+        "`time_ms`, `level`, `process`, `number`, `event`, and the fields below.",
+        "Events marked *bounded* can be caused from outside; the log takes five lines",
+        "of one number in ten seconds and tells in `suppressed` how many it left out.",
+        "Every event is counted at `/status` and `/metrics`, also at level `debug`,",
+        "which is not logged. This page is made by `python -m fuchsiapin.events`.",
+    ]
+    for event in EVENTS:
+        bounded = ", bounded" if event.is_bounded else ""
+        fields = ", ".join(f"`{f.name}` ({f.kind})" for f in event.fields) or "none"
+        lines += [
+            "",
+            f"## {event.number} {event.name}",
+            "",
+            f"Level: {event.level}{bounded}. Fields: {fields}.",
+            "",
+            event.meaning,
+            "",
+            f"What to do: {event.advice}",
+        ]
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(event_page(), end="")
--- /dev/null
+++ b/fuchsiapin/statuses.py
@@ -0,0 +1,118 @@
+"""What a process tells of itself, read from its decision core."""
+
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiapin.balancing import BalancerCore
+from fuchsiapin.messages import EventCount, ProcessStatus, ViewStatus
+from fuchsiapin.registry import Registry
+from fuchsiapin.serving import SideCore
+
+__all__ = ["describers", "describe_balancer", "describe_side"]
+
+describers = Registry("role")
+"""From a core to its status, by role."""
+
+Describer = Callable[[Any, str, str, list[EventCount]], ProcessStatus]
+
+
+@describers.register("side")
+def describe_side(
+    core: SideCore, version: str, object_api: str, counts: list[EventCount]
+) -> ProcessStatus:
+    """Return the status of a side process.
+
+    Parameters
+    ----------
+    core : SideCore
+        Its decisions.
+    version : str
+        Version of the program.
+    object_api : str
+        Whether the object API answers.
+    counts : list of EventCount
+        Events so far.
+    """
+    me, ownership = core.membership.me, core.ownership
+    members = [member.id for member in ownership.history.members()]
+    return ProcessStatus(
+        name=me.id,
+        role="side",
+        service=core.service,
+        zone=me.zone,
+        version=version,
+        incarnation=me.incarnation,
+        state=me.state,
+        not_ready=side_faults(core),
+        object_api=object_api,
+        config=core.config.number if core.config else 0,
+        views=[ViewStatus(core.service, ownership.view, ownership.active, members)],
+        in_flight=len(core.admission.running),
+        waiting=len(core.admission.queue),
+        observations=len(core.observations.watched),
+        records=len(core.table),
+        counts=counts,
+    )
+
+
+def side_faults(core: SideCore) -> list[str]:
+    """Return why a side process can't do its whole work."""
+    me, ownership = core.membership.me, core.ownership
+    found = []
+    if core.config is None:
+        found.append("no configuration is known yet")
+    if not ownership.view:
+        found.append("no view of the service is known yet")
+    elif not core.membership.is_joined:
+        found.append("this process is not in the newest view")
+    elif ownership.active < ownership.view and me.state == "live":
+        found.append(f"flows of view {ownership.view} are not all taken over yet")
+    if me.state == "down":
+        found.append("the upstream is silent")
+    if me.state == "leaving":
+        found.append("the upstream is leaving")
+    return found
+
+
+@describers.register("balancer")
+def describe_balancer(
+    core: BalancerCore, version: str, object_api: str, counts: list[EventCount]
+) -> ProcessStatus:
+    """Return the status of a balancer; parameters as for `describe_side`."""
+    return ProcessStatus(
+        name=core.me.id,
+        role="balancer",
+        service="",
+        zone=core.me.zone,
+        version=version,
+        incarnation=core.me.incarnation,
+        state="live" if core.stopped_at is None else "leaving",
+        not_ready=balancer_faults(core),
+        object_api=object_api,
+        config=core.config.number if core.config else 0,
+        views=[
+            ViewStatus(
+                service, history.number, 0, [member.id for member in history.members()]
+            )
+            for service, history in sorted(core.views.items())
+        ],
+        in_flight=0,
+        waiting=0,
+        observations=0,
+        records=0,
+        counts=counts,
+    )
+
+
+def balancer_faults(core: BalancerCore) -> list[str]:
+    """Return why a balancer can't do its whole work."""
+    found = []
+    if core.config is None:
+        found.append("no configuration is known yet")
+    if not core.views:
+        found.append("no view of any service is known yet")
+    if core.stopped_at is not None:
+        found.append("a planned stop is under way")
+    elif not core.updater.value or core.me not in core.updater.value.members:
+        found.append("this balancer is not in its availability zone's object")
+    return found
--- /dev/null
+++ b/fuchsiapin/tests/test_events.py
@@ -0,0 +1,114 @@
+"""The catalogue of events, the code that reports them, and the log."""
+
+import ast
+import json
+import logging as standard_logging
+import unittest
+from pathlib import Path
+
+import fuchsiapin
+from fuchsiapin.clock import ManualClock
+from fuchsiapin.daemons.eventlog import (
+    BOUND_LINES,
+    BOUND_PERIOD_MS,
+    EventLog,
+    JsonLines,
+)
+from fuchsiapin.events import CATALOGUE, EVENTS, event_page
+from fuchsiapin.messages import EventCount
+
+PACKAGE = Path(fuchsiapin.__file__).parent
+PAGE = PACKAGE.parent / "docs" / "events.md"
+REPORTERS = ("report", "note")
+
+
+def reported() -> dict[int, set[frozenset[str]]]:
+    """Return the numbers that the code reports, each with its sets of fields."""
+    found: dict[int, set[frozenset[str]]] = {}
+    for path in PACKAGE.rglob("*.py"):
+        if "tests" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            name = getattr(node.func, "attr", "")
+            number = getattr(node.args[0], "value", None)
+            if name in REPORTERS and isinstance(number, int):
+                fields = frozenset(keyword.arg for keyword in node.keywords)
+                found.setdefault(number, set()).add(fields)
+    return found
+
+
+class CatalogueTest(unittest.TestCase):
+    """Catalogue, code and page hold the same events."""
+
+    def test_each_reported_number_is_in_the_catalogue_and_back(self) -> None:
+        self.assertEqual(sorted(reported()), sorted(CATALOGUE))
+        self.assertEqual(len(EVENTS), len(CATALOGUE))
+
+    def test_each_report_has_the_fields_of_the_catalogue(self) -> None:
+        for number, variants in reported().items():
+            wanted = {field.name for field in CATALOGUE[number].fields}
+            for fields in variants:
+                self.assertEqual(fields, wanted, number)
+
+    def test_page_is_made_from_the_catalogue(self) -> None:
+        self.assertEqual(PAGE.read_text(), event_page())
+
+
+class EventLogTest(unittest.TestCase):
+    """Lines of JSON, bounded where outsiders can cause them."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1_000)
+        self.log = EventLog(self.clock, "ledger-1")
+
+    def lines(self, number: int, fields: dict, times: int = 1) -> list[dict]:
+        """Return what the log writes when an event is noted several times."""
+        with self.assertLogs("absl", "INFO") as caught:
+            standard_logging.getLogger("absl").info("first")
+            for _ in range(times):
+                self.log.note(number, fields)
+        return [json.loads(JsonLines().format(r)) for r in caught.records[1:]]
+
+    def test_line_has_number_and_typed_fields(self) -> None:
+        fields = {"service": "ledger", "view": 4, "members": 7}
+        self.assertEqual(
+            self.lines(1401, fields),
+            [
+                {
+                    "time_ms": 1_000,
+                    "level": "info",
+                    "process": "ledger-1",
+                    "number": 1401,
+                    "event": "view known",
+                }
+                | fields
+            ],
+        )
+
+    def test_events_that_outsiders_cause_are_bounded_and_still_counted(self) -> None:
+        self.assertEqual(len(self.lines(1301, {"error": "x"}, 50)), BOUND_LINES)
+        self.clock.advance(BOUND_PERIOD_MS)
+        [line] = self.lines(1301, {"error": "x" * 5_000})
+        self.assertEqual(line["suppressed"], 50 - BOUND_LINES)
+        self.assertLess(len(line["error"]), 5_000)
+        self.assertEqual(self.log.counts(), [EventCount(1301, "", 51)])
+
+    def test_reasons_are_counted_one_by_one_within_a_bound(self) -> None:
+        for number in range(1_000):
+            self.log.note(3107, {"outcome": f"{number}"})
+        counts = self.log.counts()
+        self.assertLess(len(counts), 300)
+        self.assertEqual(sum(count.count for count in counts), 1_000)
+
+    def test_line_of_a_library_is_json_too(self) -> None:
+        record = standard_logging.LogRecord(
+            "x", standard_logging.WARNING, "", 1, "a %s", ("b",), None
+        )
+        line = json.loads(JsonLines().format(record))
+        self.assertEqual(line, {"level": "warning", "text": "a b"})
+
+
+if __name__ == "__main__":
+    unittest.main()
