Show both deployments under traffic and changes, judged by the oracle

make demo starts both sets, replaces every balancer, lets one upstream leave and kills one side process while callers claim, upload and keep boards open. The stand-ins of caller and upstream gain uploads, long answers, shedding, drain, cancellation, deadlines and reports that mislead.

--- a/fuchsiapin/tests/standins/caller.py
+++ b/fuchsiapin/tests/standins/caller.py
@@ -3,17 +3,26 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import Any
 
 from aiocoap import Message
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.types import Type
+from aiocoap.optiontypes import BlockOption
 from twisted.internet.protocol import DatagramProtocol
 
 __all__ = ["Caller", "Pending", "Tally"]
 
 ACK_TIMEOUT_S = 2.0
 MAX_RETRANSMIT = 4
+BLOCK_SIZE_EXPONENT = 6
+BLOCK_BYTES = 1024
+REFUSALS = frozenset({Code.SERVICE_UNAVAILABLE, Code.TOO_MANY_REQUESTS})
+DIGEST_BYTES = 8
+
+Done = Callable[[str], None]
+"""Called with what the caller was told."""
 
 
 @dataclass
@@ -28,8 +37,15 @@
     wrong: int = 0
     notifications: int = 0
     stale: int = 0
+    restarted: int = 0
     told: dict[str, str] = field(default_factory=dict)
-    latencies: list[float] = field(default_factory=list)
+    took: dict[str, float] = field(default_factory=dict)
+    digests: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def latencies(self) -> list[float]:
+        """Seconds from the first datagram to the answer of each done request."""
+        return list(self.took.values())
 
 
 @dataclass
@@ -40,7 +56,41 @@
     datagram: bytes
     started: float
     attempt: int = 0
-    done: Callable[[str], None] | None = None
+    done: Done | None = None
+    take: Callable[["Pending", Message], None] | None = None
+
+
+def body_digest(body: bytes) -> str:
+    """Return the name of a whole body, to tell a mixed one."""
+    return blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
+
+
+@dataclass
+class Upload:
+    """A body that goes up block by block."""
+
+    path: str
+    name: str
+    body: bytes
+    started: float
+    done: Done | None = None
+    number: int = 0
+
+    def block(self) -> BlockOption.BlockwiseTuple:
+        """Return the option of the block that is next."""
+        more = (self.number + 1) * BLOCK_BYTES < len(self.body)
+        return BlockOption.BlockwiseTuple(self.number, more, BLOCK_SIZE_EXPONENT)
+
+    def payload(self) -> bytes:
+        """Return the block that is next."""
+        start = self.number * BLOCK_BYTES
+        return self.body[start : start + BLOCK_BYTES]
+
+
+def is_one_body(body: bytes, name: str) -> bool:
+    """Return whether a long answer is whole and of one request."""
+    head, _, rest = body.partition(b"\n")
+    return head.endswith(b" " + name.encode()) and len(set(rest.split())) == 1
 
 
 class Caller(DatagramProtocol):
@@ -89,33 +139,99 @@
         self.mid = (self.mid + 1) % 65536
         return self.mid
 
-    def post(
-        self, path: str, name: str, done: Callable[[str], None] | None = None
-    ) -> None:
-        """Post a claim or receipt of that name, once, with retransmissions."""
-        token = self.rng.randbytes(4)
-        message = Message(
-            code=Code.POST,
-            payload=name.encode(),
+    def request(self, code: Code, path: str, payload: bytes = b"") -> Message:
+        """Return a new confirmable request."""
+        return Message(
+            code=code,
+            payload=payload,
             _mtype=Type.CON,
             _mid=self.next_mid(),
-            _token=token,
+            _token=self.rng.randbytes(4),
             uri_path=(path,),
         )
+
+    def post(self, path: str, name: str, done: Done | None = None) -> None:
+        """Post a claim or receipt of that name, once, with retransmissions."""
         self.tally.sent += 1
-        self.send_request(token, name, message, done)
+        self.tally.digests[name] = body_digest(name.encode())
+        self.send_request(self.request(Code.POST, path, name.encode()), name, done)
 
-    def send_request(
+    def upload(self, path: str, name: str, size: int, done: Done | None = None) -> None:
+        """Upload a body that begins with its name, block by block."""
+        filler = self.rng.randbytes(8).hex().encode()
+        body = (name.encode() + b"\n" + filler * (size // len(filler)))[:size]
+        self.tally.sent += 1
+        self.tally.digests[name] = body_digest(body)
+        self.send_block(Upload(path, name, body, self.clock.seconds(), done))
+
+    def send_block(self, upload: Upload) -> None:
+        """Send the next block of an upload."""
+        message = self.request(Code.POST, upload.path, upload.payload())
+        message.opt.block1 = upload.block()
+        pending = self.send_request(message, upload.name, upload.done)
+        pending.started = upload.started
+        pending.take = lambda pending, answer: self.take_block(upload, pending, answer)
+
+    def take_block(self, upload: Upload, pending: Pending, answer: Message) -> None:
+        """Go on with an upload, or begin anew where the upstream lost it."""
+        if answer.code is Code.CONTINUE:
+            upload.number += 1
+            self.send_block(upload)
+        elif answer.code is Code.REQUEST_ENTITY_INCOMPLETE:
+            self.tally.restarted += 1
+            upload.number = 0
+            self.send_block(upload)
+        else:
+            self.take_answer(pending, answer)
+
+    def get_long(self, path: str, name: str, done: Done | None = None) -> None:
+        """Read a long answer block by block."""
+        self.tally.sent += 1
+        self.read_block(path, name, 0, [], self.clock.seconds(), done)
+
+    def read_block(
         self,
-        token: bytes,
+        path: str,
         name: str,
-        message: Message,
-        done: Callable[[str], None] | None,
+        number: int,
+        parts: list[bytes],
+        started: float,
+        done: Done | None,
     ) -> None:
+        """Read one block of a long answer."""
+        message = self.request(Code.GET, path)
+        message.opt.uri_query = (name,)
+        if number:
+            message.opt.block2 = BlockOption.BlockwiseTuple(
+                number, False, BLOCK_SIZE_EXPONENT
+            )
+
+        def take(pending: Pending, answer: Message) -> None:
+            block = answer.opt.block2
+            if answer.code is Code.REQUEST_ENTITY_INCOMPLETE:
+                self.tally.restarted += 1
+                self.read_block(path, name, 0, [], started, done)
+            elif block is None or not answer.code.is_successful():
+                self.take_answer(pending, answer)
+            elif block.more:
+                parts.append(answer.payload)
+                self.read_block(path, name, number + 1, parts, started, done)
+            else:
+                is_whole = is_one_body(b"".join([*parts, answer.payload]), name)
+                self.tell(pending, "done" if is_whole else "wrong")
+
+        pending = self.send_request(message, name, done)
+        pending.started = started
+        pending.take = take
+
+    def send_request(
+        self, message: Message, name: str, done: Done | None = None
+    ) -> Pending:
         """Send a request and wait for its answer."""
         pending = Pending(name, message.encode(), self.clock.seconds(), done=done)
-        self.pending[token] = pending
-        self.transmit(token, pending)
+        self.pending[message.token] = pending
+        self.transmit(message.token, pending)
+        return pending
 
     def transmit(self, token: bytes, pending: Pending) -> None:
         """Send a request again until it is answered."""
@@ -132,16 +248,16 @@
 
     def open_board(self) -> None:
         """Open an observation of the board."""
-        self.board_token = self.rng.randbytes(4)
-        message = Message(
-            code=Code.GET,
-            _mtype=Type.CON,
-            _mid=self.next_mid(),
-            _token=self.board_token,
-            uri_path=("board",),
-        )
+        message = self.request(Code.GET, "board")
         message.opt.observe = 0
-        self.send_request(self.board_token, "board", message, None)
+        self.board_token = message.token
+        self.send_request(message, "board")
+
+    def close_board(self) -> None:
+        """Cancel the observation of the board."""
+        message = self.request(Code.GET, "board").copy(_token=self.board_token)
+        message.opt.observe = 1
+        self.send_request(message, "board")
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Take an answer or a notification."""
@@ -153,14 +269,17 @@
                 code=Code.EMPTY, _mtype=Type.ACK, _mid=message.mid, _token=b""
             )
             self.spray(ack.encode())
+        pending = self.pending.pop(message.token, None)
         if message.token == self.board_token:
             self.take_board(message)
-        pending = self.pending.pop(message.token, None)
-        if pending is not None and message.token != self.board_token:
-            self.take_answer(pending, message)
+        elif pending is not None:
+            (pending.take or self.take_answer)(pending, message)
 
     def take_board(self, message: Message) -> None:
         """Check a notification."""
+        if message.code in REFUSALS:
+            self.clock.callLater(message.opt.max_age or 1, self.open_board)
+            return
         self.tally.notifications += 1
         if message.payload != f"{self.service} board".encode():
             self.tally.wrong += 1
@@ -177,7 +296,7 @@
 
     def take_answer(self, pending: Pending, message: Message) -> None:
         """Check an answer against its own request."""
-        if message.code is Code.SERVICE_UNAVAILABLE:
+        if message.code in REFUSALS:
             told = "refused"
         elif message.code is Code.GATEWAY_TIMEOUT:
             told = "unknown"
@@ -192,6 +311,6 @@
         setattr(self.tally, told, getattr(self.tally, told) + 1)
         self.tally.told[pending.name] = told
         if told == "done":
-            self.tally.latencies.append(self.clock.seconds() - pending.started)
+            self.tally.took[pending.name] = self.clock.seconds() - pending.started
         if pending.done is not None:
             pending.done(told)
--- a/fuchsiapin/tests/standins/upstream.py
+++ b/fuchsiapin/tests/standins/upstream.py
@@ -1,34 +1,39 @@
 """Stand-in of an upstream: a CoAP server with slots and an execution log."""
 
-import json
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any
 
-import defopt
 from aiocoap import Message
+from aiocoap.error import Error as AiocoapError
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.types import Type
 from aiocoap.optiontypes import BlockOption
-from twisted.internet import reactor
 from twisted.internet.protocol import DatagramProtocol
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
-__all__ = ["Upstream", "UpstreamOptions", "main"]
+__all__ = ["Job", "Upstream", "UpstreamOptions"]
 
 BLOCK_SIZE_EXPONENT = 6
 BLOCK_BYTES = 1024
+LONG_BYTES = 3 * BLOCK_BYTES
+LABEL_BYTES = 64
+DIGEST_BYTES = 8
 MAX_SEEN = 20_000
+MAX_REPORTS = 1_000
 LONG_PATH = "long"
-WATCHED_PATH = "board"
+WATCHED_PATHS = frozenset({"board", "balance"})
+PATHS = WATCHED_PATHS | {LONG_PATH, "claims", "receipts", "photos", "scans"}
+DEADLINE_OPTION = 65_052
+"""Milliseconds that the caller still waits; elective, of the experimental range."""
+RETRY_AFTER_S = 1
 
 
 @dataclass
 class UpstreamOptions:
-    """How the upstream behaves."""
+    """How the upstream behaves; a test may change it at any time."""
 
     name: str = "upstream"
     service: str = ""
@@ -36,15 +41,37 @@
     service_ms: float = 100.0
     board_ms: float = 1_000.0
     seed: int = 1
+    connections: int = 2_000
+    cold_requests: int = 0
+    """Requests that take `cold_factor` as long after a start."""
+    cold_factor: float = 5.0
+    shed_above: int = 0
+    """Requests that may wait before others are shed; 0 for no bound."""
+    is_draining: bool = False
+    report_lag_ms: float = 0.0
+    """Age of what `/load` and `/health` tell."""
+    told_load: int | None = None
+    """What `/load` tells in place of the truth."""
+    told_health: str = ""
+    """What `/health` tells in place of the truth."""
 
 
-@dataclass(frozen=True)
+@dataclass
 class Job:
-    """One request that waits for a slot."""
+    """One request that waits for a slot or runs in one."""
 
     request: Message
     address: tuple[str, int]
     body: bytes
+    due: float | None = None
+    duration_ms: float = 0.0
+    timer: Any = None
+
+    @property
+    def label(self) -> str:
+        """Name of the request: its query, or the first line of its body."""
+        query = "&".join(self.request.opt.uri_query)
+        return query or self.body.split(b"\n")[0][:LABEL_BYTES].decode("latin1")
 
 
 class Upstream(DatagramProtocol):
@@ -63,16 +90,27 @@
         self.clock = clock
         self.rng = random.Random(options.seed)
         self.executions: list[dict[str, Any]] = []
+        self.reads: deque[str] = deque(maxlen=MAX_SEEN)
+        self.cancelled = 0
+        self.shed = 0
         self.seen: OrderedDict[tuple, bytes] = OrderedDict()
         self.queue: deque[Job] = deque()
-        self.busy = 0
+        self.running: list[Job] = []
+        self.started = 0
         self.observers: dict[tuple, Message] = {}
+        self.noted: dict[tuple, tuple] = {}
         self.uploads: dict[bytes, bytes] = {}
         self.answers: dict[bytes, bytes] = {}
+        self.reports: deque[tuple[float, int, int]] = deque(maxlen=MAX_REPORTS)
         self.state = 0
         self.next_mid = self.rng.randrange(65536)
         self.sink: Callable[[bytes, tuple[str, int]], None] | None = None
 
+    @property
+    def busy(self) -> int:
+        """Slots that are taken."""
+        return len(self.running)
+
     def startProtocol(self) -> None:
         """Begin to change the board."""
         self.clock.callLater(self.options.board_ms / 1000, self.change_board)
@@ -90,40 +128,84 @@
         else:
             self.transport.write(data, address)
 
+    # Requests
+
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
-        """Take a datagram."""
-        request = Message.decode(datagram)
-        if request.code is Code.EMPTY:
-            if request.mtype is Type.CON:
-                reset = Message(
-                    code=Code.EMPTY, _mtype=Type.RST, _mid=request.mid, _token=b""
-                )
-                self.send(reset, addr)
-            return
-        if not request.code.is_request():
+        """Take a datagram; one that is no CoAP message is dropped."""
+        try:
+            request = Message.decode(datagram)
+        except (AiocoapError, ValueError, IndexError):
             return
-        key = (addr, request.mid)
+        if request.mtype is Type.RST:
+            self.cancel(request.mid, addr)
+        elif request.code is Code.EMPTY and request.mtype is Type.CON:
+            reset = Message(
+                code=Code.EMPTY, _mtype=Type.RST, _mid=request.mid, _token=b""
+            )
+            self.send(reset, addr)
+        elif request.code.is_request():
+            self.take_once(request, addr)
+
+    def take_once(self, request: Message, address: tuple[str, int]) -> None:
+        """Serve a request, or answer a retransmission as before."""
+        key = (address, request.mid)
         if key in self.seen:
             if self.seen[key]:
-                self.write(self.seen[key], addr)
+                self.write(self.seen[key], address)
             return
         self.seen[key] = b""
         if len(self.seen) > MAX_SEEN:
             self.seen.popitem(last=False)
-        self.take(request, addr)
+        self.take(request, address)
+
+    def cancel(self, mid: int, address: tuple[str, int]) -> None:
+        """Stop what a reset names: a request, or an observation by its notice."""
+        self.observers.pop(self.noted.pop((address, mid), None), None)
+        for jobs in (self.queue, self.running):
+            for job in list(jobs):
+                if (job.address, job.request.mid) == (address, mid):
+                    jobs.remove(job)
+                    self.cancelled += 1
+                    if job.timer is not None:
+                        job.timer.cancel()
+        self.start_next()
 
     def take(self, request: Message, address: tuple[str, int]) -> None:
-        """Serve a request at once, or let it wait for a slot."""
+        """Serve a request at once, let it wait for a slot, or shed it."""
         path = "/".join(request.opt.uri_path)
         if request.code is Code.GET and request.opt.observe == 1:
             self.observers.pop((address, request.token), None)
-        if request.code is Code.GET and path == WATCHED_PATH:
-            self.answer_board(request, address)
-            return
+        if path not in PATHS:
+            self.reply(request, address, Code.NOT_FOUND, b"")
+        elif self.is_full():
+            self.shed += 1
+            self.reply(request, address, Code.SERVICE_UNAVAILABLE, b"")
+        elif request.code is Code.GET and path in WATCHED_PATHS:
+            self.answer_board(request, address, path)
+        else:
+            self.enqueue(request, address)
+
+    def is_full(self) -> bool:
+        """Return whether new requests are shed."""
+        waiting = len(self.queue)
+        held = len(self.observers) + waiting + self.busy
+        bound = self.options.shed_above
+        is_shedding = bound > 0 and waiting >= bound
+        return (
+            self.options.is_draining or is_shedding or held >= self.options.connections
+        )
+
+    def enqueue(self, request: Message, address: tuple[str, int]) -> None:
+        """Let a request wait for a slot once its body is whole."""
         body = self.collect_body(request, address)
         if body is None or self.answer_later_block(request, address):
             return
-        self.queue.append(Job(request, address, body))
+        job = Job(request, address, body)
+        for option in request.opt.get_option(DEADLINE_OPTION):
+            job.due = (
+                self.clock.seconds() + int.from_bytes(option.encode(), "big") / 1000
+            )
+        self.queue.append(job)
         self.start_next()
 
     def collect_body(self, request: Message, address: tuple[str, int]) -> bytes | None:
@@ -133,10 +215,13 @@
             return request.payload
         tag = self.transfer_key(request)
         known = self.uploads.get(tag, b"") if block.block_number else b""
-        if len(known) != block.start:
+        is_repeated = known[block.start :] == request.payload and block.block_number
+        if len(known) != block.start and not (is_repeated and block.more):
             self.reply(request, address, Code.REQUEST_ENTITY_INCOMPLETE, b"")
             return None
-        self.uploads[tag] = known + request.payload
+        if not is_repeated:
+            known += request.payload
+        self.uploads[tag] = known
         if block.more:
             self.reply(request, address, Code.CONTINUE, b"", block1=block)
             return None
@@ -144,9 +229,8 @@
 
     def transfer_key(self, request: Message) -> bytes:
         """Return what keeps the transfers of two callers apart."""
-        return (
-            b"".join(request.opt.request_tag) + "/".join(request.opt.uri_path).encode()
-        )
+        parts = [*request.opt.uri_path, *request.opt.uri_query]
+        return b"".join(request.opt.request_tag) + "/".join(parts).encode()
 
     def answer_later_block(self, request: Message, address: tuple[str, int]) -> bool:
         """Answer a later block of a long answer; return whether it was one."""
@@ -157,44 +241,79 @@
         if body is None:
             self.reply(request, address, Code.REQUEST_ENTITY_INCOMPLETE, b"")
         else:
-            self.reply_block(request, address, body, block.block_number)
+            self.reply_block(request, address, body)
         return True
 
+    # Slots
+
     def start_next(self) -> None:
         """Start what waits while slots are free."""
         while self.queue and self.busy < self.options.slots:
             job = self.queue.popleft()
-            self.busy += 1
-            duration = self.rng.expovariate(1 / self.options.service_ms)
-            self.clock.callLater(duration / 1000, self.complete, job)
+            if job.due is not None and job.due < self.clock.seconds():
+                self.reply(job.request, job.address, Code.SERVICE_UNAVAILABLE, b"")
+                continue
+            self.running.append(job)
+            job.duration_ms = self.draw_duration()
+            job.timer = self.clock.callLater(job.duration_ms / 1000, self.complete, job)
+        self.reports.append((self.clock.seconds(), self.busy, len(self.queue)))
+
+    def draw_duration(self) -> float:
+        """Return how long the next request takes, in ms."""
+        self.started += 1
+        is_cold = self.started <= self.options.cold_requests
+        factor = self.options.cold_factor if is_cold else 1.0
+        return factor * self.rng.expovariate(1 / self.options.service_ms)
 
     def complete(self, job: Job) -> None:
         """Log the execution and answer."""
-        self.busy -= 1
+        self.running.remove(job)
         request = job.request
         path = "/".join(request.opt.uri_path)
-        if request.code is not Code.GET:
-            self.executions.append(
-                {"path": path, "body": job.body[:64].decode("latin1")}
-            )
-        text = f"{self.options.name} {path} ".encode() + job.body[:64]
+        if request.code is Code.GET:
+            self.reads.append(job.label)
+        else:
+            self.log_execution(path, job)
+        text = f"{self.options.name} {path} {job.label}".encode()
         if path == LONG_PATH:
-            body = text + b"." * (3 * BLOCK_BYTES)
+            word = f" {self.options.name}-{self.started}".encode()
+            body = (text + b"\n" + word * (LONG_BYTES // len(word)))[:LONG_BYTES]
+            body = body[: body.rindex(b" ")]
             self.answers[self.transfer_key(request)] = body
-            self.reply_block(request, job.address, body, 0)
+            self.reply_block(request, job.address, body)
         else:
             code = Code.CONTENT if request.code is Code.GET else Code.CHANGED
             self.reply(request, job.address, code, text, block1=request.opt.block1)
         self.start_next()
 
+    def log_execution(self, path: str, job: Job) -> None:
+        """Note what ran, for the oracle."""
+        digest = blake2b(job.body, digest_size=DIGEST_BYTES).hexdigest()
+        self.executions.append(
+            {"path": path, "body": job.label, "digest": digest, "ms": job.duration_ms}
+        )
+
+    def load(self) -> tuple[int, int]:
+        """Return busy slots and waiting requests as `/load` tells them."""
+        if self.options.told_load is not None:
+            return self.options.told_load, 0
+        told_at = self.clock.seconds() - self.options.report_lag_ms / 1000
+        known = [entry for entry in self.reports if entry[0] <= told_at]
+        return known[-1][1:] if known else (0, 0)
+
+    # Answers
+
     def reply_block(
-        self, request: Message, address: tuple[str, int], body: bytes, number: int
+        self, request: Message, address: tuple[str, int], body: bytes
     ) -> None:
-        """Answer with one block of a long body."""
-        start = number * BLOCK_BYTES
-        more = start + BLOCK_BYTES < len(body)
-        block = BlockOption.BlockwiseTuple(number, more, BLOCK_SIZE_EXPONENT)
-        payload = body[start : start + BLOCK_BYTES]
+        """Answer with the block of a long body that is asked for."""
+        asked = request.opt.block2
+        number = asked.block_number if asked else 0
+        exponent = min(asked.size_exponent, 6) if asked else BLOCK_SIZE_EXPONENT
+        size = 1 << (exponent + 4)
+        start = number * size
+        block = BlockOption.BlockwiseTuple(number, start + size < len(body), exponent)
+        payload = body[start : start + size]
         self.reply(request, address, Code.CONTENT, payload, block2=block)
 
     def reply(
@@ -203,9 +322,7 @@
         address: tuple[str, int],
         code: Code,
         payload: bytes,
-        block1: Any = None,
-        block2: Any = None,
-        observe: int | None = None,
+        **options: Any,
     ) -> None:
         """Answer on the acknowledgement."""
         answer = Message(
@@ -215,16 +332,19 @@
             _mid=request.mid,
             _token=request.token,
         )
-        answer.opt.block1 = block1
-        answer.opt.block2 = block2
-        answer.opt.observe = observe
+        if code is Code.SERVICE_UNAVAILABLE:
+            answer.opt.max_age = RETRY_AFTER_S
+        for name, value in options.items():
+            setattr(answer.opt, name, value)
         self.seen[(address, request.mid)] = self.send(answer, address)
 
     def board(self) -> bytes:
         """Return the state of the board."""
         return f"{self.options.service} board".encode()
 
-    def answer_board(self, request: Message, address: tuple[str, int]) -> None:
+    def answer_board(
+        self, request: Message, address: tuple[str, int], path: str
+    ) -> None:
         """Answer with the board, and go on when it is observed."""
         if request.opt.observe == 0:
             self.observers[(address, request.token)] = request
@@ -235,8 +355,10 @@
     def change_board(self) -> None:
         """Tell the observers of a new state."""
         self.state += 1
-        for (address, token), _ in list(self.observers.items()):
+        self.noted.clear()
+        for address, token in list(self.observers):
             self.next_mid = (self.next_mid + 1) % 65536
+            self.noted[(address, self.next_mid)] = (address, token)
             note = Message(
                 code=Code.CONTENT,
                 payload=self.board(),
@@ -247,73 +369,3 @@
             note.opt.observe = self.state
             self.send(note, address)
         self.clock.callLater(self.options.board_ms / 1000, self.change_board)
-
-
-class Admin(Resource):
-    """Execution log, health and load over HTTP."""
-
-    isLeaf = True
-
-    def __init__(self, upstream: Upstream) -> None:
-        super().__init__()
-        self.upstream = upstream
-
-    def render_GET(self, request: Any) -> bytes:
-        """Answer `/executions`, `/load` and `/health`."""
-        if request.path == b"/executions":
-            return json.dumps(self.upstream.executions).encode()
-        if request.path == b"/load":
-            waiting = len(self.upstream.queue)
-            return json.dumps({"busy": self.upstream.busy, "waiting": waiting}).encode()
-        return json.dumps(
-            {"state": "ok", "observers": len(self.upstream.observers)}
-        ).encode()
-
-
-def serve(
-    *,
-    host: str = "127.0.0.1",
-    port: int = 0,
-    admin_port: int = 0,
-    name: str = "upstream",
-    service: str = "",
-    slots: int = 2,
-    service_ms: float = 100.0,
-    seed: int = 1,
-) -> None:
-    """Serve the upstream stand-in.
-
-    Parameters
-    ----------
-    host : str
-        Address.
-    port : int
-        CoAP port.
-    admin_port : int
-        HTTP port of the execution log.
-    name : str
-        Name of the upstream.
-    service : str
-        Service that it belongs to.
-    slots : int
-        Requests served at the same time.
-    service_ms : float
-        Mean service time.
-    seed : int
-        Seed of the service times.
-    """
-    options = UpstreamOptions(name, service, slots, service_ms, seed=seed)
-    upstream = Upstream(options, reactor)
-    bound = reactor.listenUDP(port, upstream, host, 65536)
-    admin = reactor.listenTCP(admin_port, Site(Admin(upstream)), interface=host)
-    print(f"ready {bound.getHost().port} {admin.getHost().port}", flush=True)
-    reactor.run()
-
-
-def main() -> None:
-    """Enter from the command line."""
-    defopt.run(serve)
-
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,248 @@
+"""Shows both deployments under traffic while their processes are replaced.
+
+The exit code is 0 only if every promise held: no broken flow, nothing run
+twice, every answer the caller's own and true, no service reached by another's
+requests.
+"""
+
+import random
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.threads import deferToThread
+
+from tools.fleet import DEPLOYMENTS, READY_S, Fleet, Process, call
+from tools.traffic import Account, ServiceTraffic
+
+__all__ = ["main"]
+
+SERVICE_MS = 60.0
+WARM_S = 4.0
+PAUSE_S = 2.0
+"""Traffic between two changes."""
+SETTLE_S = 8.0
+"""Time after the last change until the traffic ends."""
+ANSWER_S = 60.0
+"""Longest wait for the last answers."""
+SAMPLE_S = 0.5
+POLL_S = 0.1
+
+COLUMNS = {
+    "service": "service",
+    "requests": "requests",
+    "answers": "answers",
+    "refused": "refused",
+    "unknown": "unknown",
+    "broken": "broken flows",
+    "twice": "run twice",
+    "wrong_service": "wrong service",
+    "imbalance": "imbalance",
+    "wait_p50_ms": "wait p50 ms",
+    "wait_p99_ms": "wait p99 ms",
+}
+
+
+def pause(seconds: float) -> Deferred:
+    """Let time pass."""
+    return deferLater(reactor, seconds)
+
+
+async def until(condition: Callable[[], bool], seconds: float, what: str) -> None:
+    """Wait until a condition holds, which may take long to look at."""
+    end = reactor.seconds() + seconds
+    while not await deferToThread(condition):
+        if reactor.seconds() > end:
+            raise TimeoutError(f"not in {seconds} s: {what}")
+        await pause(POLL_S)
+
+
+class Session:
+    """The session of one deployment.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Its processes.
+    seed : int
+        Seed of the traffic.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        rng = random.Random(seed)
+        self.traffic = {
+            service: ServiceTraffic(fleet, service, reactor, rng)
+            for service in fleet.deployment.services
+        }
+        self.main_service = next(iter(fleet.deployment.services))
+        self.sampler = LoopingCall(self.sample)
+        self.accounts: list[Account] = []
+
+    def say(self, text: str) -> None:
+        """Print one line of what happens."""
+        print(f"{self.fleet.deployment.name}: {text}", flush=True)
+
+    async def run(self) -> None:
+        """Drive the traffic through all changes; draw up the accounts."""
+        for traffic in self.traffic.values():
+            traffic.start()
+        self.sampler.start(SAMPLE_S)
+        await pause(WARM_S)
+        for old in self.fleet.of_role("balancer"):
+            await self.replace_balancer(old)
+        await self.leave(f"{self.main_service}-3")
+        await self.kill(f"{self.main_service}-5")
+        await pause(SETTLE_S)
+        await self.finish()
+
+    async def replace_balancer(self, old: Process) -> None:
+        """Start a balancer in place of another, and stop that one as planned."""
+        new = self.fleet.start_balancer(f"{old.name}-2", old.zone)
+        await until(
+            lambda: self.fleet.is_balancer_ready(new.name), READY_S, f"{new.name} ready"
+        )
+        for service, traffic in self.traffic.items():
+            traffic.replace_balancer(old.callers[service], new.callers[service])
+        code = await deferToThread(self.fleet.stop, old.name)
+        self.say(f"{new.name} replaced {old.name}, which ended with {code}")
+        await pause(PAUSE_S)
+
+    async def leave(self, name: str) -> None:
+        """Have one upstream leave as planned."""
+        code = await deferToThread(self.fleet.stop, name)
+        self.say(f"{name} left, its side process ended with {code}")
+        await pause(PAUSE_S)
+
+    async def kill(self, name: str) -> None:
+        """End the side process of one upstream without warning."""
+        self.fleet.kill(name)
+        self.say(f"{name} killed")
+        service = self.main_service
+        await until(
+            lambda: name not in self.fleet.members(service), READY_S, f"{name} removed"
+        )
+        self.say(f"{name} was found dead and removed by its peers")
+
+    def sample(self) -> Deferred:
+        """Note the requests in flight at each upstream."""
+        return deferToThread(self.read_loads).addCallback(self.take_loads)
+
+    def read_loads(self) -> dict[str, dict[str, int]]:
+        """Return the requests in flight per service and upstream."""
+        loads: dict[str, dict[str, int]] = {}
+        for side in self.fleet.of_role("side"):
+            upstream = self.fleet.processes[f"upstream-{side.name}"]
+            told = call("GET", f"{upstream.admin}/load")
+            if told is not None:
+                of_service = loads.setdefault(side.service, {})
+                of_service[side.name] = told["busy"] + told["waiting"]
+        return loads
+
+    def take_loads(self, loads: dict[str, dict[str, int]]) -> None:
+        """Hand the requests in flight to the services."""
+        for service, of_service in loads.items():
+            self.traffic[service].sample(of_service)
+
+    async def finish(self) -> None:
+        """End the traffic, wait for the last answers, ask the oracle."""
+        for traffic in self.traffic.values():
+            traffic.is_on = False
+        self.sampler.stop()
+        await until(
+            lambda: all(traffic.is_answered for traffic in self.traffic.values()),
+            ANSWER_S,
+            "all requests answered",
+        )
+        logs: dict[str, list[dict[str, Any]]] = {}
+        for service in self.traffic:
+            logs |= await deferToThread(self.fleet.executions, service)
+        self.accounts = [traffic.account(logs) for traffic in self.traffic.values()]
+
+
+def print_table(accounts: list[Account]) -> None:
+    """Print one line per service."""
+    rows = [list(COLUMNS.values())]
+    for account in accounts:
+        values = [getattr(account, name) for name in COLUMNS]
+        rows.append([f"{v:.2f}" if isinstance(v, float) else str(v) for v in values])
+    widths = [max(len(row[i]) for row in rows) for i in range(len(COLUMNS))]
+    for row in rows:
+        cells = zip(row, widths, strict=True)
+        print("  ".join(text.rjust(width) for text, width in cells))
+
+
+def judge(accounts: list[Account]) -> int:
+    """Print table and broken promises; return the exit code."""
+    print_table(accounts)
+    faults = [fault for account in accounts for fault in account.faults()]
+    for fault in faults:
+        print(f"broken promise: {fault}")
+    if not faults:
+        print("every promise held")
+    return 1 if faults else 0
+
+
+async def run_sessions(sessions: list[Session]) -> None:
+    """Run the sessions at the same time."""
+    await gatherResults([ensureDeferred(session.run()) for session in sessions])
+
+
+def drive(main: Callable[[], Awaitable[None]]) -> BaseException | None:
+    """Run the loop until a coroutine has ended; return its error."""
+    failures: list[BaseException] = []
+
+    def note(failure: Any) -> None:
+        failures.append(failure.value)
+
+    def begin() -> None:
+        ended = ensureDeferred(main())
+        ended.addErrback(note).addCallback(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return failures[0] if failures else None
+
+
+def demo(*, folder: Path = Path("run/demo"), seed: int = 1) -> None:
+    """Show both deployments under traffic and changes.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    seed : int
+        Seed of the traffic.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    fleets = [Fleet(item, folder, SERVICE_MS) for item in DEPLOYMENTS.values()]
+    sessions: list[Session] = []
+    try:
+        for fleet in fleets:
+            fleet.start()
+        for fleet in fleets:
+            fleet.wait_ready()
+            print(f"{fleet.deployment.name}: ready", flush=True)
+        sessions = [Session(fleet, seed + place) for place, fleet in enumerate(fleets)]
+        error = drive(lambda: run_sessions(sessions))
+    finally:
+        for fleet in fleets:
+            fleet.stop_all()
+    if error is not None:
+        sys.exit(f"the session did not end: {error!r}")
+    sys.exit(judge([account for session in sessions for account in session.accounts]))
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(demo)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -19,7 +19,7 @@
 from urllib.error import HTTPError, URLError
 from urllib.request import Request, urlopen
 
-__all__ = ["DEPLOYMENTS", "Deployment", "Fleet", "Process", "wait_until"]
+__all__ = ["DEPLOYMENTS", "Deployment", "Fleet", "Process", "call", "wait_until"]
 
 KEY = "00112233445566778899aabbccddeeff"
 READY_S = 90.0
@@ -232,7 +232,7 @@
         process.admin = f"http://{process.host}:{admin}"
         return self.launch(
             process,
-            ["fuchsiapin.tests.standins.upstream", "--host", process.host]
+            ["fuchsiapin.tests.standins.upstreamadmin", "--host", process.host]
             + ["--port", str(process.port), "--admin-port", str(admin)]
             + ["--name", name, "--service", service, "--seed", str(seed)]
             + ["--service-ms", str(self.service_ms)],
@@ -300,6 +300,11 @@
         found = self.stored(f"balancers/{zone}")
         return {member["id"] for member in found["members"]} if found else set()
 
+    def service_of(self, name: str) -> str:
+        """Return the service of a process, empty where it has none."""
+        process = self.processes.get(name)
+        return process.service if process else ""
+
     def executions(self, service: str) -> dict[str, list[dict[str, Any]]]:
         """Return the execution log of each upstream of a service."""
         logs = {}
