Let the first sequence number of an observation follow the time

Cause: numbers began at 0. With a clock whose count of 8 ms ticks lies more than half of the range above 0 the time counted as older, so that numbers rose by one a notification; a new owner, that only knew the number at the opening, then sent numbers that callers rightly took as stale. Seen in make demo: 5 and 4 of 24 boards without news after a kill. Ruled out: the witness lacked the observation, and no registration at the new upstream (both there in a trace). Before: the new test saw 12 s without news and more; after: below 5 s.

--- a/fuchsiapin/observing.py
+++ b/fuchsiapin/observing.py
@@ -24,6 +24,7 @@
     "ObservationKey",
     "Observations",
     "Watched",
+    "first_sequence",
     "next_sequence",
     "observation_key",
     "registration",
@@ -38,6 +39,17 @@
 SendToCaller = Callable[[Observation, bytes], None]
 
 
+def first_sequence(now: int) -> int:
+    """Return the sequence number that stands for a time.
+
+    Examples
+    --------
+    >>> first_sequence(800)
+    100
+    """
+    return (now // SEQUENCE_TICK_MS) % SEQUENCE_RANGE
+
+
 def next_sequence(last: int, now: int) -> int:
     """Return a sequence number after `last` that any later owner will pass.
 
@@ -51,7 +63,7 @@
     >>> next_sequence(100, 800)
     101
     """
-    timed = (now // SEQUENCE_TICK_MS) % SEQUENCE_RANGE
+    timed = first_sequence(now)
     ahead = (timed - last) % SEQUENCE_RANGE
     if 0 < ahead < SEQUENCE_RANGE // 2:
         return timed
--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -61,6 +61,14 @@
         world.restart_upstream(node, silent_ms=2_500)
         self.check(world)
 
+    def test_board_open_for_long_survives_the_kill_of_its_owner(self) -> None:
+        world = make_busy_world(5, loss=0.0)
+        world.run(25_000)
+        world.kill("swapdesk-5")
+        world.run(12_000)
+        heard = [world.clock.seconds() - c.last_heard for c in world.callers.values()]
+        self.assertLess(max(heard), 5)
+
     def test_killed_balancer_breaks_no_flow(self) -> None:
         world = make_busy_world(4)
         world.kill("balancer-2")
--- a/fuchsiapin/watching.py
+++ b/fuchsiapin/watching.py
@@ -9,6 +9,7 @@
 from fuchsiapin.observing import (
     ObservationKey,
     Watched,
+    first_sequence,
     observation_key,
     registration,
 )
@@ -43,7 +44,7 @@
                 port=request.port,
                 token=request.message.token,
                 request=request.datagram,
-                sequence=0,
+                sequence=first_sequence(self.core.now),
                 balancer=self.core.routes.get(request.flow, ""),
             )
         )
