Tell every fault of the settings at once, with file, line, key and hint

Cause: faults came without a line, unknown keys without a hint, and errors of the comment remover counted lines wrongly. Ruled out: a YAML or JSON5 reader for positions (another parser in the product); taking the positions from the decoder (the comment remover shifts them).

--- a/fuchsiapin/daemons/balancer.py
+++ b/fuchsiapin/daemons/balancer.py
@@ -12,7 +12,7 @@
 from fuchsiapin.balancing import make_balancer_core
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.daemons.shell import Shell
-from fuchsiapin.settings import Settings, read_settings
+from fuchsiapin.settings import Settings, load_settings
 
 __all__ = ["main", "run_balancer"]
 
@@ -55,15 +55,17 @@
             socket.transport.write(effect.payload, (effect.host, effect.port))
 
 
-def run_balancer(settings_file: Path) -> None:
+def run_balancer(settings_file: Path, *, check: bool = False) -> None:
     """Run a balancer on an entry VM.
 
     Parameters
     ----------
     settings_file : Path
         Settings, JSON with comments.
+    check : bool
+        Only read the settings and tell their faults.
     """
-    settings = read_settings(settings_file)
+    settings = load_settings(settings_file, "balancer", check)
     clock = SystemClock()
     shell = BalancerShell(reactor, settings, clock)
     port = shell.peers.listen(settings.peer.host, settings.peer.port)
--- a/fuchsiapin/daemons/side.py
+++ b/fuchsiapin/daemons/side.py
@@ -12,7 +12,7 @@
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.serving import SideOptions, make_side_core
-from fuchsiapin.settings import Settings, read_settings
+from fuchsiapin.settings import Settings, load_settings
 
 __all__ = ["main", "run_side"]
 
@@ -46,15 +46,17 @@
         self.socket.transport.write(effect.payload, (upstream.host, upstream.port))
 
 
-def run_side(settings_file: Path) -> None:
+def run_side(settings_file: Path, *, check: bool = False) -> None:
     """Run a side process beside its upstream.
 
     Parameters
     ----------
     settings_file : Path
         Settings, JSON with comments.
+    check : bool
+        Only read the settings and tell their faults.
     """
-    settings = read_settings(settings_file)
+    settings = load_settings(settings_file, "side", check)
     clock = SystemClock()
     shell = SideShell(reactor, settings, clock)
     port = shell.peers.listen(settings.peer.host, settings.peer.port)
--- /dev/null
+++ b/fuchsiapin/documents.py
@@ -0,0 +1,181 @@
+"""JSON with comments, and on which line each value stands."""
+
+import json
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import jsonc
+from expression import Error, Ok, Result
+
+from fuchsiapin.faults import Fault
+
+__all__ = ["Document", "Keys", "key_text", "parse_document", "read_document"]
+
+Keys = tuple[str | int, ...]
+"""Way from the top of a document to a value."""
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
+
+TOKEN = re.compile(
+    r'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/|[\[\]{},:]|[^\s\[\]{},:"/]+', re.DOTALL
+)
+TRAILING_COMMA = re.compile(r",(\s*[\]}])")
+NOT_NEWLINE = re.compile(r"[^\n]")
+
+
+@dataclass(frozen=True)
+class Document:
+    """A file's values and their lines.
+
+    Parameters
+    ----------
+    file : str
+        Name of the file, for faults.
+    values : Any
+        What the file holds.
+    lines : dict
+        Line by way to the value.
+    """
+
+    file: str
+    values: Any
+    lines: dict[Keys, int] = field(default_factory=dict)
+
+    def line_of(self, keys: Keys) -> int | None:
+        """Return the line of a value, or of the nearest value around it."""
+        for end in range(len(keys), -1, -1):
+            if keys[:end] in self.lines:
+                return self.lines[keys[:end]]
+        return None
+
+    def fault(self, keys: Keys, expected: str, found: str) -> Fault:
+        """Return a fault at a value."""
+        return Fault(self.file, self.line_of(keys), key_text(keys), expected, found)
+
+
+def key_text(keys: Keys) -> str:
+    """Return the way to a value as operators read it.
+
+    Examples
+    --------
+    >>> key_text(("assets", 0, "slots"))
+    'assets[0].slots'
+    """
+    text = "".join(f"[{key}]" if isinstance(key, int) else f".{key}" for key in keys)
+    return text.removeprefix(".")
+
+
+def read_document(path: Path) -> Result[Document, list[Fault]]:
+    """Return what a file of JSON with comments holds, or why it can't be read."""
+    try:
+        if path.stat().st_size > MAX_FILE_BYTES:
+            size = f"at most {MAX_FILE_BYTES} bytes"
+            return Error([Fault(str(path), None, "", size, "more")])
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        reason = error.strerror or "an error"
+        return Error([Fault(str(path), None, "", "a file to read", reason.lower())])
+    except UnicodeDecodeError:
+        return Error([Fault(str(path), None, "", "text in UTF-8", "other bytes")])
+    return parse_document(str(path), text)
+
+
+def parse_document(file: str, text: str) -> Result[Document, list[Fault]]:
+    r"""Return what a text of JSON with comments holds.
+
+    Examples
+    --------
+    >>> parse_document("x", '{\n"a": 1, // one\n}').ok.lines[("a",)]
+    2
+    """
+    plain = blank_comments(text)
+    try:
+        values = jsonc.loads(plain)
+        lines, repeated = locate(plain)
+    except RecursionError:
+        return Error([Fault(file, None, "", "a document less deep", "deep nesting")])
+    except ValueError as error:
+        return Error([syntax_fault(file, plain, str(error))])
+    if repeated:
+        return Error(
+            [
+                Fault(file, line, key_text(keys), "each key once", "the key again")
+                for keys, line in repeated
+            ]
+        )
+    return Ok(Document(file, values, lines))
+
+
+def syntax_fault(file: str, plain: str, reason: str) -> Fault:
+    """Return what is wrong with a text without comments, and on which line.
+
+    The library that allows trailing commas loses count of the lines.
+    """
+    line = None
+    try:
+        json.loads(blank_trailing_commas(plain))
+    except json.JSONDecodeError as error:
+        line, reason = error.lineno, error.msg
+    return Fault(file, line, "", "JSON with comments", reason.lower())
+
+
+def blank_comments(text: str) -> str:
+    """Return the text with comments turned to spaces, lines kept."""
+
+    def blank(match: re.Match) -> str:
+        token = match.group()
+        is_comment = token.startswith(("//", "/*"))
+        return NOT_NEWLINE.sub(" ", token) if is_comment else token
+
+    return TOKEN.sub(blank, text)
+
+
+def blank_trailing_commas(text: str) -> str:
+    """Return a text without comments with its trailing commas turned to spaces."""
+    parts = []
+    end = 0
+    for match in TOKEN.finditer(text):
+        trailing = match.group() == "," and TRAILING_COMMA.match(text, match.start())
+        parts += [text[end : match.start()], " " if trailing else match.group()]
+        end = match.end()
+    return "".join([*parts, text[end:]])
+
+
+def tokens(text: str) -> Iterator[tuple[str, int]]:
+    """Yield the tokens of a text without comments, each with its line."""
+    line, end = 1, 0
+    for match in TOKEN.finditer(text):
+        line += text.count("\n", end, match.start())
+        yield match.group(), line
+        line += match.group().count("\n")
+        end = match.end()
+
+
+def locate(text: str) -> tuple[dict[Keys, int], list[tuple[Keys, int]]]:
+    """Return the line of each value of a valid text, and the keys that repeat."""
+    lines: dict[Keys, int] = {}
+    repeated: list[tuple[Keys, int]] = []
+    way: list[Any] = []
+    kinds: list[str] = []
+    for token, line in tokens(text):
+        if token == ":":
+            continue
+        if token == ",":
+            way[-1] = None if kinds[-1] == "{" else way[-1] + 1
+        elif token in "]}":
+            kinds.pop()
+            way.pop()
+        elif kinds and kinds[-1] == "{" and way[-1] is None:
+            way[-1] = json.loads(token)
+            if tuple(way) in lines:
+                repeated.append((tuple(way), line))
+            lines[tuple(way)] = line
+        else:
+            lines.setdefault(tuple(way), line)
+            if token in "{[":
+                kinds.append(token)
+                way.append(None if token == "{" else 0)
+    return lines, repeated
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["CATALOGUE", "Event", "Field", "event_page", "reason_of"]
+__all__ = ["CATALOGUE", "EVENTS", "Event", "Field", "reason_of"]
 
 
 @dataclass(frozen=True)
@@ -328,35 +328,3 @@
         if name in fields:
             return str(fields[name])
     return ""
-
-
-def event_page() -> str:
-    """Return the text of the page that lists all events."""
-    lines = [
-        "# Events",
-        "",
-        "Each process writes one line of JSON per event to its standard error:",
-        "`time_ms`, `level`, `process`, `number`, `event`, and the fields below.",
-        "Events marked *bounded* can be caused from outside; the log takes five lines",
-        "of one number in ten seconds and tells in `suppressed` how many it left out.",
-        "Every event is counted at `/status` and `/metrics`, also at level `debug`,",
-        "which is not logged. This page is made by `python -m fuchsiapin.events`.",
-    ]
-    for event in EVENTS:
-        bounded = ", bounded" if event.is_bounded else ""
-        fields = ", ".join(f"`{f.name}` ({f.kind})" for f in event.fields) or "none"
-        lines += [
-            "",
-            f"## {event.number} {event.name}",
-            "",
-            f"Level: {event.level}{bounded}. Fields: {fields}.",
-            "",
-            event.meaning,
-            "",
-            f"What to do: {event.advice}",
-        ]
-    return "\n".join(lines) + "\n"
-
-
-if __name__ == "__main__":
-    print(event_page(), end="")
--- a/fuchsiapin/settings.py
+++ b/fuchsiapin/settings.py
@@ -1,58 +1,95 @@
 """Settings of a process: JSON with comments, checked against the schema."""
 
-from dataclasses import dataclass, field
-from importlib.resources import files
-from json import loads
 from pathlib import Path
+from typing import Any
 
-import jsonc
 from cattrs import Converter
-from jsonschema import Draft202012Validator
+from expression import Error, Ok, Result
 
+from fuchsiapin.checking import check_document, load_schema
+from fuchsiapin.documents import Document, read_document
 from fuchsiapin.exceptions import SettingsError
-
-__all__ = ["Address", "CallerAddress", "Settings", "read_settings"]
-
-DEFAULT_WEIGHT = 2_000
-DEFAULT_SLOTS = 2
-
-
-@dataclass(frozen=True)
-class Address:
-    """An IPv4 address and a port."""
-
-    host: str
-    port: int
-
-
-@dataclass(frozen=True)
-class CallerAddress:
-    """Where a balancer takes datagrams of the callers of a service."""
-
-    service: str
-    host: str
-    port: int
-
-
-@dataclass(frozen=True)
-class Settings:
-    """What a process learns from its settings file."""
-
-    name: str
-    availability_zone: str
-    peer: Address
-    object_api: str
-    keys: list[str]
-    deployment: str = ""
-    service: str = ""
-    admin: Address | None = None
-    upstream: Address | None = None
-    callers: list[CallerAddress] = field(default_factory=list)
-    weight: int = DEFAULT_WEIGHT
-    slots: int = DEFAULT_SLOTS
+from fuchsiapin.faults import Fault, render_faults
+from fuchsiapin.settingsmodel import Address, CallerAddress, Settings
+
+__all__ = [
+    "Address",
+    "CallerAddress",
+    "Settings",
+    "check_settings",
+    "load_settings",
+    "read_settings",
+]
+
+ANY_ADDRESS = "0.0.0.0"
+LISTENING = ("peer", "admin")
+
+
+def check_settings(path: Path, role: str) -> Result[Settings, list[Fault]]:
+    """Return the settings in a file, or all its faults.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    role : str
+        `side` or `balancer`.
+    """
+    return read_document(path).bind(lambda document: settings_of(document, role))
 
 
-def read_settings(path: Path) -> Settings:
+def settings_of(document: Document, role: str) -> Result[Settings, list[Fault]]:
+    """Return the settings that a document holds, or all its faults."""
+    schema = load_schema("settings")
+    faults = check_document(document, schema, schema["roles"][role])
+    if isinstance(document.values, dict):
+        faults += address_faults(document) + caller_faults(document)
+    if faults:
+        return Error(faults)
+    return Ok(Converter().structure(document.values, Settings))
+
+
+def address_faults(document: Document) -> list[Fault]:
+    """Return the addresses that aren't one of the VM's own."""
+    found = []
+    for name in LISTENING:
+        address = document.values.get(name)
+        if isinstance(address, dict) and address.get("host") == ANY_ADDRESS:
+            found.append(
+                document.fault(
+                    (name, "host"), "one address of this VM", "every address"
+                )
+            )
+    return found
+
+
+def caller_faults(document: Document) -> list[Fault]:
+    """Return the services and addresses that callers have twice."""
+    found = []
+    seen: set[Any] = set()
+    callers = document.values.get("callers")
+    for place, caller in enumerate(callers if isinstance(callers, list) else []):
+        if not isinstance(caller, dict):
+            continue
+        service = caller.get("service")
+        address = (caller.get("host"), caller.get("port"))
+        if repr(service) in seen:
+            keys = ("callers", place, "service")
+            found.append(
+                document.fault(keys, "each service once", f"{service!r} again")
+            )
+        if caller.get("port") and repr(address) in seen:
+            keys = ("callers", place, "port")
+            found.append(
+                document.fault(
+                    keys, "an address of its own for each service", "one of another"
+                )
+            )
+        seen |= {repr(service), repr(address)}
+    return found
+
+
+def read_settings(path: Path, role: str) -> Settings:
     """Return the settings in a file.
 
     Raises
@@ -60,15 +97,23 @@
     SettingsError
         With all faults at once, one a line.
     """
+    result = check_settings(path, role)
+    if result.is_error():
+        raise SettingsError(render_faults(result.error))
+    return result.ok
+
+
+def load_settings(path: Path, role: str, check: bool) -> Settings:
+    """Return the settings of a daemon that starts, or end it.
+
+    With `check` the daemon ends in any case, after telling whether they are
+    right. Faults end it with status 1.
+    """
     try:
-        values = jsonc.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    schema = loads(files("fuchsiapin").joinpath("schema/settings.json").read_text())
-    faults = [
-        f"{path}: {'.'.join(map(str, fault.path)) or '(top)'}: {fault.message}"
-        for fault in Draft202012Validator(schema).iter_errors(values)
-    ]
-    if faults:
-        raise SettingsError("\n".join(faults))
-    return Converter().structure(values, Settings)
+        settings = read_settings(path, role)
+    except SettingsError as error:
+        raise SystemExit(str(error)) from error
+    if check:
+        print(f"{path}: settings of a {role} without faults")
+        raise SystemExit(0)
+    return settings
--- /dev/null
+++ b/fuchsiapin/settingsmodel.py
@@ -0,0 +1,49 @@
+"""Settings of a process, generated from the schema."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+Key: TypeAlias = str
+
+
+@dataclass(frozen=True)
+class Address:
+    """
+    An IPv4 address and a port.
+    """
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True)
+class CallerAddress:
+    """
+    Where a balancer takes datagrams of the callers of a service.
+    """
+
+    service: str
+    host: str
+    port: int
+
+
+@dataclass(frozen=True)
+class Settings:
+    """
+    What a process learns from its settings file.
+    """
+
+    name: str
+    availability_zone: str
+    peer: Address
+    object_api: str
+    keys: list[Key]
+    deployment: str = ""
+    admin: Address | None = None
+    service: str = ""
+    upstream: Address | None = None
+    weight: int = 2000
+    slots: int = 2
+    callers: list[CallerAddress] = field(default_factory=list)
--- a/fuchsiapin/tests/test_events.py
+++ b/fuchsiapin/tests/test_events.py
@@ -14,11 +14,10 @@
     EventLog,
     JsonLines,
 )
-from fuchsiapin.events import CATALOGUE, EVENTS, event_page
+from fuchsiapin.events import CATALOGUE, EVENTS
 from fuchsiapin.messages import EventCount
 
 PACKAGE = Path(fuchsiapin.__file__).parent
-PAGE = PACKAGE.parent / "docs" / "events.md"
 REPORTERS = ("report", "note")
 
 
@@ -52,9 +51,6 @@
             for fields in variants:
                 self.assertEqual(fields, wanted, number)
 
-    def test_page_is_made_from_the_catalogue(self) -> None:
-        self.assertEqual(PAGE.read_text(), event_page())
-
 
 class EventLogTest(unittest.TestCase):
     """Lines of JSON, bounded where outsiders can cause them."""
--- /dev/null
+++ b/fuchsiapin/tests/test_settings.py
@@ -0,0 +1,167 @@
+"""Settings: every fault at once, with file, line, key, expected and found."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from fuchsiapin.documents import parse_document
+from fuchsiapin.exceptions import SettingsError
+from fuchsiapin.settings import read_settings
+from tools.pages import DOCS, PAGES
+
+GOOD = """{
+  // entry VM
+  "name": "balancer-1", "availability_zone": "bole",
+  "deployment": "little-threads",
+  "peer": {"host": "10.0.0.1", "port": 7000},
+  "admin": {"host": "10.0.0.1", "port": 7001}, /* own
+  address */
+  "object_api": "http://10.0.0.9:8080",
+  "keys": ["00112233445566778899aabbccddeeff",
+           "ffeeddccbbaa99887766554433221100",],
+  "callers": [{"service": "swapdesk", "host": "10.0.0.1", "port": 5683}],
+}
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Files of one role."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "b.json"
+
+    def faults(self, text: str, role: str = "balancer") -> list[str]:
+        """Return the faults of a text, without the name of the file."""
+        self.path.write_text(text)
+        with self.assertRaises(SettingsError) as caught:
+            read_settings(self.path, role)
+        lines = str(caught.exception).split("\n")
+        return [line.removeprefix(str(self.path) + ":").lstrip() for line in lines]
+
+    def test_good_settings_are_read_with_comments_and_two_keys(self) -> None:
+        self.path.write_text(GOOD)
+        settings = read_settings(self.path, "balancer")
+        self.assertEqual(len(settings.keys), 2)
+        self.assertEqual(settings.callers[0].port, 5683)
+        self.assertEqual(settings.object_api, "http://10.0.0.9:8080")
+
+    def test_every_fault_is_told_at_once_with_line_and_key(self) -> None:
+        text = (
+            GOOD.replace('"admin"', '"amdin"')
+            .replace("7000", '"7000"')
+            .replace("http://", "ftp://")
+            .replace("00112233445566778899aabbccddeeff", "0011")
+            .replace('"bole"', '""')
+            .replace("5683", "70000")
+        )
+        self.assertEqual(
+            self.faults(text),
+            [
+                "3: availability_zone: expected a text that isn't empty, "
+                "found an empty text",
+                '5: peer.port: expected a whole number, found "7000"',
+                "6: amdin: expected 'admin', found the unknown key 'amdin'",
+                "8: object_api: expected a URL as in 'http://10.0.0.1:8080', "
+                'found "ftp://10.0.0.9:8080"',
+                "9: keys[0]: expected 16 to 64 bytes in small hexadecimal digits, "
+                "found a secret of 4 characters",
+                "11: callers[0].port: expected at most 65535, found 70000",
+            ],
+        )
+
+    def test_roles_need_their_own_keys(self) -> None:
+        self.assertEqual(
+            self.faults(GOOD, "side"),
+            [
+                "1: service: expected service of the upstream, found nothing",
+                "1: upstream: expected CoAP address of the upstream, found nothing",
+                "11: callers: expected no such list in this role, found a list of 1",
+            ],
+        )
+
+    def test_missing_key_is_told_in_words(self) -> None:
+        text = GOOD.replace('"name": "balancer-1",', "")
+        [fault] = self.faults(text)
+        self.assertTrue(fault.startswith("1: name: expected name of the process"))
+
+    def test_address_of_all_interfaces_is_refused(self) -> None:
+        text = GOOD.replace(
+            '"admin": {"host": "10.0.0.1"', '"admin": {"host": "0.0.0.0"'
+        )
+        self.assertEqual(
+            self.faults(text),
+            ["6: admin.host: expected one address of this VM, found every address"],
+        )
+
+    def test_service_with_two_caller_addresses_is_refused(self) -> None:
+        one = '{"service": "swapdesk", "host": "10.0.0.1", "port": 5683}'
+        [again, same] = self.faults(GOOD.replace(one, f"{one}, {one}"))
+        self.assertIn("each service once, found 'swapdesk' again", again + same)
+        self.assertIn("an address of its own", again + same)
+
+    def test_broken_text_is_told_with_its_line(self) -> None:
+        [fault] = self.faults(GOOD.replace('"admin":', '"admin"'))
+        self.assertTrue(fault.startswith("6: expected JSON with comments, found"))
+
+    def test_key_given_twice_is_refused(self) -> None:
+        [fault] = self.faults(GOOD.replace('"deployment"', '"name"'))
+        self.assertEqual(fault, "4: name: expected each key once, found the key again")
+
+    def test_file_that_is_no_file_deep_or_no_text_is_refused(self) -> None:
+        for data in (b"\xff\xfe", b"[" * 100_000, b"", b"[1, 2]", b"null"):
+            self.path.write_bytes(data)
+            with self.assertRaises(SettingsError):
+                read_settings(self.path, "side")
+        with self.assertRaises(SettingsError):
+            read_settings(self.path / "none", "side")
+
+    def test_secret_is_never_shown(self) -> None:
+        text = GOOD.replace("00112233445566778899aabbccddeeff", "SECRET")
+        self.assertNotIn("SECRET", "".join(self.faults(text)))
+
+    def test_check_reads_tells_and_starts_nothing(self) -> None:
+        for text, status in ((GOOD, 0), (GOOD.replace('"name"', '"nam"'), 1)):
+            self.path.write_text(text)
+            command = ["-m", "fuchsiapin.daemons.balancer", str(self.path), "--check"]
+            run = subprocess.run(
+                [sys.executable, *command], capture_output=True, text=True
+            )
+            self.assertEqual(run.returncode, status, run.stderr)
+            self.assertIn(
+                "without faults" if not status else "'name'", run.stdout + run.stderr
+            )
+
+
+class DocumentTest(unittest.TestCase):
+    """Values and their lines."""
+
+    def test_lines_survive_comments_strings_and_trailing_commas(self) -> None:
+        text = '{"a": "// no, ]", /* x\n\n*/ "b": [1,\n [2, 3,\n],\n{"c": {}}]}'
+        document = parse_document("x", text).ok
+        self.assertEqual(
+            document.values, {"a": "// no, ]", "b": [1, [2, 3], {"c": {}}]}
+        )
+        self.assertEqual(document.line_of(("b",)), 3)
+        self.assertEqual(document.line_of(("b", 1, 1)), 4)
+        self.assertEqual(document.line_of(("b", 2, "c", "none")), 6)
+        self.assertEqual(document.lines[("b", 0)], 3)
+
+    def test_a_comma_in_place_of_a_value_is_refused(self) -> None:
+        for text in ("[1,,]", '{"a":1 "b":2}', "[1] 2", "/* x"):
+            self.assertTrue(parse_document("x", text).is_error(), text)
+
+
+class PagesTest(unittest.TestCase):
+    """Pages that follow from the code."""
+
+    def test_pages_are_made_from_schema_and_catalogue(self) -> None:
+        for name, make in PAGES.items():
+            self.assertEqual((DOCS / name).read_text(), make(), name)
+
+
+if __name__ == "__main__":
+    unittest.main()
