--- a/fuchsiapin/tests/standins/caller.py
+++ b/fuchsiapin/tests/standins/caller.py
@@ -126,7 +126,7 @@
         self.mid = rng.randrange(65536)
         self.pending: dict[bytes, Pending] = {}
         self.board_token = b""
-        self.last_sequence = -1
+        self.last_sequence: int | None = None
         self.last_heard = 0.0
         self.is_open = False
 
@@ -287,8 +287,9 @@
         if sequence is None:
             self.is_open = False
             return
-        if 0 < (self.last_sequence - sequence) % (1 << 24) < (1 << 23):
-            self.tally.stale += self.last_sequence >= 0
+        last = self.last_sequence
+        if last is not None and 0 < (last - sequence) % (1 << 24) < (1 << 23):
+            self.tally.stale += 1
             return
         self.is_open = True
         self.last_sequence = sequence
