Tell known peers and retries, and keep the history of accepted changes

Cause: with the object API out, the command line has to learn from any one process where the others are; and a write whose answer was lost can only be recognised later if the object names the changes before its last one. Ruled out: recognising it by the last change id alone (a change on top hides it).

--- a/fuchsiapin/daemons/admin.py
+++ b/fuchsiapin/daemons/admin.py
@@ -8,7 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from fuchsiapin.messages import ProcessStatus
+from fuchsiapin.messages import KnownProcess, ProcessStatus
 
 __all__ = ["AdminResource", "listen_admin"]
 
@@ -21,12 +21,14 @@
 
 
 class AdminResource(Resource):
-    """`/live`, `/ready`, `/status` and `/metrics`.
+    """`/live`, `/ready`, `/status`, `/peers` and `/metrics`.
 
     Parameters
     ----------
     status : callable
         Returns the status of the process.
+    known : callable
+        Returns the other processes that it knows.
     metrics : callable
         Returns its metrics as text.
     """
@@ -34,15 +36,20 @@
     isLeaf = True
 
     def __init__(
-        self, status: Callable[[], ProcessStatus], metrics: Callable[[], bytes]
+        self,
+        status: Callable[[], ProcessStatus],
+        known: Callable[[], list[KnownProcess]],
+        metrics: Callable[[], bytes],
     ) -> None:
         super().__init__()
         self.status = status
+        self.known = known
         self.metrics = metrics
         self.pages: dict[bytes, Callable[[], Answer]] = {
             b"/live": self.live_page,
             b"/ready": self.ready_page,
             b"/status": self.status_page,
+            b"/peers": self.peers_page,
             b"/metrics": self.metrics_page,
         }
 
@@ -79,6 +86,10 @@
         """Tell everything that the operator's command line reads."""
         return OK, JSON, as_json(dataclasses.asdict(self.status()))
 
+    def peers_page(self) -> Answer:
+        """Tell the other processes, for when the object API is out."""
+        return OK, JSON, as_json([dataclasses.asdict(item) for item in self.known()])
+
     def metrics_page(self) -> Answer:
         """Tell all metrics."""
         return OK, TEXT, self.metrics()
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -17,7 +17,7 @@
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.metrics import Metrics
 from fuchsiapin.settings import Settings
-from fuchsiapin.statuses import describers
+from fuchsiapin.statuses import describers, known_processes
 
 __all__ = ["Shell"]
 
@@ -87,7 +87,7 @@
         admin = self.settings.admin
         if admin is None:
             return ""
-        resource = AdminResource(self.status, self.render_metrics)
+        resource = AdminResource(self.status, self.known, self.render_metrics)
         port = listen_admin(self.reactor, admin.host, admin.port, resource)
         return f"{admin.host}:{port}"
 
@@ -214,10 +214,13 @@
         describe = describers.get(self.role)
         return describe(self.core, __version__, self.api_state, self.log.counts())
 
+    def known(self) -> list[messages.KnownProcess]:
+        """Return the other processes that the process knows."""
+        return known_processes.get(self.role)(self.core)
+
     def render_metrics(self) -> bytes:
         """Return the metrics of the process as text."""
-        link = getattr(self.core, "link", None)
-        self.metrics.note_status(self.status(), link.repeats if link else 0)
+        self.metrics.note_status(self.status())
         return self.metrics.render()
 
     def refresh(self) -> None:
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Literal
 
 
@@ -125,6 +125,18 @@
     services: list[str]
 
 
+@dataclass(frozen=True)
+class AcceptedChange:
+    """
+    One accepted change of a configuration.
+    """
+
+    number: int
+    author: str
+    change_id: str
+    summary: str
+
+
 @dataclass(frozen=True)
 class Configuration:
     """
@@ -137,6 +149,7 @@
     change_id: str
     services: list[ServiceConfig]
     apart: list[Separation]
+    history: list[AcceptedChange] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -162,6 +175,20 @@
     count: int
 
 
+@dataclass(frozen=True)
+class KnownProcess:
+    """
+    Another process, as one process knows it.
+    """
+
+    name: str
+    role: Literal["side", "balancer"]
+    service: str
+    zone: str
+    state: Literal["live", "leaving", "down"]
+    admin: str
+
+
 @dataclass(frozen=True)
 class ProcessStatus:
     """
@@ -184,6 +211,7 @@
     observations: int
     records: int
     counts: list[EventCount]
+    retries: int = 0
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/metrics.py
+++ b/fuchsiapin/metrics.py
@@ -109,9 +109,9 @@
         if kind == "Claim":
             self.claims.inc({"service": self.service})
 
-    def note_status(self, status: ProcessStatus, retries: int) -> None:
+    def note_status(self, status: ProcessStatus) -> None:
         """Take in the process's status before rendering."""
-        self.retries.set({"service": self.service}, retries)
+        self.retries.set({"service": self.service}, status.retries)
         self.ready.set({}, int(not status.not_ready))
         self.api.set({}, int(status.object_api == "reachable"))
         values = dataclasses.asdict(status)
--- a/fuchsiapin/statuses.py
+++ b/fuchsiapin/statuses.py
@@ -1,18 +1,35 @@
 """What a process tells of itself, read from its decision core."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from fuchsiapin.balancing import BalancerCore
-from fuchsiapin.messages import EventCount, ProcessStatus, ViewStatus
+from fuchsiapin.messages import (
+    BalancerMember,
+    EventCount,
+    KnownProcess,
+    Member,
+    ProcessStatus,
+    ViewStatus,
+)
 from fuchsiapin.registry import Registry
 from fuchsiapin.serving import SideCore
 
-__all__ = ["describers", "describe_balancer", "describe_side"]
+__all__ = [
+    "describe_balancer",
+    "describe_side",
+    "describers",
+    "known_processes",
+    "known_to_balancer",
+    "known_to_side",
+]
 
 describers = Registry("role")
 """From a core to its status, by role."""
 
+known_processes = Registry("role")
+"""From a core to the processes that it knows, by role."""
+
 Describer = Callable[[Any, str, str, list[EventCount]], ProcessStatus]
 
 
@@ -52,6 +69,7 @@
         observations=len(core.observations.watched),
         records=len(core.table),
         counts=counts,
+        retries=core.link.repeats,
     )
 
 
@@ -116,3 +134,32 @@
     elif not core.updater.value or core.me not in core.updater.value.members:
         found.append("this balancer is not in its availability zone's object")
     return found
+
+
+@known_processes.register("side")
+def known_to_side(core: SideCore) -> list[KnownProcess]:
+    """Return the members of the own service and the balancers."""
+    balancers = [member for zone in core.balancers.values() for member in zone.values()]
+    members = core.ownership.history.members()
+    return [*as_known(core.service, members), *as_known("", balancers)]
+
+
+@known_processes.register("balancer")
+def known_to_balancer(core: BalancerCore) -> list[KnownProcess]:
+    """Return the members of all services, and the own zone's balancers."""
+    zone = core.updater.value
+    found = as_known("", zone.members if zone else [])
+    for service, history in sorted(core.views.items()):
+        found += as_known(service, history.members())
+    return found
+
+
+def as_known(
+    service: str, members: Iterable[Member | BalancerMember]
+) -> list[KnownProcess]:
+    """Return members as known processes; balancers have no service."""
+    role = "side" if service else "balancer"
+    return [
+        KnownProcess(member.id, role, service, member.zone, member.state, member.admin)
+        for member in members
+    ]
--- a/fuchsiapin/tests/test_admin.py
+++ b/fuchsiapin/tests/test_admin.py
@@ -11,7 +11,12 @@
 from fuchsiapin.daemons.admin import AdminResource
 from fuchsiapin.messages import EventCount, ProcessStatus
 from fuchsiapin.metrics import Metrics
-from fuchsiapin.statuses import describe_balancer, describe_side
+from fuchsiapin.statuses import (
+    describe_balancer,
+    describe_side,
+    known_to_balancer,
+    known_to_side,
+)
 from measure.world import World, WorldOptions
 
 
@@ -40,8 +45,9 @@
     def resource(self) -> AdminResource:
         """Return the pages of a side process."""
         metrics = Metrics("swapdesk-1", "side", "bole", "swapdesk")
-        metrics.note_status(self.side(), 0)
-        return AdminResource(self.side, metrics.render)
+        metrics.note_status(self.side())
+        core = self.world.nodes["swapdesk-1"].core
+        return AdminResource(self.side, lambda: known_to_side(core), metrics.render)
 
     def test_live_and_ready_are_apart_and_ready_says_why_not(self) -> None:
         self.assertEqual(get(self.resource(), "/live"), (200, '{"live": true}\n'))
@@ -62,6 +68,14 @@
         self.assertEqual(status.views[0].number, self.side().views[0].number)
         self.assertEqual(json.loads(json.dumps(asdict(status)))["role"], "balancer")
 
+    def test_each_role_tells_whom_it_knows(self) -> None:
+        _, body = get(self.resource(), "/peers")
+        sides = {"swapdesk-1", "swapdesk-2", "swapdesk-3"}
+        balancers = {"balancer-1", "balancer-2", "balancer-3"}
+        self.assertEqual({item["name"] for item in json.loads(body)}, sides | balancers)
+        known = known_to_balancer(self.world.nodes["balancer-1"].core)
+        self.assertEqual({item.name for item in known}, sides | {"balancer-1"})
+
     def test_unknown_page_and_method_are_refused(self) -> None:
         self.assertEqual(get(self.resource(), "/none")[0], 404)
         self.assertEqual(get(self.resource(), "/live", b"POST")[0], 405)
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -19,3 +19,4 @@
   "Messages, stored objects, events and effects, generated from the schema."
 generate settings settingsmodel "Settings of a process, generated from the schema."
 generate inputs inputs "Asset register and rules, generated from the schema."
+ruff check --quiet --select I --fix fuchsiapin/{messages,settingsmodel,inputs}.py
