--- /dev/null
+++ b/fuchsiapin/tests/standins/fabric.py
@@ -0,0 +1,146 @@
+"""Stand-in of the fabric: one address in front, any balancer behind."""
+
+import json
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.protocol import DatagramProtocol
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+__all__ = ["Fabric", "Link", "main"]
+
+SOCKET_BYTES = 65_536
+MAX_CALLERS = 10_000
+
+
+@dataclass
+class Link:
+    """What datagrams meet on their way; a test may change it at any time."""
+
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    loss: float = 0.0
+    duplicate: float = 0.0
+    reorder: float = 0.0
+    """Share of datagrams that come later than those sent after them."""
+    reorder_ms: float = 20.0
+    balancers: list[list] = field(default_factory=list)
+    cuts: list[list] = field(default_factory=list)
+    """Balancers that no datagram reaches or leaves."""
+
+
+class Fabric(DatagramProtocol):
+    """The front address; each datagram goes to a balancer drawn at random.
+
+    Parameters
+    ----------
+    link : Link
+        The links to all balancers.
+    clock : reactor
+        Calls later and opens sockets.
+    seed : int
+        Seed of all random draws.
+    """
+
+    def __init__(self, link: Link, clock: Any, seed: int) -> None:
+        self.link = link
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.flows: dict[tuple[str, int], CallerFlow] = {}
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Hand a caller's datagram to a balancer."""
+        flow = self.flows.get(addr)
+        if flow is None:
+            if len(self.flows) >= MAX_CALLERS:
+                return
+            flow = self.flows[addr] = CallerFlow(self, addr)
+            host = self.transport.getHost().host
+            self.clock.listenUDP(0, flow, host, SOCKET_BYTES)
+        balancer = self.rng.choice(self.link.balancers)
+        self.carry(
+            balancer, lambda: flow.transport.write(datagram, (balancer[0], balancer[1]))
+        )
+
+    def carry(self, balancer: list, send: Any) -> None:
+        """Carry a datagram, or lose, repeat or delay it."""
+        if list(balancer) in self.link.cuts or self.rng.random() < self.link.loss:
+            return
+        copies = 1 + (self.rng.random() < self.link.duplicate)
+        for _ in range(copies):
+            delay = self.link.delay_ms + self.rng.uniform(0, self.link.jitter_ms)
+            if self.rng.random() < self.link.reorder:
+                delay += self.link.reorder_ms
+            self.clock.callLater(delay / 1000, send)
+
+
+class CallerFlow(DatagramProtocol):
+    """The address under which the balancers see one caller."""
+
+    def __init__(self, fabric: Fabric, caller: tuple[str, int]) -> None:
+        self.fabric = fabric
+        self.caller = caller
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Bring an answer to the caller, from the front address."""
+        front = self.fabric.transport
+        self.fabric.carry(list(addr), lambda: front.write(datagram, self.caller))
+
+
+class Control(Resource):
+    """PUT changes the links."""
+
+    isLeaf = True
+
+    def __init__(self, link: Link) -> None:
+        super().__init__()
+        self.link = link
+
+    def render_PUT(self, request: Any) -> bytes:
+        """Take new values."""
+        for name, value in json.loads(request.content.read()).items():
+            setattr(self.link, name, value)
+        return b"{}"
+
+
+def serve(
+    *balancers: str,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    admin_port: int = 0,
+    seed: int = 1,
+) -> None:
+    """Serve the fabric stand-in.
+
+    Parameters
+    ----------
+    balancers : str
+        Caller addresses of the balancers, as HOST:PORT.
+    host : str
+        Address in front.
+    port : int
+        Port in front.
+    admin_port : int
+        HTTP port that changes the links.
+    seed : int
+        Seed of all random draws.
+    """
+    pairs = [balancer.rsplit(":", 1) for balancer in balancers]
+    link = Link(balancers=[[name, int(number)] for name, number in pairs])
+    bound = reactor.listenUDP(port, Fabric(link, reactor, seed), host, SOCKET_BYTES)
+    admin = reactor.listenTCP(admin_port, Site(Control(link)), interface=host)
+    print(f"ready {bound.getHost().port} {admin.getHost().port}", flush=True)
+    reactor.run()
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -251,6 +251,20 @@
         path = self.write(process, settings)
         return self.launch(process, ["fuchsiapin.daemons.side", str(path)])
 
+    def start_fabric(self, service: str, seed: int = 1) -> Process:
+        """Start the fabric stand-in in front of the balancers of a service."""
+        process = Process(f"fabric-{service}", "fabric", "", service, self.next_host())
+        process.port = free_port(process.host, self.taken)
+        admin = free_port(process.host, self.taken)
+        process.admin = f"http://{process.host}:{admin}"
+        behind = [f"{host}:{port}" for host, port in self.addresses(service)]
+        return self.launch(
+            process,
+            ["fuchsiapin.tests.standins.fabric", "--host", process.host]
+            + ["--port", str(process.port), "--admin-port", str(admin)]
+            + ["--seed", str(seed), *behind],
+        )
+
     def common(self, process: Process) -> dict[str, Any]:
         """Return the settings that all roles have."""
         admin = free_port(process.host, self.taken)
