Carry the life of a daemon by an automat machine

Cause: a stop signal that came twice was noted twice and given to the core twice; one before the start was given to a core that had not begun.

--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -11,6 +11,7 @@
 from fuchsiapin.clock import Clock
 from fuchsiapin.daemons.admin import AdminResource, listen_admin
 from fuchsiapin.daemons.eventlog import EventLog, write_json_lines
+from fuchsiapin.daemons.lifecycle import Steps, make_lifecycle
 from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
 from fuchsiapin.daemons.transport import PeerTransport
 from fuchsiapin.envelope import Opener, Sealer
@@ -24,6 +25,8 @@
 MS_PER_S = 1000
 REFRESH_S = 1.0
 """How often changes of the process's own status are looked for."""
+LINGER_S = 0.05
+"""Time for the last datagrams to leave."""
 
 
 class Shell:
@@ -56,6 +59,7 @@
         self.settings = settings
         self.role = role
         self.core: Any = None
+        self.life = make_lifecycle(Steps(self.start, self.stop, self.end))
         self.log = EventLog(clock, settings.name)
         self.metrics = Metrics(
             settings.name, role, settings.availability_zone, settings.service
@@ -103,7 +107,7 @@
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.on_signal)
-        self.reactor.callWhenRunning(self.start)
+        self.reactor.callWhenRunning(self.life.started)
         self.reactor.run(installSignalHandlers=False)
 
     def start(self) -> None:
@@ -114,7 +118,7 @@
 
     def on_signal(self, number: int, frame: Any) -> None:
         """Ask for a planned stop."""
-        self.reactor.callFromThread(self.stop)
+        self.reactor.callFromThread(self.life.stop_asked)
 
     def stop(self) -> None:
         """Let the core begin a planned stop."""
@@ -250,7 +254,11 @@
                 self.note(1402, service=view.service, view=view.active)
 
     def finish(self, effect: messages.Finished) -> None:
+        """Take the core's word that nothing is left to do."""
+        self.life.finished()
+
+    def end(self) -> None:
         """End the process after what was sent has left."""
         self.note(1103)
         self.api.stop()
-        self.reactor.callLater(0.05, self.reactor.stop)
+        self.reactor.callLater(LINGER_S, self.reactor.stop)
