--- a/fuchsiapin/metrics.py
+++ b/fuchsiapin/metrics.py
@@ -43,6 +43,8 @@
     def __init__(self, name: str, role: str, zone: str, service: str) -> None:
         self.service = service
         self.registry = Registry()
+        self.sent_messages: dict[str, int] = {}
+        self.sent_control_bytes = 0
         self.labels = {"process": name, "role": role, "zone": zone}
         self.events = self.counter("events", "Numbered events.")
         self.requests = self.counter("requests", "Requests that ended, by outcome.")
@@ -102,12 +104,18 @@
         self.waiting.observe(labels, fields["wait_ms"])
 
     def note_sent(self, kind: str, size: int) -> None:
-        """Count a message to another process of the system."""
-        self.sent.inc({"type": kind})
+        """Count a message to another process; this lies on the path of all data."""
+        self.sent_messages[kind] = self.sent_messages.get(kind, 0) + 1
         if kind not in DATA_MESSAGES:
-            self.control.add({}, size)
-        if kind == "Claim":
-            self.claims.inc({"service": self.service})
+            self.sent_control_bytes += size
+
+    def show_sent(self) -> None:
+        """Bring the counters of sent messages up to date."""
+        for kind, count in self.sent_messages.items():
+            self.sent.set({"type": kind}, count)
+        self.control.set({}, self.sent_control_bytes)
+        claims = self.sent_messages.get("Claim", 0)
+        self.claims.set({"service": self.service}, claims)
 
     def note_status(self, status: ProcessStatus) -> None:
         """Take in the process's status before rendering."""
@@ -125,5 +133,6 @@
 
     def render(self) -> bytes:
         """Return all series as text."""
+        self.show_sent()
         content, _ = render(self.registry, ["text/plain"])
         return content
