Measure the decision cores beside plain baselines and the limit

Cause: no figure told how the cores do under load and faults. Change: python -m measure drives the cores on simulated time with seeded arrivals, the same for two plain baselines (hashing modulo the list, fewest connections of each balancer) and one ideal shared queue; moves come from a registry, so that earlier variants run in the same table. Ruled out: timing real processes for decisions; those figures would change with the machine.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -97,6 +97,7 @@
             self.core.admission.enqueue(request)
         else:
             request.refused = "busy"
+            request.refused_at = self.core.now
         self.advance(request)
         self.pump()
 
@@ -308,7 +309,11 @@
     def refuse(self, request: Request) -> None:
         """Tell the caller that its request was not run, and when to come back."""
         self.core.report(
-            3101, host=request.host, port=request.port, reason=request.refused
+            3101,
+            host=request.host,
+            port=request.port,
+            reason=request.refused,
+            held_ms=self.core.now - request.refused_at,
         )
         answer = coap.refusal(
             request.message,
@@ -345,6 +350,7 @@
             self.core.mover.return_result(request, outcome, b"")
         elif coap.is_safe(request.message) and not request.has_started:
             request.refused = "deadline"
+            request.refused_at = self.core.now
             self.refuse(request)
         else:
             self.give_up(request)
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -7,17 +7,21 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from fuchsiapin import coap, messages
 from fuchsiapin.messages import Member, SendPeer
 from fuchsiapin.ranking import flow_key
+from fuchsiapin.registry import Registry
 from fuchsiapin.requests import Request, Stage
 
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
 
-__all__ = ["Mover"]
+__all__ = ["Mover", "movers"]
+
+movers = Registry("move")
 
 RESEND_MS = 200
 """A handoff is sent again after this time."""
@@ -37,16 +41,24 @@
     ----------
     core : SideCore
         The core that this is a part of.
+    consider : callable
+        Called with the mover and a request that waits.
     """
 
-    def __init__(self, core: "SideCore") -> None:
+    def __init__(
+        self, core: "SideCore", consider: Callable[["Mover", Request], None]
+    ) -> None:
         self.core = core
+        self.consider = consider
         self.handled: OrderedDict[bytes, messages.HandoffResult | None] = OrderedDict()
 
     def consider_move(self, request: Request) -> None:
-        """Ask two peers whether a request would start sooner there."""
-        if not self.may_move(request):
-            return
+        """Look whether a request that waits here would start sooner elsewhere."""
+        if self.may_move(request):
+            self.consider(self, request)
+
+    def ask_peers(self, request: Request) -> None:
+        """Ask two peers how long a request would wait there."""
         peers = [m for m in self.core.membership.peers() if m.state == "live"]
         asked = self.core.rng.sample(peers, min(ASKED_PEERS, len(peers)))
         request.stage = Stage.ASKING
@@ -221,3 +233,14 @@
             self.core.dispatcher.pump()
         else:
             self.core.dispatcher.give_up(request)
+
+
+@movers.register("stay")
+def stay(mover: Mover, request: Request) -> None:
+    """Let every request wait where its flow is."""
+
+
+@movers.register("ask-two")
+def ask_two(mover: Mover, request: Request) -> None:
+    """Ask two peers once, when the request has to wait."""
+    mover.ask_peers(request)
--- a/fuchsiapin/requests.py
+++ b/fuchsiapin/requests.py
@@ -63,6 +63,7 @@
         self.stage = Stage.WAITING
         self.recorded_in = 0
         self.refused = ""
+        self.refused_at = 0
         self.tries = 0
         self.offers: dict[str, int] = {}
 
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -21,9 +21,10 @@
 from fuchsiapin.flowstate import KeptFlows
 from fuchsiapin.membership import Membership
 from fuchsiapin.messages import Member, SendPeer
-from fuchsiapin.moving import Mover
+from fuchsiapin.moving import Mover, movers
 from fuchsiapin.observing import Observations
 from fuchsiapin.ownership import Ownership, Standing
+from fuchsiapin.policy import Policy
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.records import RecordTable
 from fuchsiapin.requests import Request
@@ -55,6 +56,8 @@
         Records kept at the most.
     deadline_ms : int
         Time that a request may take.
+    policy : Policy, optional
+        Variants to follow.
     """
 
     def __init__(
@@ -63,11 +66,13 @@
         queue: int = 64,
         records: int = 100_000,
         deadline_ms: int = DEFAULT_DEADLINE_MS,
+        policy: Policy | None = None,
     ) -> None:
         self.slots = slots
         self.queue = queue
         self.records = records
         self.deadline_ms = deadline_ms
+        self.policy = policy or Policy()
 
 
 class SideCore:
@@ -96,7 +101,7 @@
         self.now = 0
         self.requests: dict[bytes, Request] = {}
         self.dispatcher = Dispatcher(self)
-        self.mover = Mover(self)
+        self.mover = Mover(self, movers.get(options.policy.move))
         self.transfers = Transfers(self)
         self.watcher = Watcher(self)
         self.routes: OrderedDict[bytes, str] = OrderedDict()
--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,139 @@
+"""Runs the scenarios, prints a table and writes reports/latest.json."""
+
+import json
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import defopt
+
+from measure.figures import summarize
+from measure.scenarios import scenarios
+from measure.sizes import SIZES
+from measure.systems import MAIN, systems
+from measure.workload import make_arrivals
+
+__all__ = ["main"]
+
+SPARSE_SERVICES = ("swapdesk", "intake")
+EARLIER_SERVICES = ("swapdesk",)
+EARLIER_SCENARIOS = ("steady-0.70", "steady-0.85")
+PLAIN = ("modulo", "least-local", "ideal")
+COLUMNS = (
+    ("req", "requests"),
+    ("good/s", "goodput_s"),
+    ("refused", "refused"),
+    ("unknown", "unknown"),
+    ("silent", "silent"),
+    ("twice", "ran_twice"),
+    ("false", "false_not_run"),
+    ("retried", "retried"),
+    ("moved", "moved"),
+    ("held", "held_flows"),
+    ("broken", "broken_flows"),
+    ("in-flight", "in_flight_max_over_mean"),
+    ("flows", "flows_max_over_mean"),
+    ("jain", "in_flight_jain"),
+    ("ctl B/s", "control_bytes_s"),
+)
+
+
+def run_one(job: tuple[str, str, str, int]) -> dict[str, Any]:
+    """Run one system in one scenario of one service."""
+    service, scenario_name, system, seed = job
+    size = SIZES[service]
+    scenario = scenarios.get(scenario_name)()
+    arrivals = make_arrivals(size, scenario.phases, seed)
+    began = time.process_time()
+    run = systems.get(system)(size, scenario, arrivals, seed)
+    return {
+        "deployment": size.deployment,
+        "service": service,
+        "scenario": scenario_name,
+        "system": system,
+        "seed": seed,
+        "cpu_s": round(time.process_time() - began, 1),
+    } | summarize(run)
+
+
+def find_jobs(
+    names: list[str], services: list[str], variants: list[str], seed: int
+) -> list[tuple[str, str, str, int]]:
+    """Return what to run, the longest first."""
+    jobs = []
+    for name in names:
+        is_sparse = scenarios.get(name)().is_sparse
+        for service in services:
+            if is_sparse and service not in SPARSE_SERVICES:
+                continue
+            chosen = variants or chosen_systems(name, service)
+            jobs += [(service, name, system, seed) for system in chosen]
+    jobs.sort(key=lambda job: (job[2] in PLAIN, -scenarios.get(job[1])().is_sparse))
+    return jobs
+
+
+def chosen_systems(scenario: str, service: str) -> list[str]:
+    """Return the systems that are compared in a scenario."""
+    chosen = [MAIN, *PLAIN]
+    if scenario in EARLIER_SCENARIOS and service in EARLIER_SERVICES:
+        chosen += [name for name in systems.variants if name not in chosen]
+    return chosen
+
+
+def print_table(results: list[dict[str, Any]]) -> None:
+    """Print one line a run."""
+    heads = [head for head, _ in COLUMNS]
+    print(f"{'service':12} {'scenario':20} {'system':12}", end=" ")
+    print(*(f"{head:>9}" for head in heads), "  waiting p50/p90/p99 ms")
+    for item in results:
+        print(f"{item['service']:12} {item['scenario']:20}", end=" ")
+        print(f"{item['system']:12}", end=" ")
+        print(*(f"{item[key]:>9}" for _, key in COLUMNS), end="   ")
+        print(*(f"{value:.0f}" for value in item["waiting_ms"].values()), sep="/")
+
+
+def measure(
+    *scenario: str,
+    service: list[str] = (),
+    system: list[str] = (),
+    seed: int = 1,
+    jobs: int = 2,
+    out: Path = Path("reports/latest.json"),
+) -> None:
+    """Measure the decision cores beside plain baselines and the limit.
+
+    Parameters
+    ----------
+    scenario : str
+        Names of scenarios; all without any.
+    service : list[str]
+        Services; all without any.
+    system : list[str]
+        Systems; a fixed choice without any.
+    seed : int
+        Seed of arrivals, service times, links and decisions.
+    jobs : int
+        Processes that work side by side.
+    out : Path
+        Where the report goes.
+    """
+    names = list(scenario) or list(scenarios.variants)
+    work = find_jobs(names, list(service) or list(SIZES), list(system), seed)
+    with ProcessPoolExecutor(jobs) as pool:
+        results = list(pool.map(run_one, work))
+    order = list(scenarios.variants)
+    results.sort(key=lambda r: (r["service"], order.index(r["scenario"])))
+    print_table(results)
+    out.parent.mkdir(parents=True, exist_ok=True)
+    lines = ",\n".join(json.dumps(item) for item in results)
+    out.write_text(f'{{"schema": 1, "seed": {seed}, "results": [\n{lines}\n]}}\n')
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(measure)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/measure/cluster.py
@@ -0,0 +1,316 @@
+"""The decision cores under a measured load, on simulated time."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+
+from fuchsiapin import messages
+from fuchsiapin.policy import Policy
+from fuchsiapin.ranking import flow_key
+from fuchsiapin.tests.standins.caller import Caller
+from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
+from measure.figures import SAMPLE_MS, Outcome, Run
+from measure.plain import BOARD_EVERY, COLD_FACTOR, SLOW_FACTOR
+from measure.scenarios import Fault, Scenario
+from measure.sizes import ServiceSize
+from measure.workload import FLOWS_PER_UPSTREAM, Arrival
+from measure.world import Links, Node, World, WorldClock, WorldOptions
+
+__all__ = ["MeasuredWorld", "run_cores"]
+
+SETTLE_MS = 5_000.0
+END_MS = 25_000.0
+BOARD_MS = 5_000.0
+BOARD_SILENCE_MS = 3 * BOARD_MS
+"""A board that was not heard for so long at the end is broken."""
+COLD_MS = 10_000.0
+SPARSE_BOARDS = 8
+MOVED = 3103
+REFUSED = 3101
+RETRIED = 3107
+REQUEST_KINDS = (
+    messages.Forward,
+    messages.Reply,
+    messages.RecordPut,
+    messages.RecordAck,
+    messages.ObservationPut,
+    messages.BacklogAsk,
+    messages.BacklogTell,
+    messages.Handoff,
+    messages.HandoffResult,
+)
+"""Messages that follow the requests; all others count as control."""
+
+
+class MeasuredUpstream(Upstream):
+    """An upstream whose service times are those of the workload."""
+
+    durations: dict[str, float]
+    factor = 1.0
+    cold_until_s = 0.0
+    is_silent = False
+    sheds = False
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram, unless the upstream is silent."""
+        if not self.is_silent:
+            super().datagramReceived(datagram, addr)
+
+    def take(self, request: Message, address: tuple[str, int]) -> None:
+        """Serve a request, or shed it."""
+        is_work = request.payload.decode("latin1") in self.durations
+        if is_work and self.sheds and self.rng.random() < 0.5:
+            self.reply(request, address, Code.SERVICE_UNAVAILABLE, b"shed")
+            return
+        super().take(request, address)
+
+    def send(self, message: Message, address: tuple[str, int]) -> bytes:
+        """Send a message, unless the upstream is silent."""
+        return b"" if self.is_silent else super().send(message, address)
+
+    def start_next(self) -> None:
+        """Start what waits while slots are free."""
+        while self.queue and self.busy < self.options.slots:
+            job = self.queue.popleft()
+            self.busy += 1
+            is_cold = self.clock.seconds() < self.cold_until_s
+            factor = COLD_FACTOR if is_cold else self.factor
+            duration = self.durations[job.body.decode("latin1")] * factor
+            self.clock.callLater(duration / 1000, self.complete, job)
+
+
+class MeasuredWorld(World):
+    """A world that is loaded by a workload.
+
+    Parameters
+    ----------
+    size : ServiceSize
+        The service.
+    seed : int
+        Seed of all draws.
+    policy : Policy
+        Variants that the side processes follow.
+    arrivals : list of Arrival
+        The workload.
+    """
+
+    def __init__(
+        self, size: ServiceSize, seed: int, policy: Policy, arrivals: list[Arrival]
+    ) -> None:
+        self.size = size
+        self.durations = {item.name: item.service_ms for item in arrivals}
+        self.measured = Run(arrivals)
+        self.ended: list[Node] = []
+        options = WorldOptions(
+            service=size.service,
+            sides=size.upstreams,
+            balancers=size.balancers,
+            zones=size.zones,
+            service_ms=size.service_ms,
+            slots=size.slots,
+            board_ms=BOARD_MS,
+            policy=policy,
+        )
+        links = Links(delay_ms=size.zone_ms, caller_ms=size.caller_ms)
+        super().__init__(seed, options, links)
+        self.begin = self.now
+
+    def make_upstream(self, name: str) -> Upstream:
+        """Start an upstream that serves the workload."""
+        options = UpstreamOptions(
+            name,
+            self.size.service,
+            self.size.slots,
+            board_ms=BOARD_MS,
+            seed=self.rng.getrandbits(32),
+        )
+        upstream = MeasuredUpstream(options, WorldClock(self))
+        upstream.durations = self.durations
+        upstream.startProtocol()
+        self.upstreams.append(upstream)
+        return upstream
+
+    # Requests
+
+    def send_arrival(self, caller: Caller, item: Arrival) -> None:
+        """Send one request of the workload."""
+        token = caller.rng.randbytes(4)
+        message = Message(
+            code=Code.FETCH if item.is_safe else Code.POST,
+            payload=item.name.encode(),
+            _mtype=Type.CON,
+            _mid=caller.next_mid(),
+            _token=token,
+            uri_path=("claims",),
+        )
+        if item.class_name:
+            message.opt.uri_query = (f"class={item.class_name}",)
+
+        def note(told: str) -> None:
+            outcome = Outcome(told, self.now - self.begin)
+            self.measured.outcomes[item.name] = outcome
+
+        caller.send_request(token, item.name, message, note)
+
+    def sides(self) -> list[Node]:
+        """Return the running side processes."""
+        return [node for node in self.nodes.values() if node.upstream is not None]
+
+    def sample(self) -> None:
+        """Note the requests in flight of all that take new work."""
+        self.measured.samples.append(
+            [
+                (
+                    node.upstream.busy
+                    + len(node.upstream.queue)
+                    + len(node.core.admission.queue)
+                )
+                / self.size.slots
+                for node in self.sides()
+                if node.core.membership.me.state == "live"
+            ]
+        )
+
+    # Changes
+
+    def node_of(self, place: int) -> Node | None:
+        """Return the side process of the first set at a place."""
+        return self.nodes.get(f"{self.size.service}-{place + 1}")
+
+    def apply(self, fault: Fault) -> None:
+        """Carry out a fault."""
+        WORLD_FAULTS[fault.kind](self, fault.place)
+
+    def mark_upstream(self, place: int, name: str, value: object) -> None:
+        """Change how an upstream behaves."""
+        setattr(self.node_of(place).upstream, name, value)
+
+    def lie(self, place: int) -> None:
+        """Let an upstream serve one request at a time."""
+        self.node_of(place).upstream.options.slots = 1
+
+    def join(self) -> Node:
+        """Add an upstream and its side process."""
+        place = len(self.upstreams)
+        return self.add_side(
+            f"{self.size.service}-{place + 1}", self.size.zone_of(place)
+        )
+
+    def join_cold(self, place: int) -> None:
+        """Add an upstream that is slow at first."""
+        upstream = self.join().upstream
+        upstream.cold_until_s = (self.now + COLD_MS) / 1000
+
+    def replace(self, place: int) -> None:
+        """Let an upstream leave and another one join."""
+        if place < self.size.upstreams:
+            self.join()
+            self.stop(f"{self.size.service}-{place + 1}")
+
+    def replace_balancer(self, place: int) -> None:
+        """Let a balancer leave and another one join."""
+        name = f"balancer-{place + 1}"
+        self.add_balancer(f"{name}b", self.nodes[name].zone)
+        self.stop(name)
+
+    def lose_zone(self, place: int) -> None:
+        """End all processes and upstreams of a zone."""
+        for node in list(self.nodes.values()):
+            if node.zone == self.size.zones[place]:
+                if node.upstream is not None:
+                    node.upstream.is_silent = True
+                self.ended.append(self.kill(node.name))
+
+
+WORLD_FAULTS: dict[str, Callable[[MeasuredWorld, int], None]] = {
+    "slow": lambda world, n: world.mark_upstream(n, "factor", SLOW_FACTOR),
+    "lie": MeasuredWorld.lie,
+    "shed": lambda world, n: world.mark_upstream(n, "sheds", True),
+    "calm": lambda world, n: world.mark_upstream(n, "sheds", False),
+    "silence": lambda world, n: world.mark_upstream(n, "is_silent", True),
+    "replace": MeasuredWorld.replace,
+    "replace_balancer": MeasuredWorld.replace_balancer,
+    "lose_zone": MeasuredWorld.lose_zone,
+    "join_cold": MeasuredWorld.join_cold,
+    "store_down": lambda world, n: world.set_store(True),
+    "store_up": lambda world, n: world.set_store(False),
+}
+
+
+def run_cores(
+    size: ServiceSize,
+    scenario: Scenario,
+    arrivals: list[Arrival],
+    seed: int,
+    policy: Policy,
+) -> Run:
+    """Run the decision cores in a scenario."""
+    world = MeasuredWorld(size, seed, policy, arrivals)
+    nodes = list(world.nodes.values())
+    world.run(SETTLE_MS)
+    world.begin = world.now
+    callers = [world.add_caller() for _ in range(size.upstreams * FLOWS_PER_UPSTREAM)]
+    boards = callers[::BOARD_EVERY]
+    if scenario.is_sparse:
+        boards = boards[:SPARSE_BOARDS]
+    for caller in boards:
+        world.at(world.now + random.Random(seed).uniform(0, 1_000), caller.open_board)
+    for item in arrivals:
+        world.at(
+            world.begin + item.at_ms,
+            lambda i=item: world.send_arrival(callers[i.flow], i),
+        )
+    for fault in scenario.faults:
+        world.at(world.begin + fault.at_s * 1000, lambda f=fault: world.apply(f))
+    if not scenario.is_sparse:
+        for step in range(int(arrivals[-1].at_ms / SAMPLE_MS)):
+            world.at(world.begin + step * SAMPLE_MS, world.sample)
+    world.run(arrivals[-1].at_ms + END_MS)
+    return fill_run(world, boards, [*nodes, *world.nodes.values()])
+
+
+def fill_run(world: MeasuredWorld, boards: list[Caller], nodes: list[Node]) -> Run:
+    """Collect what was seen of a world at its end."""
+    run = world.measured
+    every = {id(node): node for node in nodes}.values()
+    now = world.clock.seconds()
+    run.held_flows = len(boards)
+    run.broken_flows = sum(
+        not caller.is_open or (now - caller.last_heard) * 1000 > BOARD_SILENCE_MS
+        for caller in boards
+    )
+    runs: Counter[str] = Counter()
+    for upstream in world.upstreams:
+        runs.update(execution["body"] for execution in upstream.executions)
+    run.runs = dict(runs)
+    reports = [report for node in every for report in node.reports]
+    numbers = Counter(report.number for report in reports)
+    run.moved, run.retried = numbers[MOVED], numbers[RETRIED]
+    run.refusal_ms = [
+        report.fields["held_ms"] for report in reports if report.number == REFUSED
+    ]
+    run.flows = list(count_flows(world).values())
+    span_s = (world.now - world.begin + SETTLE_MS) / 1000
+    live = [node for node in world.nodes.values() if node in every]
+    run.control_bytes_s = max(map(control_bytes, live)) / span_s
+    return run
+
+
+def control_bytes(node: Node) -> int:
+    """Return the bytes sent that don't follow requests."""
+    kinds = node.sent_by_kind.items()
+    return sum(size for kind, size in kinds if kind not in REQUEST_KINDS)
+
+
+def count_flows(world: MeasuredWorld) -> Counter[str]:
+    """Return how many flows each upstream owns at the end."""
+    placement = world.sides()[0].core.ownership.history.newest
+    owners = (
+        placement.compute(flow_key(world.size.service, *address))[0]
+        for address in world.callers
+    )
+    return Counter(owner.id for owner in owners if owner is not None)
--- /dev/null
+++ b/measure/figures.py
@@ -0,0 +1,169 @@
+"""Figures of one run: percentiles, imbalance, goodput, counts."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from statistics import fmean
+from typing import Any
+
+from measure.workload import Arrival
+
+__all__ = ["Outcome", "Run", "imbalance", "jain_index", "quantile", "summarize"]
+
+WINDOW_SAMPLES = 100
+"""Samples of the requests in flight in one window of 10 s."""
+SAMPLE_MS = 100.0
+WARM_UP_MS = 5_000.0
+"""Start of a run that is left out of waiting and imbalance."""
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a caller was told of a request, and when."""
+
+    told: str
+    at_ms: float
+
+
+@dataclass
+class Run:
+    """What was seen of one system in one scenario; times count from its start."""
+
+    arrivals: list[Arrival]
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    samples: list[list[float]] = field(default_factory=list)
+    """Requests in flight of each upstream that takes new work, a slot."""
+    flows: list[int] = field(default_factory=list)
+    """Flows of each upstream."""
+    runs: dict[str, int] = field(default_factory=dict)
+    broken_flows: int = 0
+    held_flows: int = 0
+    retried: int = 0
+    moved: int = 0
+    control_bytes_s: float = 0.0
+    refusal_ms: list[float] = field(default_factory=list)
+    """From the decision to the refusal's departure."""
+
+
+def quantile(ordered: Sequence[float], share: float) -> float:
+    """Return the value below which a share of sorted values lies.
+
+    Examples
+    --------
+    >>> quantile([1, 2, 3, 4], 0.5)
+    3
+    """
+    if not ordered:
+        return 0.0
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def imbalance(values: Sequence[float]) -> float:
+    """Return the maximum over the mean.
+
+    Examples
+    --------
+    >>> imbalance([1, 1, 4])
+    2.0
+    """
+    mean = fmean(values) if values else 0
+    return max(values) / mean if mean else 1.0
+
+
+def jain_index(values: Sequence[float]) -> float:
+    """Return Jain's index, 1 when all are equal.
+
+    References
+    ----------
+    .. [1] R. Jain, D. Chiu, W. Hawe, "A quantitative measure of fairness and
+       discrimination for resource allocation in shared computer systems", 1984.
+
+    Examples
+    --------
+    >>> jain_index([2, 2])
+    1.0
+    """
+    squares = sum(value * value for value in values)
+    return sum(values) ** 2 / (len(values) * squares) if squares else 1.0
+
+
+def windows(samples: list[list[float]]) -> list[list[float]]:
+    """Return the mean requests in flight of each upstream in each window."""
+    found = []
+    for start in range(0, len(samples) - WINDOW_SAMPLES + 1, WINDOW_SAMPLES):
+        window = samples[start : start + WINDOW_SAMPLES]
+        width = min(len(sample) for sample in window)
+        if width == max(len(sample) for sample in window) and width:
+            found.append([fmean(s[i] for s in window) for i in range(width)])
+    return found
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    """Return percentiles in ms."""
+    ordered = sorted(values)
+    shares = {"p50": 0.5, "p90": 0.9, "p99": 0.99}
+    return {name: round(quantile(ordered, share), 1) for name, share in shares.items()}
+
+
+def summarize(run: Run) -> dict[str, Any]:
+    """Return the figures of a run as plain values for the report."""
+    kept = [item for item in run.arrivals if item.at_ms >= WARM_UP_MS]
+    span_s = (run.arrivals[-1].at_ms - WARM_UP_MS) / 1000 if kept else 1.0
+    end_ms = run.arrivals[-1].at_ms if kept else 0.0
+    done = [item for item in kept if told_of(run, item) == "done"]
+    latency = [run.outcomes[item.name].at_ms - item.at_ms for item in done]
+    waiting = [t - item.service_ms for t, item in zip(latency, done, strict=True)]
+    over_time = windows(run.samples[int(WARM_UP_MS / SAMPLE_MS) :])
+    in_time = [item for item in done if run.outcomes[item.name].at_ms <= end_ms]
+    counts = [told_of(run, item) for item in run.arrivals]
+    doubles = sum(n > 1 for name, n in run.runs.items() if name.startswith("p"))
+    return {
+        "requests": len(run.arrivals),
+        "goodput_s": round(len(in_time) / span_s, 2),
+        "goodput_by_class": by_class(in_time, span_s),
+        "work_done": round(sum(i.service_ms for i in in_time) / span_s / 1000, 3),
+        "refused": counts.count("refused"),
+        "unknown": counts.count("unknown"),
+        "silent": counts.count("silent"),
+        "wrong": counts.count("wrong"),
+        "ran_twice": doubles,
+        "false_not_run": sum(
+            told_of(run, item) == "refused" and bool(run.runs.get(item.name))
+            for item in run.arrivals
+            if not item.is_safe
+        ),
+        "retried": run.retried,
+        "moved": run.moved,
+        "held_flows": run.held_flows,
+        "broken_flows": run.broken_flows,
+        "waiting_ms": spread(waiting),
+        "latency_ms": spread(latency),
+        "refusal_ms": spread(run.refusal_ms),
+        "in_flight_max_over_mean": mean_of([imbalance(w) for w in over_time]),
+        "in_flight_worst_window": round(
+            max((imbalance(w) for w in over_time), default=1.0), 3
+        ),
+        "in_flight_jain": mean_of([jain_index(w) for w in over_time]),
+        "flows_max_over_mean": round(imbalance(run.flows), 3),
+        "flows_jain": round(jain_index(run.flows), 3),
+        "control_bytes_s": round(run.control_bytes_s),
+    }
+
+
+def told_of(run: Run, item: Arrival) -> str:
+    """Return what the caller of a request was told."""
+    outcome = run.outcomes.get(item.name)
+    return outcome.told if outcome else "silent"
+
+
+def by_class(done: list[Arrival], span_s: float) -> dict[str, float]:
+    """Return the goodput of each class, a second."""
+    names = sorted({item.class_name for item in done if item.class_name})
+    return {
+        name: round(sum(item.class_name == name for item in done) / span_s, 2)
+        for name in names
+    }
+
+
+def mean_of(values: list[float]) -> float:
+    """Return the mean of windows, 1 when there is none."""
+    return round(fmean(values), 3) if values else 1.0
--- /dev/null
+++ b/measure/plain.py
@@ -0,0 +1,294 @@
+"""Plain baselines: balancers that agree on nothing, and one ideal shared queue."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from fuchsiapin.registry import Registry
+from measure.figures import SAMPLE_MS, Outcome, Run
+from measure.scenarios import Fault, Scenario
+from measure.sizes import SAME_ZONE_MS, ServiceSize
+from measure.workload import FLOWS_PER_UPSTREAM, Arrival
+
+__all__ = ["PlainFleet", "choosers", "run_ideal", "run_plain"]
+
+choosers = Registry("plain choice of an upstream")
+RETRANSMIT_MS = 2_000.0
+MAX_RETRANSMIT = 4
+HEALTH_MS = 4_000.0
+"""A health check takes so long to find an upstream silent."""
+NOTICE_MS = 1_000.0
+"""Balancers see a change of the list at any time within so long."""
+COLD_FACTOR = 4.0
+SLOW_FACTOR = 5.0
+BOARD_EVERY = 4
+"""One flow in so many holds an open board."""
+
+
+@dataclass
+class PlainUpstream:
+    """A queue and its slots."""
+
+    name: int
+    zone: str
+    slots: int
+    factor: float = 1.0
+    is_silent: bool = False
+    sheds: bool = False
+    busy: int = 0
+
+
+class PlainFleet:
+    """Balancers that forward by a list, each on its own.
+
+    Parameters
+    ----------
+    size : ServiceSize
+        The service.
+    seed : int
+        Seed of all draws.
+    choose : callable
+        Returns an upstream for fleet, balancer and flow.
+    """
+
+    def __init__(self, size: ServiceSize, seed: int, choose: Callable) -> None:
+        self.size = size
+        self.rng = random.Random(seed)
+        self.choose = choose
+        self.now = 0.0
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.upstreams = {
+            n: PlainUpstream(n, size.zone_of(n), size.slots)
+            for n in range(size.upstreams)
+        }
+        self.queues: dict[int, deque[Arrival]] = {n: deque() for n in self.upstreams}
+        self.seen: dict[int, set[str]] = {n: set() for n in self.upstreams}
+        self.lists = [list(self.upstreams) for _ in range(size.balancers)]
+        self.local = [dict.fromkeys(self.upstreams, 0) for _ in range(size.balancers)]
+        self.boards: dict[int, int] = {}
+        self.broken: set[int] = set()
+        self.run = Run([])
+
+    def at(self, delay: float, call: Callable[[], None]) -> None:
+        """Call after a delay in ms."""
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + delay, self.count, call))
+
+    def go(self) -> None:
+        """Let all that was planned happen."""
+        while self.heap:
+            self.now, _, call = heapq.heappop(self.heap)
+            call()
+
+    def travel(self) -> float:
+        """Return the time from a caller to an upstream, or back."""
+        same = self.rng.random() < 1 / len(self.size.zones)
+        link = SAME_ZONE_MS if same else self.size.zone_ms
+        return self.size.caller_ms + link + self.rng.uniform(0, 2)
+
+    # Requests
+
+    def open_boards(self) -> None:
+        """Open a board on some flows."""
+        for flow in range(0, self.size.upstreams * FLOWS_PER_UPSTREAM, BOARD_EVERY):
+            self.boards[flow] = self.choose(self, self.pick_balancer(), flow)
+
+    def pick_balancer(self) -> int:
+        """Return where the fabric sends a datagram."""
+        return self.rng.randrange(self.size.balancers)
+
+    def send(self, item: Arrival, attempt: int = 0) -> None:
+        """Send a request until it is answered."""
+        if item.name in self.run.outcomes or attempt > MAX_RETRANSMIT:
+            return
+        balancer = self.pick_balancer()
+        target = self.choose(self, balancer, item.flow)
+        self.note_flow(item.flow, target)
+        self.local[balancer][target] = self.local[balancer].get(target, 0) + 1
+        self.at(self.travel(), lambda: self.arrive(item, target, balancer))
+        delay = RETRANSMIT_MS * self.rng.uniform(1, 1.5) * 2**attempt
+        self.at(delay, lambda: self.send(item, attempt + 1))
+
+    def note_flow(self, flow: int, target: int) -> None:
+        """Note a datagram that reaches an upstream without the flow's board."""
+        if flow in self.boards and self.boards[flow] != target:
+            self.broken.add(flow)
+
+    def arrive(self, item: Arrival, target: int, balancer: int) -> None:
+        """Let a request wait at an upstream."""
+        upstream = self.upstreams.get(target)
+        if upstream is None or upstream.is_silent or item.name in self.seen[target]:
+            self.local[balancer][target] -= 1
+            return
+        self.seen[target].add(item.name)
+        if upstream.sheds and self.rng.random() < 0.5:
+            self.answer(item, "refused", balancer, target)
+            return
+        self.queues[target].append(item)
+        self.start(target, balancer)
+
+    def start(self, target: int, balancer: int) -> None:
+        """Start what waits while a slot is free."""
+        upstream = self.upstreams.get(target)
+        while upstream and self.queues[target] and upstream.busy < upstream.slots:
+            item = self.queues[target].popleft()
+            upstream.busy += 1
+            duration = item.service_ms * upstream.factor
+            self.at(duration, lambda i=item: self.complete(i, target, balancer))
+
+    def complete(self, item: Arrival, target: int, balancer: int) -> None:
+        """End a request."""
+        upstream = self.upstreams.get(target)
+        if upstream is None:
+            return
+        upstream.busy -= 1
+        self.run.runs[item.name] = self.run.runs.get(item.name, 0) + 1
+        if not upstream.is_silent:
+            self.answer(item, "done", balancer, target)
+        self.start(target, balancer)
+
+    def answer(self, item: Arrival, told: str, balancer: int, target: int) -> None:
+        """Send an answer to its caller."""
+        self.local[balancer][target] -= 1
+
+        def take() -> None:
+            self.run.outcomes.setdefault(item.name, Outcome(told, self.now))
+
+        self.at(self.travel(), take)
+
+    # Changes
+
+    def set_list(self, names: list[int]) -> None:
+        """Let each balancer learn of a change in its own time."""
+        for place in range(self.size.balancers):
+            delay = self.rng.uniform(0, NOTICE_MS)
+            self.at(delay, lambda p=place: self.lists.__setitem__(p, list(names)))
+
+    def lose(self, name: int) -> None:
+        """Break the boards of an upstream that is gone."""
+        self.broken |= {f for f, holder in self.boards.items() if holder == name}
+
+    def join(self, factor: float = 1.0) -> int:
+        """Add an upstream."""
+        name = max(self.upstreams) + 1
+        zone = self.size.zone_of(name)
+        self.upstreams[name] = PlainUpstream(name, zone, self.size.slots, factor)
+        self.queues[name] = deque()
+        self.seen[name] = set()
+        for counts in self.local:
+            counts[name] = 0
+        self.set_list([n for n, u in self.upstreams.items() if not u.is_silent])
+        return name
+
+    def apply(self, fault: Fault) -> None:
+        """Carry out a fault."""
+        if fault.kind == "replace" and fault.place >= self.size.upstreams:
+            return
+        handler = PLAIN_FAULTS.get(fault.kind)
+        if handler is not None:
+            handler(self, fault.place)
+
+    def replace(self, place: int) -> None:
+        """Take an upstream out gracefully and add another."""
+        self.join()
+        self.set_list([name for name in self.upstreams if name != place])
+        self.lose(place)
+
+    def silence(self, place: int) -> None:
+        """Let an upstream fall silent; a health check finds it later."""
+        self.upstreams[place].is_silent = True
+        self.lose(place)
+        live = [name for name, u in self.upstreams.items() if not u.is_silent]
+        self.at(HEALTH_MS, lambda: self.set_list(live))
+
+    def lose_zone(self, place: int) -> None:
+        """Let all upstreams of a zone fall silent."""
+        for name, upstream in self.upstreams.items():
+            if upstream.zone == self.size.zones[place]:
+                self.silence(name)
+
+    def sample(self) -> None:
+        """Note the requests in flight of all that take new work."""
+        open_names = self.lists[0]
+        self.run.samples.append(
+            [
+                (self.upstreams[n].busy + len(self.queues[n])) / self.size.slots
+                for n in open_names
+            ]
+        )
+
+
+PLAIN_FAULTS: dict[str, Callable[[PlainFleet, int], None]] = {
+    "slow": lambda fleet, n: setattr(fleet.upstreams[n], "factor", SLOW_FACTOR),
+    "lie": lambda fleet, n: setattr(fleet.upstreams[n], "slots", 1),
+    "shed": lambda fleet, n: setattr(fleet.upstreams[n], "sheds", True),
+    "calm": lambda fleet, n: setattr(fleet.upstreams[n], "sheds", False),
+    "silence": PlainFleet.silence,
+    "replace": PlainFleet.replace,
+    "lose_zone": PlainFleet.lose_zone,
+    "join_cold": lambda fleet, n: fleet.join(COLD_FACTOR),
+}
+
+
+@choosers.register("modulo")
+def choose_modulo(fleet: PlainFleet, balancer: int, flow: int) -> int:
+    """Return the upstream at the flow's hash modulo the length of the list."""
+    names = fleet.lists[balancer]
+    return names[xxh3_64_intdigest(str(flow).encode()) % len(names)]
+
+
+@choosers.register("least-local")
+def choose_least_local(fleet: PlainFleet, balancer: int, flow: int) -> int:
+    """Return an upstream with the fewest connections of this balancer."""
+    counts = fleet.local[balancer]
+    names = fleet.lists[balancer]
+    least = min(counts[name] for name in names)
+    return fleet.rng.choice([name for name in names if counts[name] == least])
+
+
+def run_plain(
+    name: str, size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run a plain baseline in a scenario."""
+    fleet = PlainFleet(size, seed, choosers.get(name))
+    fleet.run = Run(arrivals)
+    fleet.open_boards()
+    for item in arrivals:
+        fleet.at(item.at_ms, lambda i=item: fleet.send(i))
+    for fault in scenario.faults:
+        fleet.at(fault.at_s * 1000, lambda f=fault: fleet.apply(f))
+    if not scenario.is_sparse:
+        for step in range(int(arrivals[-1].at_ms / SAMPLE_MS)):
+            fleet.at(step * SAMPLE_MS, fleet.sample)
+    fleet.go()
+    fleet.run.broken_flows = len(fleet.broken)
+    fleet.run.held_flows = len(fleet.boards)
+    spread = dict.fromkeys(fleet.lists[0], 0)
+    for holder in fleet.boards.values():
+        spread[holder] = spread.get(holder, 0) + 1
+    fleet.run.flows = list(spread.values())
+    return fleet.run
+
+
+def run_ideal(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run one queue before all slots, which knows no faults, with the same links."""
+    fleet = PlainFleet(size, seed, choose_modulo)
+    run = Run(arrivals)
+    reaching = sorted(
+        ((item.at_ms + fleet.travel(), item) for item in arrivals),
+        key=lambda pair: pair[0],
+    )
+    free = [0.0] * (size.upstreams * size.slots)
+    for at, item in reaching:
+        end = max(at, heapq.heappop(free)) + item.service_ms
+        heapq.heappush(free, end)
+        run.outcomes[item.name] = Outcome("done", end + fleet.travel())
+    run.runs = dict.fromkeys(run.outcomes, 1)
+    return run
--- /dev/null
+++ b/measure/scenarios.py
@@ -0,0 +1,140 @@
+"""Scenarios: loads and faults over time, by name."""
+
+from dataclasses import dataclass, field
+
+from fuchsiapin.registry import Registry
+from measure.workload import Phase
+
+__all__ = ["Fault", "Scenario", "scenarios"]
+
+scenarios = Registry("scenario")
+STEADY_S = 60.0
+FAULT_S = 20.0
+"""Time of a fault after the start."""
+END_S = 60.0
+GREEDY = "bulk"
+MODEST = "counter"
+HOUR_S = 3_600.0
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Something that happens to one upstream, balancer or zone."""
+
+    at_s: float
+    kind: str
+    place: int = 0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Loads and faults over time."""
+
+    phases: tuple[Phase, ...]
+    faults: tuple[Fault, ...] = ()
+    classes: dict[str, int] = field(default_factory=dict)
+    is_planned: bool = True
+    """Whether no flow may break."""
+    is_sparse: bool = False
+    """Whether it's too long for more than one service."""
+
+
+def steady(load: float, *faults: Fault, is_planned: bool = True) -> Scenario:
+    """Return one load with faults."""
+    return Scenario((Phase(0, STEADY_S, load),), faults, is_planned=is_planned)
+
+
+@scenarios.register("steady-0.50")
+def steady_half() -> Scenario:
+    """Half of the capacity."""
+    return steady(0.5)
+
+
+@scenarios.register("steady-0.70")
+def steady_busy() -> Scenario:
+    """Load a busy day."""
+    return steady(0.7)
+
+
+@scenarios.register("steady-0.85")
+def steady_high() -> Scenario:
+    """Load the most that is planned for."""
+    return steady(0.85)
+
+
+@scenarios.register("steady-1.20")
+def steady_over() -> Scenario:
+    """More than can be served."""
+    return steady(1.2)
+
+
+@scenarios.register("burst")
+def burst() -> Scenario:
+    """Three times the load for five seconds."""
+    return Scenario((Phase(0, STEADY_S, 0.5), Phase(FAULT_S, FAULT_S + 5, 1.0)))
+
+
+@scenarios.register("greedy-class")
+def greedy_class() -> Scenario:
+    """One class asks for far more than its share, the other for less."""
+    phases = (Phase(0, STEADY_S, 0.4, MODEST), Phase(0, STEADY_S, 1.2, GREEDY))
+    return Scenario(phases, classes={MODEST: 1, GREEDY: 1})
+
+
+@scenarios.register("cold-start")
+def cold_start() -> Scenario:
+    """Let an upstream join cold, four times slower at first."""
+    return steady(0.7, Fault(FAULT_S, "join_cold"))
+
+
+@scenarios.register("one-slow")
+def one_slow() -> Scenario:
+    """One upstream takes five times as long."""
+    return steady(0.6, Fault(FAULT_S, "slow", 1))
+
+
+@scenarios.register("one-lying")
+def one_lying() -> Scenario:
+    """One upstream says that it has two slots, but serves one at a time."""
+    return steady(0.6, Fault(FAULT_S, "lie", 1))
+
+
+@scenarios.register("one-shedding")
+def one_shedding() -> Scenario:
+    """One upstream sheds every second request for twenty seconds."""
+    return steady(0.6, Fault(FAULT_S, "shed", 1), Fault(FAULT_S + 20, "calm", 1))
+
+
+@scenarios.register("one-silent")
+def one_silent() -> Scenario:
+    """One upstream stops to answer."""
+    return steady(0.5, Fault(FAULT_S, "silence", 1), is_planned=False)
+
+
+@scenarios.register("rolling-replacement")
+def rolling_replacement() -> Scenario:
+    """Each upstream in turn leaves, another one joins."""
+    faults = tuple(Fault(5 + 7 * place, "replace", place) for place in range(7))
+    return steady(0.5, *faults)
+
+
+@scenarios.register("both-change")
+def both_change() -> Scenario:
+    """Replace an upstream and a balancer at the same moment."""
+    return steady(
+        0.6, Fault(FAULT_S, "replace", 2), Fault(FAULT_S, "replace_balancer", 1)
+    )
+
+
+@scenarios.register("zone-loss")
+def zone_loss() -> Scenario:
+    """All processes and upstreams of one availability zone end at once."""
+    return steady(0.4, Fault(FAULT_S, "lose_zone", 1), is_planned=False)
+
+
+@scenarios.register("store-out")
+def store_out() -> Scenario:
+    """Take the object store out for an hour, at a low load."""
+    faults = (Fault(30, "store_down"), Fault(30 + HOUR_S, "store_up"))
+    phase = Phase(0, HOUR_S + 60, 0.005)
+    return Scenario((phase,), faults, is_sparse=True)
--- /dev/null
+++ b/measure/systems.py
@@ -0,0 +1,63 @@
+"""What is measured side by side, by name."""
+
+from fuchsiapin.policy import Policy
+from fuchsiapin.registry import Registry
+from measure.cluster import run_cores
+from measure.figures import Run
+from measure.plain import run_ideal, run_plain
+from measure.scenarios import Scenario
+from measure.sizes import ServiceSize
+from measure.workload import Arrival
+
+__all__ = ["MAIN", "systems"]
+
+systems = Registry("system")
+MAIN = "fuchsiapin"
+
+
+@systems.register(MAIN)
+def current(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run the cores as they ship."""
+    return run_cores(size, scenario, arrivals, seed, Policy())
+
+
+@systems.register("ask-two")
+def first_moves(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run the cores with moves as they were first."""
+    return run_cores(size, scenario, arrivals, seed, Policy(move="ask-two"))
+
+
+@systems.register("stay")
+def no_moves(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run the cores without moves."""
+    return run_cores(size, scenario, arrivals, seed, Policy(move="stay"))
+
+
+@systems.register("modulo")
+def modulo(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run hashing modulo the list, without ownership."""
+    return run_plain("modulo", size, scenario, arrivals, seed)
+
+
+@systems.register("least-local")
+def least_local(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run a choice by each balancer's own connections."""
+    return run_plain("least-local", size, scenario, arrivals, seed)
+
+
+@systems.register("ideal")
+def ideal(
+    size: ServiceSize, scenario: Scenario, arrivals: list[Arrival], seed: int
+) -> Run:
+    """Run one shared queue, the limit of what can be reached."""
+    return run_ideal(size, scenario, arrivals, seed)
--- a/measure/world.py
+++ b/measure/world.py
@@ -6,7 +6,7 @@
 
 import heapq
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +14,7 @@
 from fuchsiapin import messages
 from fuchsiapin.balancing import make_balancer_core
 from fuchsiapin.codec import pack_message, unpack_message
+from fuchsiapin.policy import Policy
 from fuchsiapin.serving import SideOptions, make_side_core
 from fuchsiapin.tests.standins.caller import Caller, Tally
 from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
@@ -41,6 +42,7 @@
     queue: int = 64
     deadline_ms: int = 20_000
     board_ms: float = 1_000.0
+    policy: Policy = field(default_factory=Policy)
 
 
 @dataclass
@@ -92,6 +94,7 @@
         self.wake_due: float | None = None
         self.reports: list[messages.Report] = []
         self.sent_bytes = 0
+        self.sent_by_kind: Counter[type] = Counter()
         self.sequence = 0
 
 
@@ -182,7 +185,11 @@
         host = f"10.2.{len(self.nodes) // 250}.{len(self.nodes) % 250 + 1}"
         me = messages.Member(name, int(self.now), host, PEER_PORT, zone, 2000, "live")
         options = SideOptions(
-            self.options.slots, self.options.queue, 100_000, self.options.deadline_ms
+            self.options.slots,
+            self.options.queue,
+            100_000,
+            self.options.deadline_ms,
+            self.options.policy,
         )
         core = make_side_core(
             self.options.service, me, self.rng.getrandbits(32), options
@@ -320,6 +327,7 @@
         node.sequence += 1
         data = pack_message(node.name, 0, node.sequence, effect.message)
         node.sent_bytes += len(data)
+        node.sent_by_kind[type(effect.message)] += len(data)
         base = 0.3 if node.zone == target.zone else self.links.delay_ms
 
         def arrive() -> None:
