Tell callers' classes apart by their networks

Cause: a configuration named classes and shares, but nothing said which callers a class has, so that histograms and admission could not tell them apart. Ruled out: an option in the caller's datagram (a balancer's callers could choose their class themselves). Change: networks for each class in rules and configuration; each request carries its tenant. A stored network that is none leaves the earlier configuration in force, whole.

--- a/fuchsiapin/configuring.py
+++ b/fuchsiapin/configuring.py
@@ -33,7 +33,8 @@
 
 HISTORY_LIMIT = 32
 """Accepted changes that a configuration names."""
-NAMES = ("id", "name")
+NAMES = ("id", "name", "upstreams", "classes")
+"""Keys that are no plain values of an item."""
 MAX_SUMMARY = 200
 """Characters of a change's summary."""
 
@@ -147,7 +148,7 @@
             make_upstream(asset, asset.name in rules.leaving)
             for asset in sorted(assets, key=lambda asset: asset.name)
         ],
-        [ClassConfig(item.name, item.share) for item in rule.classes],
+        [ClassConfig(item.name, item.share, item.networks) for item in rule.classes],
     )
 
 
@@ -261,9 +262,9 @@
     """Return the plain values of an item as text, but for its name."""
     values = dataclasses.asdict(item)
     return {
-        key: str(value)
+        key: ", ".join(value) if isinstance(value, list) else str(value)
         for key, value in values.items()
-        if key not in NAMES and not isinstance(value, list)
+        if key not in NAMES
     }
 
 
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -59,6 +59,7 @@
         deadline = self.core.now + self.core.deadline_ms
         request = Request(key, flow, host, port, message, datagram, deadline)
         request.received = self.core.now
+        request.tenant = self.core.tenants.name_of(host)
         self.core.requests[key] = request
         self.core.timers.add(deadline, lambda now: self.expire_request(request))
         if message.opt.observe == 1:
--- a/fuchsiapin/inputs.py
+++ b/fuchsiapin/inputs.py
@@ -44,6 +44,7 @@
 
     name: str
     share: int
+    networks: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -101,6 +101,7 @@
 
     name: str
     share: int
+    networks: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/rules.py
+++ b/fuchsiapin/rules.py
@@ -1,5 +1,6 @@
 """The operator's rules on top of the asset register."""
 
+from ipaddress import IPv4Network
 from itertools import combinations
 from pathlib import Path
 
@@ -64,6 +65,7 @@
             hint = f"an upstream of the register: {nearest_hint(name, names)}"
             found.append(ruling.document.fault(("leaving", place), hint, repr(name)))
     found += repeated_services(ruling)
+    found += network_faults(ruling)
     found += contradictions(ruling)
     return found + emptied_services(ruling, entries)
 
@@ -110,6 +112,28 @@
     return found
 
 
+def network_faults(ruling: Ruling) -> list[Fault]:
+    """Return the networks of classes that are none or stand twice in a service."""
+    found = []
+    for place, rule in enumerate(ruling.rules.services):
+        owners: dict[IPv4Network | None, str] = {}
+        for number, item in enumerate(rule.classes):
+            for order, text in enumerate(item.networks or [""]):
+                keys: Keys = ("services", place, "classes", number, "networks", order)
+                try:
+                    network = IPv4Network(text) if text else None
+                except ValueError as error:
+                    expected = "an IPv4 network as in 10.8.0.0/16"
+                    found.append(ruling.document.fault(keys, expected, str(error)))
+                    continue
+                first = owners.setdefault(network, item.name)
+                if first != item.name:
+                    what = repr(text) if text else "no networks"
+                    expected = f"networks that {first!r} doesn't have"
+                    found.append(ruling.document.fault(keys, expected, what))
+    return found
+
+
 def pairs_of(groups: list[list[str]]) -> dict[Pair, int]:
     """Return each pair of services in groups, with the place of its group."""
     found: dict[Pair, int] = {}
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -28,6 +28,7 @@
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.records import RecordTable
 from fuchsiapin.requests import Request
+from fuchsiapin.tenants import Tenants
 from fuchsiapin.timers import Timers
 from fuchsiapin.transfers import Transfers
 from fuchsiapin.upstream import UpstreamLink
@@ -109,6 +110,7 @@
         self.balancer_versions: dict[str, int] = {}
         self.config: messages.Configuration | None = None
         self.admission = Admission(options.slots, options.queue)
+        self.tenants = Tenants([])
         self.link = UpstreamLink(self.timers, self.out, self.watcher.register_again)
         self.observations = Observations(
             self.timers,
@@ -316,12 +318,13 @@
             return
         for service in config.services:
             if service.name == self.service:
+                self.apply_service(service)
                 self.config = config
                 self.membership.config = config.number
-                self.apply_service(service)
 
     def apply_service(self, service: messages.ServiceConfig) -> None:
         """Put the limits of the service and of the own upstream in force."""
+        self.tenants = Tenants(service.classes)
         self.deadline_ms = service.deadline_ms
         self.admission.queue_limit = service.queue
         for upstream in service.upstreams:
--- /dev/null
+++ b/fuchsiapin/tenants.py
@@ -0,0 +1,67 @@
+"""Which tenant or class of a service a caller belongs to."""
+
+from collections.abc import Iterable
+from functools import lru_cache
+from ipaddress import IPv4Address, IPv4Network
+
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.messages import ClassConfig
+
+__all__ = ["Tenants"]
+
+CACHED_CALLERS = 16_384
+"""Callers whose class is remembered."""
+
+
+class Tenants:
+    """Classes of callers by their networks; the narrowest network counts.
+
+    Parameters
+    ----------
+    classes : iterable of ClassConfig
+        The classes of one service. One without networks has all other callers.
+
+    Raises
+    ------
+    MalformedObject
+        If a network is none.
+
+    Examples
+    --------
+    >>> shops = ClassConfig("shops", 3, ["10.8.0.0/16"])
+    >>> tenants = Tenants([shops, ClassConfig("parents", 1)])
+    >>> tenants.name_of("10.8.1.2"), tenants.name_of("10.9.0.1")
+    ('shops', 'parents')
+    """
+
+    def __init__(self, classes: Iterable[ClassConfig]) -> None:
+        self.rest = ""
+        networks: list[tuple[IPv4Network, str]] = []
+        for item in classes:
+            if not item.networks:
+                self.rest = item.name
+            networks += [(parse_network(text), item.name) for text in item.networks]
+        networks.sort(key=lambda pair: -pair[0].prefixlen)
+        self.networks = networks
+        self.name_of = lru_cache(CACHED_CALLERS)(self.find)
+
+    def find(self, host: str) -> str:
+        """Return the class of a caller, empty where it has none."""
+        if not self.networks:
+            return self.rest
+        try:
+            address = IPv4Address(host)
+        except ValueError:
+            return self.rest
+        for network, name in self.networks:
+            if address in network:
+                return name
+        return self.rest
+
+
+def parse_network(text: str) -> IPv4Network:
+    """Return a network of a stored configuration."""
+    try:
+        return IPv4Network(text)
+    except ValueError as error:
+        raise MalformedObject(f"no network: {error}") from error
--- a/fuchsiapin/tests/test_configuring.py
+++ b/fuchsiapin/tests/test_configuring.py
@@ -12,6 +12,7 @@
     read_proposal,
 )
 from fuchsiapin.faults import render_faults
+from fuchsiapin.tenants import Tenants
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 HEADER = "name,vm,address,availability_zone,service,slots,connections,bought\n"
@@ -99,6 +100,30 @@
                 (line, text, found),
             )
 
+    def test_classes_by_network(self) -> None:
+        rules = """{"deployment": "d", "services": [{"name": "ledger", "classes": [
+            {"name": "a", "share": 1, "networks": ["10.0.0.0/8", "10.1.0.0/33"]},
+            {"name": "b", "share": 1, "networks": ["10.0.0.0/8"]},
+            {"name": "c", "share": 1}, {"name": "d", "share": 1}]}]}"""
+        found = "\n".join(self.faults(HEADER + ROWS, rules))
+        self.assertIn(
+            "rules.json:2: services[0].classes[0].networks[1]: expected an", found
+        )
+        self.assertIn("networks that 'a' doesn't have, found '10.0.0.0/8'", found)
+        self.assertIn("networks that 'c' doesn't have, found no networks", found)
+        good = rules.replace(', "10.1.0.0/33"', "").replace(
+            "10.0.0.0/8", "10.1.0.0/16", 1
+        )
+        good = good.replace(', {"name": "d", "share": 1}', "")
+        proposal = self.read(HEADER + ROWS, good).ok
+        tenants = Tenants(proposal.services[0].classes)
+        callers = ("10.1.2.3", "10.2.2.3", "11.0.0.1")
+        self.assertEqual([tenants.name_of(host) for host in callers], ["a", "b", "c"])
+        self.assertEqual(Tenants([]).name_of("10.1.2.3"), "")
+        config = accept(proposal, None, "x", "1")
+        first = [str(item) for item in diff_configurations(None, config)]
+        self.assertIn("class a of ledger comes (share 1, networks 10.1.0.0/16)", first)
+
     def test_faults_between_assets(self) -> None:
         register = (
             HEADER
--- /dev/null
+++ b/fuchsiapin/tests/test_tenants.py
@@ -0,0 +1,63 @@
+"""Classes of callers in a side process."""
+
+import unittest
+
+from fuchsiapin.codec import encode_object
+from fuchsiapin.messages import (
+    ClassConfig,
+    Configuration,
+    ObjectSeen,
+    Report,
+    ServiceConfig,
+)
+from fuchsiapin.tenants import Tenants
+from measure.world import World, WorldOptions
+
+
+def config(number: int, networks: list[str]) -> ObjectSeen:
+    """Return a configuration whose shops have some networks."""
+    classes = [ClassConfig("shops", 3, networks), ClassConfig("parents", 1)]
+    service = ServiceConfig("swapdesk", 9_000, 64, [], classes)
+    value = Configuration("d", number, "a", "c", [service], [])
+    return ObjectSeen("config/d", number, encode_object(value))
+
+
+class TenantTest(unittest.TestCase):
+    """Networks of a stored configuration."""
+
+    def setUp(self) -> None:
+        self.world = World(1, WorldOptions(sides=1, balancers=1))
+        self.world.run(2_000)
+        self.core = self.world.nodes["swapdesk-1"].core
+
+    def test_narrowest_network_counts(self) -> None:
+        tenants = Tenants(
+            [ClassConfig("a", 1, ["10.0.0.0/8"]), ClassConfig("b", 1, ["10.9.0.0/16"])]
+        )
+        self.assertEqual(tenants.name_of("10.9.0.1"), "b")
+        self.assertEqual(tenants.name_of("no address"), "")
+
+    def test_requests_are_reported_by_their_class(self) -> None:
+        self.core.handle(int(self.world.now), config(1, ["10.9.0.0/16"]))
+        caller = self.world.add_caller()
+        caller.post("claims", "one")
+        self.world.run(5_000)
+        ends = [
+            report.fields["tenant"]
+            for report in self.world.nodes["swapdesk-1"].reports
+            if report.number == 3107
+        ]
+        self.assertEqual(ends, ["shops"])
+
+    def test_broken_network_leaves_the_earlier_configuration_in_force(self) -> None:
+        now = int(self.world.now)
+        self.core.handle(now, config(1, ["10.9.0.0/16"]))
+        broken = config(2, ["10.9.0.0/99"])
+        effects = self.core.handle(now, broken)
+        self.assertEqual([e.number for e in effects if isinstance(e, Report)], [4102])
+        self.assertEqual(self.core.config.number, 1)
+        self.assertEqual(self.core.tenants.name_of("10.9.0.1"), "shops")
+
+
+if __name__ == "__main__":
+    unittest.main()
