--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -201,7 +201,7 @@
         "info",
         "A caller was told that its request was not run, and when to come back.",
         "Nothing when rare; add upstreams when `busy` goes on.",
-        (*CALLER, Field("reason")),
+        (*CALLER, Field("reason"), Field("held_ms", "integer")),
         is_bounded=True,
     ),
     Event(
