Let the register's connections set a member's weight

Cause: the weight came from the settings of the process alone, so that a changed register moved no flows. Failing first: the new test saw 2000 in place of 500. Change: a configuration's connections replace the weight and are announced.

--- a/fuchsiapin/membership.py
+++ b/fuchsiapin/membership.py
@@ -164,6 +164,12 @@
             self.me = replace(self.me, state=state)
             self.announce(now)
 
+    def set_weight(self, now: int, weight: int) -> None:
+        """Change the share of the flows that this member owns."""
+        if self.me.weight != weight:
+            self.me = replace(self.me, weight=weight)
+            self.announce(now)
+
     def depart(self, now: int) -> None:
         """Remove this member for good."""
         self.is_departing = True
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -330,6 +330,7 @@
         for upstream in service.upstreams:
             if upstream.id == self.membership.me.id:
                 self.admission.slots = upstream.slots
+                self.membership.set_weight(self.now, upstream.connections)
                 self.apply_leaving(upstream.leaving)
 
     def apply_leaving(self, leaving: bool) -> None:
--- a/fuchsiapin/tests/test_tenants.py
+++ b/fuchsiapin/tests/test_configured.py
@@ -1,4 +1,4 @@
-"""Classes of callers in a side process."""
+"""What a configuration puts in force at a side process."""
 
 import unittest
 
@@ -9,6 +9,7 @@
     ObjectSeen,
     Report,
     ServiceConfig,
+    UpstreamConfig,
 )
 from fuchsiapin.tenants import Tenants
 from measure.world import World, WorldOptions
@@ -22,14 +23,29 @@
     return ObjectSeen("config/d", number, encode_object(value))
 
 
-class TenantTest(unittest.TestCase):
-    """Networks of a stored configuration."""
+class ConfiguredTest(unittest.TestCase):
+    """Classes, slots, connections and leaving of a stored configuration."""
 
     def setUp(self) -> None:
         self.world = World(1, WorldOptions(sides=1, balancers=1))
         self.world.run(2_000)
         self.core = self.world.nodes["swapdesk-1"].core
 
+    def test_slots_connections_and_leaving_of_the_register_hold(self) -> None:
+        for number, connections, leaving in ((1, 500, False), (2, 500, True)):
+            upstream = UpstreamConfig(
+                "swapdesk-1", "vm", "10.0.0.1", "bole", 5, connections, leaving
+            )
+            service = ServiceConfig("swapdesk", 9_000, 7, [upstream], [])
+            value = Configuration("d", number, "a", "c", [service], [])
+            event = ObjectSeen("config/d", number, encode_object(value))
+            self.world.feed(self.world.nodes["swapdesk-1"], event)
+            self.world.run(2_000)
+            [member] = self.core.ownership.history.members()
+            state = "leaving" if leaving else "live"
+            self.assertEqual((member.weight, member.state), (connections, state))
+        self.assertEqual((self.core.admission.slots, self.core.deadline_ms), (5, 9_000))
+
     def test_narrowest_network_counts(self) -> None:
         tenants = Tenants(
             [ClassConfig("a", 1, ["10.0.0.0/8"]), ClassConfig("b", 1, ["10.9.0.0/16"])]
