Tell managers what was dropped, and fuzz the reader of documents

Change: a section of the account for dropped packets, messages and objects; an error inside a process is never good news. 200 drawn values are read back with every item on its line, and 300 drawn texts never stop the reader (both seeded).

--- a/fuchsiapin/explain.py
+++ b/fuchsiapin/explain.py
@@ -13,7 +13,7 @@
     newest_number,
 )
 
-__all__ = ["Account", "Section", "explain", "refusal_reasons"]
+__all__ = ["Account", "Section", "explain", "kept_out", "refusal_reasons"]
 
 REFUSED, GIVEN_UP, MOVED, OWNER_LOST, CALLER_LOST, ENDED = (
     3101,
@@ -25,6 +25,7 @@
 )
 NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY = 2101, 2102, 4103, 4105
 DROPPED = (NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY)
+FAILED = 1302
 MAX_NAMED = 8
 """Processes that one sentence names."""
 
@@ -34,6 +35,17 @@
 }
 """Reasons of refusals in plain words."""
 
+kept_out = {
+    4104: "packets of callers that made no sense",
+    1301: "messages that bore no valid key, or came a second time",
+    2103: "answers from senders that don't belong to the service",
+    4101: "messages meant for another service",
+    2104: "times a balancer could not read a stored object",
+    4102: "times a side process could not read a stored object",
+    FAILED: "times an error was met inside a process; the logs tell more",
+}
+"""Events that were dropped, in plain words."""
+
 WORDS = (
     "Balancers take the callers' packets. Upstreams are the servers that do the "
     "work; beside each runs a side process, which keeps track of its callers."
@@ -90,6 +102,7 @@
         Section("What holds now", holding_lines(picture)),
         Section("What is in force where", force_lines(picture, lags)),
         *[served_section(picture, service) for service in picture.services()],
+        *kept_out_sections(picture),
         Section("Words", [WORDS]),
     ]
     troubles = find_troubles(picture, lags)
@@ -149,6 +162,9 @@
     if down:
         verb = "is" if len(down) == 1 else "are"
         found.append(f"{count(len(down), 'upstream')} {verb} silent")
+    failed = of_number(count_events(picture.statuses.values()), FAILED)
+    if failed:
+        found.append(f"{count(failed, 'error')} happened inside the processes")
     if zone_breaches(picture):
         found.append("services share an availability zone that may not")
     return found
@@ -413,6 +429,18 @@
     return lines
 
 
+def kept_out_sections(picture: Picture) -> list[Section]:
+    """Return what was dropped without harm, nothing where nothing was."""
+    counts = count_events(picture.statuses.values())
+    lines = [
+        f"{number(of_number(counts, event))} {text}."
+        for event, text in kept_out.items()
+        if of_number(counts, event)
+    ]
+    title = "What was dropped, without harm to callers, since the processes started"
+    return [Section(title, lines)] if lines else []
+
+
 def of_number(counts: Counter[tuple[int, str]], event: int) -> int:
     """Return how often an event was reported for any reason."""
     return sum(count_ for (item, _), count_ in counts.items() if item == event)
--- a/fuchsiapin/tests/test_explain.py
+++ b/fuchsiapin/tests/test_explain.py
@@ -6,7 +6,8 @@
 
 from fuchsiapin.configuring import accept, mark_upstream, read_proposal
 from fuchsiapin.daemons.answers import ExitCode, answer_members, answer_status
-from fuchsiapin.explain import explain
+from fuchsiapin.events import CATALOGUE
+from fuchsiapin.explain import explain, kept_out
 from fuchsiapin.messages import (
     BalancerMember,
     EventCount,
@@ -239,6 +240,21 @@
             picture = with_state(picture, f"scan-intake-{number}", "down")
         self.assertIn("not every service can be served", self.lines(picture))
 
+    def test_what_was_dropped_is_told_and_errors_are_no_good_news(self) -> None:
+        counts = [EventCount(4104, "", 9), EventCount(1301, "", 1_200)]
+        picture = with_status(make_picture(), "ledger-1", counts=counts)
+        self.lines(
+            picture, "9 packets of callers that made no sense.", "1,200 messages that"
+        )
+        self.assertTrue(explain(picture).is_whole)
+        counts = [EventCount(1302, "", 1)]
+        picture = with_status(make_picture(), "ledger-1", counts=counts)
+        headline = self.lines(picture, "1 times an error was met inside a process")
+        self.assertIn("1 error happened inside the processes", headline)
+
+    def test_each_event_of_the_account_is_in_the_catalogue(self) -> None:
+        self.assertEqual(set(kept_out) - set(CATALOGUE), set())
+
     def test_nothing_accepted_yet(self) -> None:
         picture = make_picture(configuration=None)
         statuses = {key: replace(s, config=0) for key, s in picture.statuses.items()}
--- a/fuchsiapin/tests/test_settings.py
+++ b/fuchsiapin/tests/test_settings.py
@@ -1,16 +1,30 @@
 """Settings: every fault at once, with file, line, key, expected and found."""
 
+import json
 import subprocess
 import sys
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from fuchsiapin.documents import parse_document
 from fuchsiapin.exceptions import SettingsError
 from fuchsiapin.settings import read_settings
 from tools.pages import DOCS, PAGES
 
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
 GOOD = """{
   // entry VM
   "name": "balancer-1", "availability_zone": "bole",
@@ -150,6 +164,27 @@
         self.assertEqual(document.line_of(("b", 2, "c", "none")), 6)
         self.assertEqual(document.lines[("b", 0)], 3)
 
+    @settings(max_examples=200, deadline=None, derandomize=True, database=None)
+    @given(VALUES, st.integers(0, 3))
+    def test_any_value_is_read_and_each_item_found_on_its_line(
+        self, value: Any, shape: int
+    ) -> None:
+        text = json.dumps(value, indent=2, ensure_ascii=shape > 1)
+        document = parse_document("x", text.replace("\n", " // c, ]\n") + " /* { */")
+        self.assertEqual(document.ok.values, value)
+        found = sorted(line for keys, line in document.ok.lines.items() if keys)
+        rows = text.split("\n")
+        closing = {n for n, row in enumerate(rows, 1) if row.strip(" ,") in ("]", "}")}
+        wanted = [n for n in range(2, len(rows) + 1) if n not in closing]
+        self.assertEqual(found, wanted)
+
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @given(st.text('{}[]",:/*\\\n 1a', max_size=30))
+    def test_no_text_stops_the_reader(self, text: str) -> None:
+        result = parse_document("x", text)
+        if result.is_error():
+            self.assertTrue(all(str(fault) for fault in result.error))
+
     def test_a_comma_in_place_of_a_value_is_refused(self) -> None:
         for text in ("[1,,]", '{"a":1 "b":2}', "[1] 2", "/* x"):
             self.assertTrue(parse_document("x", text).is_error(), text)
