Give each simulated process an address that none had before

Cause: a node that joined after another had ended got the address of a live one, so that one of them was unreachable: in the rolling replacement installs were sent to it for ever and nobody could depart.

--- a/measure/world.py
+++ b/measure/world.py
@@ -171,9 +171,14 @@
 
     # Processes
 
+    def next_host(self, role: int) -> str:
+        """Return an address that no process had before."""
+        count = len(self.by_address)
+        return f"10.{role}.{count // 250}.{count % 250 + 1}"
+
     def add_balancer(self, name: str, zone: str) -> Node:
         """Start a balancer."""
-        host = f"10.1.{len(self.nodes) // 250}.{len(self.nodes) % 250 + 1}"
+        host = self.next_host(1)
         me = messages.BalancerMember(name, int(self.now), host, PEER_PORT, zone, "live")
         core = make_balancer_core(me, self.rng.getrandbits(32))
         node = self.add_node(name, host, zone, core)
@@ -182,7 +187,7 @@
 
     def add_side(self, name: str, zone: str, upstream: Upstream | None = None) -> Node:
         """Start a side process, beside a new upstream unless one is given."""
-        host = f"10.2.{len(self.nodes) // 250}.{len(self.nodes) % 250 + 1}"
+        host = self.next_host(2)
         me = messages.Member(name, int(self.now), host, PEER_PORT, zone, 2000, "live")
         options = SideOptions(
             self.options.slots,
