--- a/fuchsiapin/ownership.py
+++ b/fuchsiapin/ownership.py
@@ -352,7 +352,7 @@
             for upload in answer.uploads:
                 if self.authority(self.state.flow_of(upload)) == key:
                     self.state.put_upload(upload)
-            self.uncertain.extend(answer.uncertain)
+            self.add_uncertain(answer.uncertain)
 
     def drop_withdrawn(self) -> None:
         """Forget what the one whose word counts no longer has."""
@@ -469,10 +469,16 @@
             self.state.put_record(record)
         for observation in install.observations:
             self.state.put_observation(observation)
-        known = set(map(repr, self.uncertain))
-        for item in install.uncertain:
-            if repr(item) not in known:
-                self.uncertain.append(item)
+        self.add_uncertain(install.uncertain)
+
+    def add_uncertain(self, ranges: Iterable[UncertainRange]) -> None:
+        """Keep ranges that others named, each once, until the latest time named."""
+        known = {(item.view.number, *item.lost): item for item in self.uncertain}
+        for item in ranges:
+            key = (item.view.number, *item.lost)
+            if key not in known or known[key].until < item.until:
+                known[key] = item
+        self.uncertain = list(known.values())
 
     def on_installed(self, now: int, sender: str, answer: Installed) -> None:
         """Note that a witness holds the flows."""
