Measure classes, silent upstreams and replacements side by side

The plain baselines forget upstreams that left; classes come from networks, as in the configuration; service times of the workload go through the stand-in.

--- a/fuchsiapin/tests/standins/upstream.py
+++ b/fuchsiapin/tests/standins/upstream.py
@@ -254,12 +254,12 @@
                 self.reply(job.request, job.address, Code.SERVICE_UNAVAILABLE, b"")
                 continue
             self.running.append(job)
-            job.duration_ms = self.draw_duration()
+            job.duration_ms = self.draw_duration(job)
             job.timer = self.clock.callLater(job.duration_ms / 1000, self.complete, job)
         self.reports.append((self.clock.seconds(), self.busy, len(self.queue)))
 
-    def draw_duration(self) -> float:
-        """Return how long the next request takes, in ms."""
+    def draw_duration(self, job: Job) -> float:
+        """Return how long a request takes, in ms."""
         self.started += 1
         is_cold = self.started <= self.options.cold_requests
         factor = self.options.cold_factor if is_cold else 1.0
--- /dev/null
+++ b/fuchsiapin/tests/test_measure.py
@@ -0,0 +1,52 @@
+"""The measurements: same arrivals for all, and promises that hold under load."""
+
+import unittest
+
+from measure.figures import imbalance, jain_index, summarize
+from measure.scenarios import Fault, Scenario, scenarios
+from measure.sizes import SIZES
+from measure.systems import MAIN, systems
+from measure.workload import Phase, make_arrivals
+
+SIZE = SIZES["swapdesk"]
+SHORT_S = 12
+
+
+def run_short(system: str, load: float, *faults: Fault) -> dict:
+    """Return the figures of a short run."""
+    scenario = Scenario((Phase(0, SHORT_S, load),), faults)
+    arrivals = make_arrivals(SIZE, scenario.phases, 5)
+    return summarize(systems.get(system)(SIZE, scenario, arrivals, 5))
+
+
+class MeasureTest(unittest.TestCase):
+    """Figures and short runs."""
+
+    def test_figures_of_equal_and_unequal_values(self) -> None:
+        self.assertEqual((imbalance([2, 2]), jain_index([2, 2])), (1.0, 1.0))
+        self.assertEqual(imbalance([3, 1, 2]), 1.5)
+
+    def test_arrivals_are_the_same_for_the_same_seed(self) -> None:
+        phases = scenarios.get("steady-0.50")().phases
+        one, two = make_arrivals(SIZE, phases, 3), make_arrivals(SIZE, phases, 3)
+        self.assertEqual(one, two)
+
+    def test_every_system_answers_a_light_load(self) -> None:
+        for name in systems.variants:
+            with self.subTest(system=name):
+                found = run_short(name, 0.3)
+                self.assertEqual(found["silent"] + found["wrong"], 0)
+
+    def test_overload_refuses_truthfully(self) -> None:
+        found = run_short(MAIN, 2.5)
+        self.assertGreater(found["refused"], 0)
+        self.assertEqual((found["false_not_run"], found["ran_twice"]), (0, 0))
+
+    def test_replaced_upstreams_leave_no_uncertain_flows(self) -> None:
+        faults = [Fault(1.0 + 2 * place, "replace", place) for place in range(4)]
+        found = run_short(MAIN, 0.3, *faults)
+        self.assertEqual((found["unknown"], found["broken_flows"]), (0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -1,6 +1,7 @@
 """Runs the scenarios, prints a table and writes reports/latest.json."""
 
 import json
+import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -81,6 +82,12 @@
     return chosen
 
 
+def print_progress(result: dict[str, Any]) -> None:
+    """Tell on standard error what has ended."""
+    names = (result["service"], result["scenario"], result["system"])
+    print(*names, f"{result['cpu_s']} s", file=sys.stderr, flush=True)
+
+
 def print_table(results: list[dict[str, Any]]) -> None:
     """Print one line a run."""
     heads = [head for head, _ in COLUMNS]
@@ -121,7 +128,10 @@
     names = list(scenario) or list(scenarios.variants)
     work = find_jobs(names, list(service) or list(SIZES), list(system), seed)
     with ProcessPoolExecutor(jobs) as pool:
-        results = list(pool.map(run_one, work))
+        results = []
+        for result in pool.map(run_one, work):
+            results.append(result)
+            print_progress(result)
     order = list(scenarios.variants)
     results.sort(key=lambda r: (r["service"], order.index(r["scenario"])))
     print_table(results)
--- a/measure/cluster.py
+++ b/measure/cluster.py
@@ -6,18 +6,18 @@
 
 from aiocoap import Message
 from aiocoap.numbers.codes import Code
-from aiocoap.numbers.types import Type
 
 from fuchsiapin import messages
+from fuchsiapin.codec import encode_object
 from fuchsiapin.policy import Policy
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.tests.standins.caller import Caller
-from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
+from fuchsiapin.tests.standins.upstream import Job, Upstream, UpstreamOptions
 from measure.figures import SAMPLE_MS, Outcome, Run
 from measure.plain import BOARD_EVERY, COLD_FACTOR, SLOW_FACTOR
-from measure.scenarios import Fault, Scenario
+from measure.scenarios import MODEST, Fault, Scenario
 from measure.sizes import ServiceSize
-from measure.workload import FLOWS_PER_UPSTREAM, Arrival
+from measure.workload import FLOWS_PER_UPSTREAM, MODEST_FLOWS, Arrival
 from measure.world import Links, Node, World, WorldClock, WorldOptions
 
 __all__ = ["MeasuredWorld", "run_cores"]
@@ -29,9 +29,11 @@
 """A board that was not heard for so long at the end is broken."""
 COLD_MS = 10_000.0
 SPARSE_BOARDS = 8
+MODEST_NETWORK = f"10.9.0.0/{32 - (MODEST_FLOWS - 1).bit_length()}"
+"""Network of the first flows."""
 MOVED = 3103
 REFUSED = 3101
-RETRIED = 3107
+RETRIED = 3108
 REQUEST_KINDS = (
     messages.Forward,
     messages.Reply,
@@ -72,15 +74,11 @@
         """Send a message, unless the upstream is silent."""
         return b"" if self.is_silent else super().send(message, address)
 
-    def start_next(self) -> None:
-        """Start what waits while slots are free."""
-        while self.queue and self.busy < self.options.slots:
-            job = self.queue.popleft()
-            self.busy += 1
-            is_cold = self.clock.seconds() < self.cold_until_s
-            factor = COLD_FACTOR if is_cold else self.factor
-            duration = self.durations[job.body.decode("latin1")] * factor
-            self.clock.callLater(duration / 1000, self.complete, job)
+    def draw_duration(self, job: Job) -> float:
+        """Return how long the workload says that a request takes, in ms."""
+        is_cold = self.clock.seconds() < self.cold_until_s
+        factor = COLD_FACTOR if is_cold else self.factor
+        return self.durations[job.label] * factor
 
 
 class MeasuredWorld(World):
@@ -138,23 +136,14 @@
 
     def send_arrival(self, caller: Caller, item: Arrival) -> None:
         """Send one request of the workload."""
-        token = caller.rng.randbytes(4)
-        message = Message(
-            code=Code.FETCH if item.is_safe else Code.POST,
-            payload=item.name.encode(),
-            _mtype=Type.CON,
-            _mid=caller.next_mid(),
-            _token=token,
-            uri_path=("claims",),
-        )
-        if item.class_name:
-            message.opt.uri_query = (f"class={item.class_name}",)
+        code = Code.FETCH if item.is_safe else Code.POST
+        message = caller.request(code, "claims", item.name.encode())
 
         def note(told: str) -> None:
             outcome = Outcome(told, self.now - self.begin)
             self.measured.outcomes[item.name] = outcome
 
-        caller.send_request(token, item.name, message, note)
+        caller.send_request(message, item.name, note)
 
     def sides(self) -> list[Node]:
         """Return the running side processes."""
@@ -177,6 +166,23 @@
 
     # Changes
 
+    def accept(self, classes: dict[str, int]) -> None:
+        """Put a configuration with classes in the store."""
+        listed = [
+            messages.ClassConfig(
+                name, share, [MODEST_NETWORK] if name == MODEST else []
+            )
+            for name, share in classes.items()
+        ]
+        options = self.options
+        service = messages.ServiceConfig(
+            options.service, options.deadline_ms, options.queue, [], listed
+        )
+        config = messages.Configuration(
+            self.size.deployment, 1, "measure", "1", [service], []
+        )
+        self.put(f"config/{self.size.deployment}", 0, encode_object(config))
+
     def node_of(self, place: int) -> Node | None:
         """Return the side process of the first set at a place."""
         return self.nodes.get(f"{self.size.service}-{place + 1}")
@@ -251,6 +257,8 @@
     """Run the decision cores in a scenario."""
     world = MeasuredWorld(size, seed, policy, arrivals)
     nodes = list(world.nodes.values())
+    if scenario.classes:
+        world.accept(scenario.classes)
     world.run(SETTLE_MS)
     world.begin = world.now
     callers = [world.add_caller() for _ in range(size.upstreams * FLOWS_PER_UPSTREAM)]
--- a/measure/plain.py
+++ b/measure/plain.py
@@ -72,6 +72,7 @@
         self.local = [dict.fromkeys(self.upstreams, 0) for _ in range(size.balancers)]
         self.boards: dict[int, int] = {}
         self.broken: set[int] = set()
+        self.left: set[int] = set()
         self.run = Run([])
 
     def at(self, delay: float, call: Callable[[], None]) -> None:
@@ -163,8 +164,9 @@
 
     # Changes
 
-    def set_list(self, names: list[int]) -> None:
+    def set_list(self) -> None:
         """Let each balancer learn of a change in its own time."""
+        names = [n for n in self.upstreams if n not in self.left]
         for place in range(self.size.balancers):
             delay = self.rng.uniform(0, NOTICE_MS)
             self.at(delay, lambda p=place: self.lists.__setitem__(p, list(names)))
@@ -182,7 +184,7 @@
         self.seen[name] = set()
         for counts in self.local:
             counts[name] = 0
-        self.set_list([n for n, u in self.upstreams.items() if not u.is_silent])
+        self.set_list()
         return name
 
     def apply(self, fault: Fault) -> None:
@@ -195,16 +197,20 @@
 
     def replace(self, place: int) -> None:
         """Take an upstream out gracefully and add another."""
+        self.left.add(place)
         self.join()
-        self.set_list([name for name in self.upstreams if name != place])
         self.lose(place)
 
     def silence(self, place: int) -> None:
         """Let an upstream fall silent; a health check finds it later."""
         self.upstreams[place].is_silent = True
         self.lose(place)
-        live = [name for name, u in self.upstreams.items() if not u.is_silent]
-        self.at(HEALTH_MS, lambda: self.set_list(live))
+
+        def find_silent() -> None:
+            self.left.add(place)
+            self.set_list()
+
+        self.at(HEALTH_MS, find_silent)
 
     def lose_zone(self, place: int) -> None:
         """Let all upstreams of a zone fall silent."""
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from fuchsiapin.registry import Registry
-from measure.workload import Phase
+from measure.workload import MODEST, Phase
 
-__all__ = ["Fault", "Scenario", "scenarios"]
+__all__ = ["MODEST", "Fault", "Scenario", "scenarios"]
 
 scenarios = Registry("scenario")
 STEADY_S = 60.0
@@ -13,7 +13,6 @@
 """Time of a fault after the start."""
 END_S = 60.0
 GREEDY = "bulk"
-MODEST = "counter"
 HOUR_S = 3_600.0
 
 
--- a/measure/workload.py
+++ b/measure/workload.py
@@ -6,9 +6,13 @@
 
 from measure.sizes import ServiceSize
 
-__all__ = ["Arrival", "Phase", "make_arrivals"]
+__all__ = ["MODEST", "Arrival", "Phase", "make_arrivals"]
 
 FLOWS_PER_UPSTREAM = 40
+MODEST = "counter"
+"""Class that asks for less than its share."""
+MODEST_FLOWS = 64
+"""The first flows belong to the first of two classes."""
 SAFE_SHARE = 0.3
 """Share of requests that only read."""
 
@@ -58,11 +62,17 @@
         while rate and (now := now + rng.expovariate(rate)) < phase.end_s * 1000:
             service = rng.expovariate(1 / size.service_ms)
             is_safe = rng.random() < SAFE_SHARE
-            drawn.append(
-                (now, rng.randrange(flows), service, is_safe, phase.class_name)
-            )
+            flow = rng.randrange(*flows_of(phase.class_name, flows))
+            drawn.append((now, flow, service, is_safe, phase.class_name))
     drawn.sort()
     return [
         Arrival(f"{'q' if is_safe else 'p'}{n}", at, flow, service, is_safe, name)
         for n, (at, flow, service, is_safe, name) in enumerate(drawn)
     ]
+
+
+def flows_of(class_name: str, flows: int) -> tuple[int, int]:
+    """Return the first flow of a class and the one after its last."""
+    if not class_name:
+        return 0, flows
+    return (0, MODEST_FLOWS) if class_name == MODEST else (MODEST_FLOWS, flows)
