Say changes in words that managers know, and split the account by job

Change: summaries in plain words, counted where there are many; modules explain, served and phrases.

--- a/fuchsiapin/configuring.py
+++ b/fuchsiapin/configuring.py
@@ -1,7 +1,7 @@
 """From register and rules to a configuration, and what a change would do."""
 
 import dataclasses
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -18,6 +18,7 @@
     ServiceConfig,
     UpstreamConfig,
 )
+from fuchsiapin.phrases import count
 from fuchsiapin.register import Entry, read_register
 from fuchsiapin.rules import Ruling, read_rules, rule_faults, separations
 
@@ -35,6 +36,8 @@
 """Accepted changes that a configuration names."""
 NAMES = ("id", "name", "upstreams", "classes")
 """Keys that are no plain values of an item."""
+MAX_NAMED = 4
+"""Differences that a summary names one by one."""
 MAX_SUMMARY = 200
 """Characters of a change's summary."""
 
@@ -218,11 +221,44 @@
 
 
 def summarize(differences: list[Difference]) -> str:
-    """Return differences as one short text."""
-    text = "; ".join(str(difference) for difference in differences)
-    if len(text) <= MAX_SUMMARY:
-        return text
-    return f"{text[: MAX_SUMMARY - 1]}…"
+    """Return differences as one short text for readers who don't know the keys.
+
+    Examples
+    --------
+    >>> summarize([Difference("upstream ledger-1", "leaving", "False", "True")])
+    'ledger-1 leaves'
+    >>> summarize([Difference(f"upstream u{n}", "", "", "x") for n in range(9)])
+    '9 upstreams come'
+    """
+    if len(differences) <= MAX_NAMED:
+        text = "; ".join(gist_of(difference) for difference in differences)
+    else:
+        kinds = Counter(kind_of(difference) for difference in differences)
+        text = ", ".join(
+            f"{count(number, kind)} {verb if number == 1 else many}"
+            for (kind, verb, many), number in sorted(kinds.items())
+        )
+    return text if len(text) <= MAX_SUMMARY else f"{text[: MAX_SUMMARY - 1]}…"
+
+
+def gist_of(difference: Difference) -> str:
+    """Return one difference in few words."""
+    name = difference.subject.removeprefix("upstream ")
+    if difference.key == "leaving":
+        return f"{name} {'leaves' if difference.after == 'True' else 'returns'}"
+    if difference.key:
+        return (
+            f"{difference.key} of {name} from {difference.before} to {difference.after}"
+        )
+    return f"{difference.subject} {'comes' if difference.after else 'goes'}"
+
+
+def kind_of(difference: Difference) -> tuple[str, str, str]:
+    """Return what a difference is about, and what happens to one or to many."""
+    kind = difference.subject.split()[0]
+    if difference.key:
+        return kind, "changes", "change"
+    return (kind, "comes", "come") if difference.after else (kind, "goes", "go")
 
 
 def diff_configurations(
--- a/fuchsiapin/explain.py
+++ b/fuchsiapin/explain.py
@@ -1,50 +1,19 @@
 """A plain account of a deployment, for readers without technical background."""
 
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from fuchsiapin.messages import ServiceConfig
-from fuchsiapin.picture import (
-    Lag,
-    Picture,
-    count_events,
-    find_lags,
-    newest_number,
+from fuchsiapin.phrases import count, join, name_some
+from fuchsiapin.picture import Lag, Picture, find_lags, newest_number
+from fuchsiapin.served import (
+    Section,
+    count_errors,
+    kept_out_sections,
+    served_section,
 )
 
-__all__ = ["Account", "Section", "explain", "kept_out", "refusal_reasons"]
-
-REFUSED, GIVEN_UP, MOVED, OWNER_LOST, CALLER_LOST, ENDED = (
-    3101,
-    3102,
-    3103,
-    3104,
-    3106,
-    3107,
-)
-NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY = 2101, 2102, 4103, 4105
-DROPPED = (NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY)
-FAILED = 1302
-MAX_NAMED = 8
-"""Processes that one sentence names."""
-
-refusal_reasons = {
-    "busy": "the upstreams had as much work as they can finish in time",
-    "deadline": "no upstream became free before the request's time was over",
-}
-"""Reasons of refusals in plain words."""
-
-kept_out = {
-    4104: "packets of callers that made no sense",
-    1301: "messages that bore no valid key, or came a second time",
-    2103: "answers from senders that don't belong to the service",
-    4101: "messages meant for another service",
-    2104: "times a balancer could not read a stored object",
-    4102: "times a side process could not read a stored object",
-    FAILED: "times an error was met inside a process; the logs tell more",
-}
-"""Events that were dropped, in plain words."""
+__all__ = ["Account", "explain"]
 
 WORDS = (
     "Balancers take the callers' packets. Upstreams are the servers that do the "
@@ -52,14 +21,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Section:
-    """A heading and its sentences."""
-
-    title: str
-    lines: list[str]
-
-
 @dataclass(frozen=True)
 class Account:
     """The whole account.
@@ -148,12 +109,10 @@
     silent = [lag.process for lag in lags if lag.what == "silent"]
     behind = {lag.process for lag in lags} - set(silent)
     if silent:
-        found.append(f"{count(len(silent), 'process', 'processes')} did not answer")
+        found.append(f"{count(len(silent), 'process')} did not answer")
     if behind:
         verb = "is" if len(behind) == 1 else "are"
-        found.append(
-            f"{count(len(behind), 'process', 'processes')} {verb} still catching up"
-        )
+        found.append(f"{count(len(behind), 'process')} {verb} still catching up")
     missing, strangers, down = compare_register(picture)
     if missing:
         found.append(f"{count(len(missing), 'upstream')} of the register did not come")
@@ -162,7 +121,7 @@
     if down:
         verb = "is" if len(down) == 1 else "are"
         found.append(f"{count(len(down), 'upstream')} {verb} silent")
-    failed = of_number(count_events(picture.statuses.values()), FAILED)
+    failed = count_errors(picture)
     if failed:
         found.append(f"{count(failed, 'error')} happened inside the processes")
     if zone_breaches(picture):
@@ -325,7 +284,7 @@
     author = f", by {picture.configuration.author}," if picture.configuration else ""
     lines = [
         f"Configuration {number}{author} is in force on {answered - len(behind)} of "
-        f"{count(total, 'process', 'processes')}."
+        f"{count(total, 'process')}."
     ]
     lines += last_change(picture)
     if behind:
@@ -351,149 +310,3 @@
     if not history or not history[-1].summary:
         return []
     return [f"Its change: {history[-1].summary}."]
-
-
-# How callers were served
-
-
-def served_section(picture: Picture, service: str) -> Section:
-    """Return how callers of a service were served, and why so."""
-    sides = picture.sides(service)
-    counts = count_events(sides)
-    lines = [
-        f"{count(counts[ENDED, 'done'], 'request')} got the whole answer asked for."
-    ]
-    lines += refused_lines(counts)
-    lines += unknown_lines(counts)
-    moved = of_number(counts, MOVED)
-    if moved:
-        lines.append(
-            f"{number(moved)} moved to a less busy upstream before they started, so "
-            "that they waited less."
-        )
-    retried = sum(status.retries for status in sides)
-    if retried:
-        lines.append(
-            f"{number(retried)} sent to an upstream again, because it had not answered "
-            "at once. Only requests that may run again are repeated."
-        )
-    lost = of_number(counts, CALLER_LOST)
-    if lost:
-        lines.append(
-            f"{number(lost)} open observations were closed, because the caller "
-            "answered no more."
-        )
-    dropped = sum(of_number(counts, item) for item in DROPPED)
-    if dropped:
-        lines.append(
-            f"{number(dropped)} packets were dropped, because no upstream could take "
-            "them. Callers send such packets again."
-        )
-    title = f"How callers of {service} were served since the processes started"
-    return Section(title, lines)
-
-
-def refused_lines(counts: Counter[tuple[int, str]]) -> list[str]:
-    """Return how many requests were refused and why."""
-    reasons = {
-        reason: count_ for (item, reason), count_ in counts.items() if item == REFUSED
-    }
-    if not reasons:
-        return []
-    parts = [
-        f"{number(reasons[reason])} because {refusal_reasons.get(reason, reason)}"
-        for reason in sorted(reasons)
-    ]
-    total = sum(reasons.values())
-    return [
-        f"{number(total)} refused: {join(parts)}. None of them was run, and each "
-        "caller was told at once when to come back."
-    ]
-
-
-def unknown_lines(counts: Counter[tuple[int, str]]) -> list[str]:
-    """Return how many callers could not be told whether their request ran."""
-    late, lost = of_number(counts, GIVEN_UP), of_number(counts, OWNER_LOST)
-    lines = []
-    if late:
-        lines.append(
-            f"{count(late, 'caller was', 'callers were')} told that the outcome isn't "
-            "known, because an upstream had the request and did not finish in time."
-        )
-    if lost:
-        lines.append(
-            f"{count(lost, 'caller was', 'callers were')} told that the outcome isn't "
-            "known, because the process that had the request was lost. It was not run "
-            "a second time."
-        )
-    return lines
-
-
-def kept_out_sections(picture: Picture) -> list[Section]:
-    """Return what was dropped without harm, nothing where nothing was."""
-    counts = count_events(picture.statuses.values())
-    lines = [
-        f"{number(of_number(counts, event))} {text}."
-        for event, text in kept_out.items()
-        if of_number(counts, event)
-    ]
-    title = "What was dropped, without harm to callers, since the processes started"
-    return [Section(title, lines)] if lines else []
-
-
-def of_number(counts: Counter[tuple[int, str]], event: int) -> int:
-    """Return how often an event was reported for any reason."""
-    return sum(count_ for (item, _), count_ in counts.items() if item == event)
-
-
-# Words
-
-
-def number(value: int) -> str:
-    """Return a number with its thousands apart.
-
-    Examples
-    --------
-    >>> number(12345)
-    '12,345'
-    """
-    return f"{value:,}"
-
-
-def count(value: int, one: str, many: str = "") -> str:
-    """Return a number and its noun.
-
-    Examples
-    --------
-    >>> count(1, "upstream"), count(2, "upstream")
-    ('1 upstream', '2 upstreams')
-    """
-    return f"{number(value)} {one if value == 1 else many or one + 's'}"
-
-
-def join(parts: Iterable[str]) -> str:
-    """Return parts as one list in words.
-
-    Examples
-    --------
-    >>> join(["a", "b", "c"])
-    'a, b and c'
-    """
-    items = list(parts)
-    if len(items) < 2:
-        return "".join(items)
-    return f"{', '.join(items[:-1])} and {items[-1]}"
-
-
-def name_some(names: Iterable[str]) -> str:
-    """Return the first names and how many more there are.
-
-    Examples
-    --------
-    >>> name_some(str(n) for n in range(10))
-    '0, 1, 2, 3, 4, 5, 6, 7 and 2 more'
-    """
-    items = list(names)
-    if len(items) <= MAX_NAMED:
-        return join(items)
-    return f"{', '.join(items[:MAX_NAMED])} and {len(items) - MAX_NAMED} more"
--- /dev/null
+++ b/fuchsiapin/phrases.py
@@ -0,0 +1,59 @@
+"""Numbers and lists in plain words."""
+
+from collections.abc import Iterable
+
+__all__ = ["count", "join", "name_some", "number"]
+
+MAX_NAMED = 8
+"""Processes that one sentence names."""
+
+
+def number(value: int) -> str:
+    """Return a number with its thousands apart.
+
+    Examples
+    --------
+    >>> number(12345)
+    '12,345'
+    """
+    return f"{value:,}"
+
+
+def count(value: int, one: str, many: str = "") -> str:
+    """Return a number and its noun.
+
+    Examples
+    --------
+    >>> count(1, "upstream"), count(2, "process")
+    ('1 upstream', '2 processes')
+    """
+    plural = many or one + ("es" if one.endswith("s") else "s")
+    return f"{number(value)} {one if value == 1 else plural}"
+
+
+def join(parts: Iterable[str]) -> str:
+    """Return parts as one list in words.
+
+    Examples
+    --------
+    >>> join(["a", "b", "c"])
+    'a, b and c'
+    """
+    items = list(parts)
+    if len(items) < 2:
+        return "".join(items)
+    return f"{', '.join(items[:-1])} and {items[-1]}"
+
+
+def name_some(names: Iterable[str]) -> str:
+    """Return the first names and how many more there are.
+
+    Examples
+    --------
+    >>> name_some(str(n) for n in range(10))
+    '0, 1, 2, 3, 4, 5, 6, 7 and 2 more'
+    """
+    items = list(names)
+    if len(items) <= MAX_NAMED:
+        return join(items)
+    return f"{', '.join(items[:MAX_NAMED])} and {len(items) - MAX_NAMED} more"
