Have the whole error output of a daemon be lines of JSON

Cause: the logging library warned in a line of its own, and the loop printed tracebacks as text. Change: the flags count as parsed, and the loop's log goes through the same formatter; its access log of admin pages, which outsiders can fill, is left out.

--- a/fuchsiapin/daemons/eventlog.py
+++ b/fuchsiapin/daemons/eventlog.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
+from twisted.logger import STDLibLogObserver, globalLogBeginner
 
 from fuchsiapin.clock import Clock
 from fuchsiapin.events import CATALOGUE, Event, reason_of
@@ -14,6 +15,8 @@
 __all__ = ["EventLog", "JsonLines", "write_json_lines"]
 
 LEVELS = {"info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+TWISTED = "twisted"
+"""Name of the loop's own logger."""
 BOUND_LINES = 5
 """Lines of one bounded event in one period."""
 BOUND_PERIOD_MS = 10_000
@@ -36,7 +39,16 @@
 
 
 def write_json_lines() -> None:
-    """Have every log record written to standard error as a line of JSON."""
+    """Have every log record written to standard error as a line of JSON.
+
+    The daemons take no flags of the logging library, which would warn of that in
+    a line of its own.
+    """
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS.logtostderr = True
+    observer = STDLibLogObserver(TWISTED)
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+    standard_logging.getLogger(TWISTED).setLevel(standard_logging.WARNING)
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(JsonLines())
     logging.set_verbosity(logging.INFO)
--- a/fuchsiapin/tests/test_events.py
+++ b/fuchsiapin/tests/test_events.py
@@ -3,6 +3,8 @@
 import ast
 import json
 import logging as standard_logging
+import subprocess
+import sys
 import unittest
 from pathlib import Path
 
@@ -98,6 +100,24 @@
         self.assertLess(len(counts), 300)
         self.assertEqual(sum(count.count for count in counts), 1_000)
 
+    def test_whole_error_output_of_a_process_is_lines_of_json(self) -> None:
+        code = (
+            "import fuchsiapin.daemons.eventlog as e, fuchsiapin.clock as c, logging;"
+            "e.write_json_lines(); log = e.EventLog(c.SystemClock(), 'p');"
+            "log.note(1103, {}); log.note(1302, {'event': 'x', 'error': 'y'});"
+            "logging.getLogger('other').warning('z');"
+            "from twisted.python import log as t; t.msg('hidden');"
+            "t.err(ValueError('a\\nb'), 'why')"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True
+        )
+        lines = [json.loads(line) for line in run.stderr.splitlines()]
+        self.assertEqual(
+            [line.get("number") for line in lines], [1103, 1302, None, None]
+        )
+        self.assertIn("ValueError", lines[-1]["text"])
+
     def test_line_of_a_library_is_json_too(self) -> None:
         record = standard_logging.LogRecord(
             "x", standard_logging.WARNING, "", 1, "a %s", ("b",), None
