--- a/fuchsiapin/daemons/eventlog.py
+++ b/fuchsiapin/daemons/eventlog.py
@@ -3,6 +3,8 @@
 import json
 import logging as standard_logging
 from collections import Counter
+from pathlib import Path
+from traceback import extract_tb
 from typing import Any
 
 from absl import flags, logging
@@ -12,7 +14,7 @@
 from fuchsiapin.events import CATALOGUE, Event, reason_of
 from fuchsiapin.messages import EventCount
 
-__all__ = ["EventLog", "JsonLines", "write_json_lines"]
+__all__ = ["EventLog", "JsonLines", "place_of", "write_json_lines"]
 
 LEVELS = {"info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 TWISTED = "twisted"
@@ -24,6 +26,8 @@
 """Different reasons that are counted one by one."""
 MAX_TEXT = 200
 """Characters of a field that are logged."""
+MAX_LIBRARY_TEXT = 4_000
+"""Characters of a library's own message that are logged."""
 
 
 class JsonLines(standard_logging.Formatter):
@@ -34,7 +38,7 @@
         values = getattr(record, "event", None)
         if values is None:
             level = record.levelname.lower()
-            values = {"level": level, "text": record.getMessage()[:MAX_TEXT]}
+            values = {"level": level, "text": record.getMessage()[:MAX_LIBRARY_TEXT]}
         return json.dumps(values, default=str)
 
 
@@ -121,6 +125,15 @@
         ]
 
 
+def place_of(error: BaseException) -> str:
+    """Return where an error was raised: module, line and function."""
+    frames = extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    last = frames[-1]
+    return f"{Path(last.filename).stem}:{last.lineno} {last.name}"
+
+
 def shorten(value: Any) -> Any:
     """Return a field's value, a long text cut off."""
     return value[:MAX_TEXT] if isinstance(value, str) else value
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -10,7 +10,7 @@
 from fuchsiapin import __version__, messages
 from fuchsiapin.clock import Clock
 from fuchsiapin.daemons.admin import AdminResource, listen_admin
-from fuchsiapin.daemons.eventlog import EventLog, write_json_lines
+from fuchsiapin.daemons.eventlog import EventLog, place_of, write_json_lines
 from fuchsiapin.daemons.lifecycle import Steps, make_lifecycle
 from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
 from fuchsiapin.daemons.transport import PeerTransport
@@ -130,7 +130,12 @@
         try:
             effects = self.core.handle(self.clock.now(), event)
         except Exception as error:  # noqa: BLE001 - no event may stop the process
-            self.note(1302, event=type(event).__name__, error=repr(error))
+            self.note(
+                1302,
+                event=type(event).__name__,
+                error=repr(error),
+                where=place_of(error),
+            )
             effects = []
         for effect in effects:
             self.effects[type(effect)](effect)
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -131,7 +131,7 @@
         "error",
         "An error inside the process; the event that caused it was dropped.",
         "Report it with the log line.",
-        (Field("event"), ERROR),
+        (Field("event"), ERROR, Field("where")),
         is_bounded=True,
     ),
     Event(
--- a/fuchsiapin/tests/test_events.py
+++ b/fuchsiapin/tests/test_events.py
@@ -15,6 +15,7 @@
     BOUND_PERIOD_MS,
     EventLog,
     JsonLines,
+    place_of,
 )
 from fuchsiapin.events import CATALOGUE, EVENTS
 from fuchsiapin.messages import EventCount
@@ -118,6 +119,13 @@
         )
         self.assertIn("ValueError", lines[-1]["text"])
 
+    def test_place_of_an_error_is_told(self) -> None:
+        try:
+            json.loads("[")
+        except ValueError as error:
+            self.assertRegex(place_of(error), r"^decoder:\d+ raw_decode$")
+        self.assertEqual(place_of(ValueError()), "")
+
     def test_line_of_a_library_is_json_too(self) -> None:
         record = standard_logging.LogRecord(
             "x", standard_logging.WARNING, "", 1, "a %s", ("b",), None
