--- /dev/null
+++ b/fuchsiapin/acknowledgements.py
@@ -0,0 +1,130 @@
+"""Where a configuration is in force, summed on the way up to the roots."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from fuchsiapin.messages import ConfigAck
+
+__all__ = ["Acknowledgements", "sum_acks"]
+
+MAX_LAGGING = 8
+"""Names of processes that lag, told upwards."""
+
+
+def sum_acks(acks: Iterable[ConfigAck], newest: int) -> ConfigAck:
+    """Return one sum of some, measured against the newest number known.
+
+    Parameters
+    ----------
+    acks : iterable of ConfigAck
+        At least one; all of the same key.
+    newest : int
+        Number to compare with; a higher one among `acks` replaces it.
+
+    Examples
+    --------
+    >>> one = ConfigAck("config/a", 2, 2, 1, 0, [])
+    >>> sum_acks([one, ConfigAck("config/a", 3, 3, 4, 0, [])], 0).behind
+    1
+    """
+    parts = list(acks)
+    newest = max(newest, *(ack.newest for ack in parts))
+    behind = 0
+    lagging: list[str] = []
+    for ack in parts:
+        behind += ack.behind if ack.newest == newest else ack.total
+        lagging += ack.lagging
+    lowest = min(ack.lowest for ack in parts)
+    total = sum(ack.total for ack in parts)
+    return ConfigAck(
+        parts[0].key, newest, lowest, total, behind, sorted(lagging)[:MAX_LAGGING]
+    )
+
+
+class Acknowledgements:
+    """What is in force here and below.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process.
+
+    Attributes
+    ----------
+    numbers : dict
+        Number in force here, by key of the configuration.
+    known : dict
+        Newest number heard of, by key.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.numbers: dict[str, int] = {}
+        self.known: dict[str, int] = {}
+        self.below: dict[str, list[ConfigAck]] = {}
+        self.digests: dict[str, int] = {}
+
+    def note(self, key: str, number: int) -> None:
+        """Note a configuration that is in force here now."""
+        self.numbers[key] = max(number, self.numbers.get(key, 0))
+        self.hear(key, number)
+
+    def hear(self, key: str, number: int) -> None:
+        """Note the newest number, whether in force here or not."""
+        self.known[key] = max(number, self.known.get(key, 0))
+
+    def put(self, child: str, acks: list[ConfigAck]) -> None:
+        """Note what is in force at a subscriber and below it."""
+        self.digests[child] = digest_of(acks)
+        self.below[child] = acks
+        for ack in acks:
+            self.hear(ack.key, ack.newest)
+
+    def name_lagging(self, child: str, ack: ConfigAck) -> ConfigAck:
+        """Return an acknowledgement that names the child if it says no names."""
+        newest = max(ack.newest, self.known.get(ack.key, 0))
+        if ack.lowest >= newest or ack.lagging:
+            return ack
+        return ConfigAck(
+            ack.key, ack.newest, ack.lowest, ack.total, ack.behind, [child]
+        )
+
+    def forget(self, child: str) -> None:
+        """Forget a subscriber that left."""
+        self.below.pop(child, None)
+        self.digests.pop(child, None)
+
+    def own(self, key: str) -> list[ConfigAck]:
+        """Return what is in force here."""
+        if key not in self.numbers:
+            return []
+        number, newest = self.numbers[key], self.known[key]
+        is_behind = number < newest
+        lagging = [self.name] if is_behind else []
+        return [ConfigAck(key, newest, number, 1, int(is_behind), lagging)]
+
+    def total(self) -> list[ConfigAck]:
+        """Return one sum a configuration over this process and those below."""
+        parts: dict[str, list[ConfigAck]] = {key: self.own(key) for key in self.known}
+        for child, acks in self.below.items():
+            for ack in acks:
+                parts.setdefault(ack.key, []).append(self.name_lagging(child, ack))
+        return [
+            sum_acks(parts[key], self.known.get(key, 0))
+            for key in sorted(parts)
+            if parts[key]
+        ]
+
+    def digest(self) -> int:
+        """Return a hash over the sums."""
+        return digest_of(self.total())
+
+    def digest_below(self, child: str) -> int:
+        """Return the hash over what a subscriber told."""
+        return self.digests.get(child, digest_of([]))
+
+
+def digest_of(acks: list[ConfigAck]) -> int:
+    """Return a hash over acknowledgements."""
+    return xxh3_64_intdigest(repr(acks).encode())
--- a/fuchsiapin/balancing.py
+++ b/fuchsiapin/balancing.py
@@ -15,6 +15,8 @@
 from fuchsiapin.messages import BalancerMember, SendPeer
 from fuchsiapin.objects import ObjectUpdater
 from fuchsiapin.ranking import flow_key
+from fuchsiapin.relay import EVERYTHING, Relay, RelayOptions
+from fuchsiapin.relaytree import Contact
 from fuchsiapin.timers import Timers
 from fuchsiapin.views import ViewHistory
 
@@ -38,16 +40,22 @@
         This process as a member of its availability zone.
     rng : random.Random
         Source of all random draws.
+    seeds : list of Contact, optional
+        Balancers that are asked when the store is silent.
     """
 
-    def __init__(self, me: BalancerMember, rng: random.Random) -> None:
+    def __init__(
+        self,
+        me: BalancerMember,
+        rng: random.Random,
+        seeds: list[Contact] | None = None,
+    ) -> None:
         self.me = me
         self.rng = rng
         self.out: list[Any] = []
         self.timers = Timers()
         self.now = 0
         self.views: dict[str, ViewHistory] = {}
-        self.copies: dict[str, messages.ObjectCopy] = {}
         self.config: messages.Configuration | None = None
         self.heard: dict[str, int] = {}
         prefix = f"{me.id}#{me.incarnation}"
@@ -59,6 +67,15 @@
             self.out,
             rng,
         )
+        self.relay = Relay(
+            RelayOptions(
+                Contact(me.id, me.host, me.port), me.zone, EVERYTHING, True, seeds or []
+            ),
+            self.timers,
+            self.out,
+            rng,
+            self.see_object,
+        )
         self.checked = 0
         self.last_datagram = 0
         self.stopped_at: int | None = None
@@ -101,6 +118,11 @@
         self.checked = self.now
         self.updater.request(self.now, "announce", self.with_me)
         self.beat(self.now)
+        self.relay.start(self.now)
+
+    def on_watch_state(self, event: messages.WatchState) -> None:
+        """Note whether the watch of the store answers."""
+        self.relay.on_watch_state(self.now, event)
 
     # Datagrams
 
@@ -129,6 +151,8 @@
 
     def on_peer_message(self, event: messages.PeerMessage) -> None:
         """Take a message of another process."""
+        if self.relay.receive(self.now, event.sender, event.message):
+            return
         handler = MESSAGE_HANDLERS.get(type(event.message))
         if handler is not None:
             handler(self, event.sender, event.message)
@@ -166,6 +190,7 @@
         """Take in a stored object, if it is newer than what is known."""
         try:
             self.see_known_object(event)
+            self.relay.take(self.now, event)
         except MalformedObject as error:
             self.report(2104, key=event.key, error=str(error))
 
@@ -180,6 +205,7 @@
             config = decode_object(messages.Configuration, event.value)
             if self.config is None or config.number > self.config.number:
                 self.config = config
+            self.relay.acks.note(event.key, config.number)
 
     def see_members(self, event: messages.ObjectSeen) -> None:
         """Take in the membership of a service."""
@@ -187,10 +213,7 @@
         if event.key != f"members/{membership.service}":
             raise MalformedObject(f"{event.key} holds another service")
         views = self.views.setdefault(membership.service, ViewHistory())
-        if views.adopt(membership):
-            self.copies[event.key] = messages.ObjectCopy(
-                event.key, event.version, event.value
-            )
+        views.adopt(membership)
 
     def on_object_copy(self, sender: str, message: messages.ObjectCopy) -> None:
         """Take a stored object from a peer, as from the store."""
@@ -200,10 +223,12 @@
 
     def on_object_wanted(self, sender: str, message: messages.ObjectWanted) -> None:
         """Send a stored object to a process that lacks it."""
-        copy = self.copies.get(message.key)
+        value = self.relay.replicas.value(message.key)
         service = message.key.removeprefix("members/")
         source = self.find_side(service, sender)
-        if copy is not None and source is not None:
+        if value is not None and source is not None:
+            version = self.relay.replicas.version(message.key)
+            copy = messages.ObjectCopy(message.key, version, value)
             self.out.append(SendPeer(source.host, source.port, copy))
 
     def on_write_finished(self, event: messages.WriteFinished) -> None:
@@ -326,6 +351,7 @@
     messages.ObjectSeen: BalancerCore.see_object,
     messages.WriteFinished: BalancerCore.on_write_finished,
     messages.StopRequested: BalancerCore.on_stop,
+    messages.WatchState: BalancerCore.on_watch_state,
 }
 
 MESSAGE_HANDLERS: dict[type, Callable[[BalancerCore, str, Any], None]] = {
@@ -336,7 +362,9 @@
 }
 
 
-def make_balancer_core(me: BalancerMember, seed: int) -> BalancerCore:
+def make_balancer_core(
+    me: BalancerMember, seed: int, seeds: list[Contact] | None = None
+) -> BalancerCore:
     """Return the decision core of a balancer.
 
     Parameters
@@ -345,5 +373,7 @@
         The process as a member of its availability zone.
     seed : int
         Seed of all random draws.
+    seeds : list of Contact, optional
+        Balancers that are asked when the store is silent.
     """
-    return BalancerCore(me, random.Random(seed))
+    return BalancerCore(me, random.Random(seed), seeds)
--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -37,6 +37,12 @@
     messages.SuspectAnswer,
     messages.ObjectWanted,
     messages.ObjectCopy,
+    messages.RelayDigest,
+    messages.RelayAnswer,
+    messages.RelayPull,
+    messages.RelayWanted,
+    messages.RelayCopy,
+    messages.RelayAcks,
 ]
 """Types that travel; the place in the list is the number on the wire."""
 
--- a/fuchsiapin/daemons/balancer.py
+++ b/fuchsiapin/daemons/balancer.py
@@ -78,7 +78,8 @@
         "live",
         shell.listen_admin(),
     )
-    core = make_balancer_core(me, random.SystemRandom().getrandbits(64))
+    seed = random.SystemRandom().getrandbits(64)
+    core = make_balancer_core(me, seed, shell.seeds())
     shell.listen()
     shell.run(core)
 
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -17,6 +17,7 @@
 from fuchsiapin.envelope import Opener, Sealer
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.metrics import Metrics
+from fuchsiapin.relaytree import Contact
 from fuchsiapin.settings import Settings
 from fuchsiapin.statuses import describers, known_processes
 
@@ -82,10 +83,15 @@
             messages.SendPeer: self.send_peer,
             messages.WriteObject: self.write_object,
             messages.ReadObject: self.read_object,
+            messages.WatchObjects: self.watch_objects,
             messages.Report: self.report,
             messages.Finished: self.finish,
         }
 
+    def seeds(self) -> list[Contact]:
+        """Return the balancers that the settings name; their ids aren't known."""
+        return [Contact("", seed.host, seed.port) for seed in self.settings.seeds]
+
     def listen_admin(self) -> str:
         """Open the admin address; return it, empty when there is none."""
         admin = self.settings.admin
@@ -111,9 +117,8 @@
         self.reactor.run(installSignalHandlers=False)
 
     def start(self) -> None:
-        """Begin to watch the object API and start the core."""
+        """Start the core."""
         self.feed(messages.Start())
-        ensureDeferred(self.api.watch(self.on_object, self.on_api_state))
         LoopingCall(self.refresh).start(REFRESH_S, now=False)
 
     def on_signal(self, number: int, frame: Any) -> None:
@@ -170,7 +175,7 @@
         self.feed(messages.ObjectSeen(stored.key, stored.version, stored.value))
 
     def on_api_state(self, is_reachable: bool) -> None:
-        """Note whether the object API answers."""
+        """Note whether the object API answers, and tell the core."""
         state = "reachable" if is_reachable else "unreachable"
         if state != self.api_state:
             self.api_state = state
@@ -178,6 +183,14 @@
                 self.note(1202)
             else:
                 self.note(1201)
+        self.feed(messages.WatchState(is_reachable))
+
+    def watch_objects(self, effect: messages.WatchObjects) -> None:
+        """Begin or end to watch all stored objects."""
+        if not effect.is_wanted:
+            self.api.stop()
+        elif not self.api.is_watching:
+            ensureDeferred(self.api.watch(self.on_object, self.on_api_state))
 
     def send_peer(self, effect: messages.SendPeer) -> None:
         """Send a message to another process."""
--- a/fuchsiapin/daemons/side.py
+++ b/fuchsiapin/daemons/side.py
@@ -72,7 +72,12 @@
         shell.listen_admin(),
     )
     seed = random.SystemRandom().getrandbits(64)
-    core = make_side_core(settings.service, me, seed, SideOptions(slots=settings.slots))
+    options = SideOptions(
+        slots=settings.slots,
+        deployment=settings.deployment,
+        seeds=shell.seeds(),
+    )
+    core = make_side_core(settings.service, me, seed, options)
     shell.run(core)
 
 
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -1,8 +1,8 @@
 """Catalogue of the numbered events that processes log and count.
 
 The first digit tells the source: 1 the shell around a core, 2 a balancer, 3 a
-caller's request or observation, 4 a side process. `docs/events.md` is made
-from this module.
+caller's request or observation, 4 a side process, 5 the relay of stored
+objects. `docs/events.md` is made from this module.
 """
 
 from dataclasses import dataclass
@@ -308,6 +308,31 @@
         (FLOW,),
         is_bounded=True,
     ),
+    Event(
+        5101,
+        "broken relay message",
+        "warning",
+        "A message about stored objects was dropped: it can't be read.",
+        "Compare the versions of the programs; the next digest repairs what it held.",
+        (SENDER, ERROR),
+        is_bounded=True,
+    ),
+    Event(
+        5102,
+        "watch of the object API changed",
+        "info",
+        "This balancer began or ended to watch the object API for its zone.",
+        NOTHING,
+        (Field("state"),),
+    ),
+    Event(
+        5103,
+        "other parent",
+        "info",
+        "This process gets views and configuration from another balancer now.",
+        "If it goes on: see whether the named balancer is overloaded or cut off.",
+        (Field("parent"),),
+    ),
 )
 
 CATALOGUE: dict[int, Event] = {event.number: event for event in EVENTS}
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -513,6 +513,86 @@
     value: bytes
 
 
+@dataclass(frozen=True)
+class RelayDigest:
+    """
+    Subscribes to a parent and tells what is known, as one hash.
+    """
+
+    host: str
+    port: int
+    topics: list[str]
+    digest: int
+    acks: int
+    is_root: bool
+
+
+@dataclass(frozen=True)
+class RelayAnswer:
+    """
+    Tells a subscriber whether its digest is the same here.
+    """
+
+    is_accepted: bool
+    wants_acks: bool
+    hops: int
+    buckets: list[int]
+
+
+@dataclass(frozen=True)
+class RelayPull:
+    """
+    Asks for what is newer in some buckets.
+    """
+
+    buckets: list[int]
+    keys: list[str]
+    versions: list[int]
+
+
+@dataclass(frozen=True)
+class RelayWanted:
+    """
+    Asks a subscriber for objects that are newer there.
+    """
+
+    keys: list[str]
+
+
+@dataclass(frozen=True)
+class RelayCopy:
+    """
+    A stored object on its way to a subscriber.
+    """
+
+    key: str
+    version: int
+    packed: bytes
+
+
+@dataclass(frozen=True)
+class ConfigAck:
+    """
+    In how many processes a configuration is in force.
+    """
+
+    key: str
+    newest: int
+    lowest: int
+    total: int
+    behind: int
+    lagging: list[str]
+
+
+@dataclass(frozen=True)
+class RelayAcks:
+    """
+    What is in force at a process and its subscribers.
+    """
+
+    acks: list[ConfigAck]
+
+
 @dataclass(frozen=True)
 class Start:
     """
@@ -581,6 +661,15 @@
     outcome: Literal["done", "conflict", "unreachable"]
 
 
+@dataclass(frozen=True)
+class WatchState:
+    """
+    Event: whether the watch of the object API answers.
+    """
+
+    is_reachable: bool
+
+
 @dataclass(frozen=True)
 class StopRequested:
     """
@@ -641,6 +730,15 @@
     key: str
 
 
+@dataclass(frozen=True)
+class WatchObjects:
+    """
+    Effect: begin or end to watch all stored objects.
+    """
+
+    is_wanted: bool
+
+
 @dataclass(frozen=True)
 class Report:
     """
--- /dev/null
+++ b/fuchsiapin/relay.py
@@ -0,0 +1,473 @@
+"""Stored objects passed on from process to process, so that few watch the store.
+
+In each availability zone a few balancers, the roots, watch the object API. All
+other processes subscribe to a parent: balancers in a tree below the roots, side
+processes to a balancer of their zone. Changes are pushed down; digests find
+what a push missed. A version replaces lower ones only, at every hop.
+
+References
+----------
+.. [1] A. Demers et al., "Epidemic algorithms for replicated database
+   maintenance", PODC 1987.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fuchsiapin import messages
+from fuchsiapin.acknowledgements import Acknowledgements, sum_acks
+from fuchsiapin.codec import decode_object
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.messages import ConfigAck, ObjectSeen, ReadObject, SendPeer
+from fuchsiapin.relaytree import Contact, Tree, parents_of_side
+from fuchsiapin.replicas import Replicas, is_in_scope, unpack_value
+from fuchsiapin.timers import Timers
+
+__all__ = ["EVERYTHING", "Relay", "RelayOptions"]
+
+EVERYTHING = ["balancers/", "config/", "members/"]
+"""Topics of a balancer."""
+DIGEST_MS = 1_000
+"""Time between two digests to the parent."""
+SOON_MS = 100
+"""Time to the next digest while there is more to fetch."""
+SILENCE_MS = 3_000
+"""A parent that answers nothing for so long is replaced by the next."""
+FORGET_MS = 5_000
+"""A subscriber that sends no digest for so long is forgotten."""
+RETURN_MS = 30_000
+"""After this time with another parent the wanted one is tried again."""
+READ_MS = 250
+MAX_READ_MS = 30_000
+"""Pauses between reads of the store while nobody is subscribed to."""
+TELL_MS = 30_000
+"""A root repeats its sums to the other roots after this time."""
+MAX_HOPS = 4
+"""A root that is so far from the object API counts as cut off."""
+MAX_CHILDREN = 64
+MAX_TOPICS = 64
+MAX_PULL_BYTES = 131_072
+"""Objects sent for one request; the next digest fetches more."""
+
+
+@dataclass(frozen=True)
+class RelayOptions:
+    """What a process takes part in.
+
+    Parameters
+    ----------
+    contact : Contact
+        Name and address of this process.
+    zone : str
+        Its availability zone.
+    topics : list of str
+        Keys that it needs.
+    is_balancer : bool
+        Whether it may pass objects on.
+    seeds : list of Contact
+        Balancers that are asked when the store is silent.
+    """
+
+    contact: Contact
+    zone: str
+    topics: list[str]
+    is_balancer: bool
+    seeds: list[Contact] = field(default_factory=list)
+
+
+@dataclass
+class Child:
+    """A process that subscribed here."""
+
+    contact: Contact
+    topics: list[str]
+    heard: int
+    is_root: bool
+
+
+class Relay:
+    """Copies of stored objects at one process, kept up to date through others.
+
+    Parameters
+    ----------
+    options : RelayOptions
+        What this process takes part in.
+    timers, out, rng
+        Timers, effects and random numbers of the core.
+    on_object : callable
+        Called with an `ObjectSeen` that came from another process.
+
+    Attributes
+    ----------
+    replicas : Replicas
+        Objects as last seen.
+    acks : Acknowledgements
+        Where configurations are in force, here and below.
+    children : dict
+        Subscribers by name.
+    parent : Contact or None
+        Whom this process subscribes to.
+    """
+
+    def __init__(
+        self,
+        options: RelayOptions,
+        timers: Timers,
+        out: list,
+        rng: random.Random,
+        on_object: Callable[[ObjectSeen], None],
+    ) -> None:
+        self.options = options
+        self.name = options.contact.id
+        self.timers = timers
+        self.out = out
+        self.rng = rng
+        self.on_object = on_object
+        self.replicas = Replicas()
+        self.tree = Tree(options.zone)
+        self.acks = Acknowledgements(self.name)
+        self.children: dict[str, Child] = {}
+        self.parent: Contact | None = None
+        self.tried = 0
+        self.heard = 0
+        self.chosen = 0
+        self.is_watching = False
+        self.is_store_reachable = False
+        self.is_synced = False
+        self.hops = MAX_HOPS
+        self.source = ""
+        self.read_pause = READ_MS
+        self.read_due = 0
+        self.wants_soon = False
+        self.elsewhere: dict[str, tuple[int, list[ConfigAck]]] = {}
+        self.told = 0
+        self.tell_due = 0
+
+    def start(self, now: int) -> None:
+        """Read what the tree is made of and begin to subscribe."""
+        self.read_zone(now)
+        self.beat(now)
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """Return the newest known version of each key."""
+        return {key: copy.version for key, copy in self.replicas.replicas.items()}
+
+    def unready_reason(self) -> str:
+        """Return why this process lacks objects, empty when it does not."""
+        if self.is_synced or (self.is_watching and self.is_store_reachable):
+            return ""
+        if self.is_watching:
+            return "the object API does not answer the watch"
+        if self.parent is None:
+            return "no balancer is known: object API silent and no seed answers"
+        return f"no answer yet from {self.parent.id or self.parent.host}"
+
+    # Objects
+
+    def take(self, now: int, event: ObjectSeen) -> bool:
+        """Keep an object that the core understood; pass it on if it is newer."""
+        if not event.version or not is_in_scope(event.key, EVERYTHING):
+            return False
+        if not self.replicas.put(event.key, event.version, event.value):
+            return False
+        if event.key.startswith("balancers/"):
+            self.take_zone(now, event.value)
+        for child in self.children.values():
+            if child.contact.id != self.source and is_in_scope(event.key, child.topics):
+                self.send_copy(child.contact, event.key)
+        return True
+
+    def take_zone(self, now: int, value: bytes) -> None:
+        """Take in who balances in a zone."""
+        if self.tree.put(decode_object(messages.ZoneBalancers, value)):
+            self.note_place(now)
+
+    def note_place(self, now: int) -> None:
+        """Watch the store as a root; choose a parent otherwise."""
+        is_root = self.options.is_balancer and self.tree.is_root(self.name)
+        if is_root != self.is_watching:
+            self.is_watching = is_root
+            self.is_store_reachable = False
+            self.heard = now
+            self.out.append(messages.WatchObjects(is_root))
+            self.report(5102, state="begun" if is_root else "ended")
+        wanted = self.candidates()
+        if self.parent not in wanted or (wanted and self.tried == 0):
+            self.choose_parent(now, 0)
+
+    def on_watch_state(self, now: int, event: messages.WatchState) -> None:
+        """Note whether the watch of a root answers."""
+        if event.is_reachable != self.is_store_reachable:
+            self.hops = 0 if event.is_reachable else MAX_HOPS
+            self.is_store_reachable = event.is_reachable
+            self.heard = now
+
+    def send_copy(self, target: Contact, key: str) -> int:
+        """Send an object; return its length."""
+        copy = self.replicas.replicas[key]
+        self.send(target, messages.RelayCopy(key, copy.version, copy.packed))
+        return len(copy.packed)
+
+    def send(self, target: Contact, message: Any) -> None:
+        """Send a message to another process."""
+        self.out.append(SendPeer(target.host, target.port, message))
+
+    def on_copy(self, now: int, sender: str, message: messages.RelayCopy) -> None:
+        """Take an object from another process, as from the store."""
+        if message.version <= self.replicas.version(message.key):
+            return
+        if not is_in_scope(message.key, self.options.topics):
+            return
+        value = unpack_value(message.packed)
+        self.source = sender
+        try:
+            self.on_object(ObjectSeen(message.key, message.version, value))
+        finally:
+            self.source = ""
+
+    # Towards the parent
+
+    def candidates(self) -> list[Contact]:
+        """Return whom to subscribe to, the wanted one first."""
+        if not self.options.is_balancer:
+            zone = self.tree.zones.get(self.options.zone)
+            return [
+                *parents_of_side(self.name, zone),
+                *self.tree.roots(self.name),
+                *self.options.seeds,
+            ]
+        if self.is_watching:
+            return [*self.tree.roots(self.name), *self.options.seeds]
+        above = self.tree.above(self.name)
+        roots = [root for root in self.tree.roots(self.name) if root not in above]
+        return [*above, *roots, *self.options.seeds]
+
+    def needs_parent(self) -> bool:
+        """Return whether the store's watch does not serve this process."""
+        return not (self.is_watching and self.is_store_reachable)
+
+    def choose_parent(self, now: int, tried: int) -> None:
+        """Subscribe to one of the candidates."""
+        wanted = self.candidates()
+        self.tried = tried
+        parent = wanted[tried % len(wanted)] if wanted else None
+        if parent != self.parent:
+            self.parent = parent
+            self.heard = now
+            self.chosen = now
+            if parent is not None:
+                self.report(5103, parent=parent.id or parent.host)
+            if self.needs_parent():
+                self.send_digest()
+
+    def beat(self, now: int) -> None:
+        """Send a digest to the parent, look after the links, and again later."""
+        self.forget_children(now)
+        if self.needs_parent():
+            self.check_parent(now)
+            self.read_if_orphaned(now)
+            self.send_digest()
+        if self.is_watching:
+            self.tell_roots(now)
+        pause = SOON_MS if self.wants_soon else DIGEST_MS
+        self.wants_soon = False
+        self.timers.add(now + self.rng.randint(pause * 3 // 4, pause), self.beat)
+
+    def check_parent(self, now: int) -> None:
+        """Replace a silent parent; return to the wanted one in time.
+
+        A root that the store does not answer looks for another root that it
+        does. The others keep a parent that is cut off: its news reach them.
+        """
+        if self.parent is None:
+            self.choose_parent(now, 0)
+        elif now - self.heard > SILENCE_MS:
+            self.is_synced = False
+            self.choose_parent(now, self.tried + 1)
+            self.heard = now
+        elif self.is_watching and self.hops >= MAX_HOPS:
+            self.choose_parent(now, self.tried + 1)
+        elif self.tried and now - self.chosen > RETURN_MS:
+            self.choose_parent(now, 0)
+
+    def send_digest(self) -> None:
+        """Tell the parent what is known here."""
+        if self.parent is None:
+            return
+        digest = messages.RelayDigest(
+            self.options.contact.host,
+            self.options.contact.port,
+            self.options.topics,
+            self.replicas.digest(self.options.topics),
+            self.acks.digest(),
+            self.is_watching,
+        )
+        self.send(self.parent, digest)
+
+    def is_parent(self, sender: str) -> bool:
+        """Return whether a message comes from the parent, whose name may be new."""
+        if self.parent is not None and not self.parent.id:
+            self.parent = Contact(sender, self.parent.host, self.parent.port)
+        return self.parent is not None and self.parent.id == sender
+
+    def on_answer(self, now: int, sender: str, message: messages.RelayAnswer) -> None:
+        """Take the parent's answer to a digest; fetch what differs."""
+        if not self.is_parent(sender):
+            return
+        if not message.is_accepted:
+            self.choose_parent(now, self.tried + 1)
+            return
+        self.heard = now
+        self.read_pause = READ_MS
+        self.hops = min(message.hops + self.is_watching, MAX_HOPS)
+        if message.wants_acks:
+            self.send(self.parent, messages.RelayAcks(self.acks.total()))
+        if not message.buckets:
+            self.is_synced = True
+            return
+        self.pull(message.buckets)
+
+    def pull(self, theirs: list[int]) -> None:
+        """Ask the parent for what differs."""
+        ours = self.replicas.buckets(self.options.topics)
+        places = [place for place, mark in enumerate(ours) if theirs[place] != mark]
+        known = self.replicas.in_buckets(self.options.topics, places)
+        versions = [copy.version for copy in known.values()]
+        self.send(self.parent, messages.RelayPull(places, list(known), versions))
+        self.wants_soon = True
+
+    def on_wanted(self, now: int, sender: str, message: messages.RelayWanted) -> None:
+        """Send the parent what is newer here."""
+        if self.is_parent(sender):
+            self.send_copies(self.parent, message.keys)
+
+    def send_copies(self, target: Contact, keys: list[str]) -> None:
+        """Send objects, within a bound."""
+        sent = 0
+        for key in keys:
+            if sent > MAX_PULL_BYTES:
+                return
+            if key in self.replicas.replicas:
+                sent += self.send_copy(target, key)
+
+    # The store, for a process that has no parent
+
+    def read_zone(self, now: int) -> None:
+        """Read who balances in the own zone."""
+        self.out.append(ReadObject(f"balancers/{self.options.zone}"))
+        self.read_due = now + self.rng.randint(self.read_pause // 2, self.read_pause)
+        self.read_pause = min(2 * self.read_pause, MAX_READ_MS)
+
+    def read_if_orphaned(self, now: int) -> None:
+        """Read the own zone again while no parent answers."""
+        is_orphaned = not self.is_synced or now - self.heard > 2 * DIGEST_MS
+        if now >= self.read_due and is_orphaned:
+            self.read_zone(now)
+
+    # Towards the subscribers
+
+    def on_digest(self, now: int, sender: str, message: messages.RelayDigest) -> None:
+        """Take a subscriber in and tell whether it lacks something."""
+        contact = Contact(sender, message.host, message.port)
+        is_full = sender not in self.children and len(self.children) >= MAX_CHILDREN
+        if not self.options.is_balancer or is_full or len(message.topics) > MAX_TOPICS:
+            self.send(contact, messages.RelayAnswer(False, False, MAX_HOPS, []))
+            return
+        self.children[sender] = Child(contact, message.topics, now, message.is_root)
+        self.send(contact, self.answer_to(sender, message))
+
+    def answer_to(
+        self, sender: str, message: messages.RelayDigest
+    ) -> messages.RelayAnswer:
+        """Return the answer to a subscriber's digest."""
+        wants_acks = (
+            not message.is_root and self.acks.digest_below(sender) != message.acks
+        )
+        is_same = self.replicas.digest(message.topics) == message.digest
+        buckets = [] if is_same else self.replicas.buckets(message.topics)
+        return messages.RelayAnswer(True, wants_acks, self.hops, buckets)
+
+    def on_pull(self, now: int, sender: str, message: messages.RelayPull) -> None:
+        """Send a subscriber what it lacks; ask for what it has newer."""
+        child = self.children.get(sender)
+        if child is None:
+            return
+        theirs = dict(zip(message.keys, message.versions, strict=False))
+        ours = self.replicas.in_buckets(child.topics, message.buckets)
+        lacking = [key for key in ours if ours[key].version > theirs.get(key, 0)]
+        self.send_copies(child.contact, lacking)
+        newer = [key for key in theirs if theirs[key] > self.replicas.version(key)]
+        if newer:
+            self.send(child.contact, messages.RelayWanted(newer))
+
+    def forget_children(self, now: int) -> None:
+        """Forget subscribers that went elsewhere or ended."""
+        for name, child in list(self.children.items()):
+            if now - child.heard > FORGET_MS:
+                del self.children[name]
+                self.acks.forget(name)
+
+    # Acknowledgements
+
+    def on_acks(self, now: int, sender: str, message: messages.RelayAcks) -> None:
+        """Note what is in force at a subscriber and below it."""
+        child = self.children.get(sender)
+        if any(root.id == sender for root in self.tree.roots(self.name)):
+            self.acks.forget(sender)
+            self.elsewhere[sender] = (now, message.acks)
+        elif child is not None:
+            self.acks.put(sender, message.acks)
+
+    def tell_roots(self, now: int) -> None:
+        """Tell the other roots what is in force below this one."""
+        digest = self.acks.digest()
+        if digest == self.told and now < self.tell_due:
+            return
+        self.told = digest
+        self.tell_due = now + TELL_MS
+        message = messages.RelayAcks(self.acks.total())
+        for root in self.tree.roots(self.name):
+            self.send(root, message)
+
+    def in_force(self, now: int) -> list[ConfigAck]:
+        """Return where configurations are in force; complete at a root only."""
+        roots = {root.id for root in self.tree.roots(self.name)}
+        parts: dict[str, list[ConfigAck]] = {}
+        for ack in self.acks.total():
+            parts.setdefault(ack.key, []).append(ack)
+        for name, (heard, acks) in self.elsewhere.items():
+            if name in roots and now - heard <= 2 * TELL_MS:
+                for ack in acks:
+                    parts.setdefault(ack.key, []).append(ack)
+        return [
+            sum_acks(parts[key], self.acks.known.get(key, 0)) for key in sorted(parts)
+        ]
+
+    def handlers(self) -> dict[type, Callable[[int, str, Any], None]]:
+        """Return what takes each message, called with time, sender, message."""
+        return {
+            messages.RelayDigest: self.on_digest,
+            messages.RelayAnswer: self.on_answer,
+            messages.RelayPull: self.on_pull,
+            messages.RelayWanted: self.on_wanted,
+            messages.RelayCopy: self.on_copy,
+            messages.RelayAcks: self.on_acks,
+        }
+
+    def receive(self, now: int, sender: str, message: Any) -> bool:
+        """Take a message if it is one of the relay; return whether it was."""
+        handler = self.handlers().get(type(message))
+        if handler is None:
+            return False
+        try:
+            handler(now, sender, message)
+        except (MalformedObject, IndexError, TypeError, AttributeError) as error:
+            self.report(5101, sender=sender, error=str(error))
+        return True
+
+    def report(self, number: int, **fields: Any) -> None:
+        """Add a numbered event for log and metrics."""
+        self.out.append(messages.Report(number, fields))
--- /dev/null
+++ b/fuchsiapin/replicas.py
@@ -0,0 +1,165 @@
+"""Copies of stored objects with hashes that tell where two processes differ."""
+
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from fuchsiapin.exceptions import MalformedObject
+
+__all__ = ["Replica", "Replicas", "is_in_scope", "pack_value", "unpack_value"]
+
+BUCKETS = 64
+"""Parts into which the keys are divided to find a difference."""
+MAX_VALUE_BYTES = 1_000_000
+"""Longest value of a stored object."""
+DEFLATE_LEVEL = 6
+
+
+@dataclass(frozen=True)
+class Replica:
+    """One stored object as last seen, deflated."""
+
+    version: int
+    packed: bytes
+    mark: int
+    """Hash of key and version."""
+
+
+def pack_value(value: bytes) -> bytes:
+    """Return a value deflated."""
+    return zlib.compress(value, DEFLATE_LEVEL)
+
+
+def unpack_value(packed: bytes) -> bytes:
+    """Return a value inflated, within the longest length of a value.
+
+    Raises
+    ------
+    MalformedObject
+        If the bytes are no deflated value, or a longer one.
+
+    Examples
+    --------
+    >>> unpack_value(pack_value(b"{}"))
+    b'{}'
+    """
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(packed, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise MalformedObject(f"not deflated: {error}") from error
+    if not inflater.eof:
+        raise MalformedObject("value is cut off or too long")
+    return value
+
+
+def is_in_scope(key: str, topics: Iterable[str]) -> bool:
+    """Return whether a key is a topic or begins with one that ends in a slash.
+
+    Examples
+    --------
+    >>> is_in_scope("members/ledger", ["members/"])
+    True
+    >>> is_in_scope("members/ledger-2", ["members/ledger"])
+    False
+    """
+    return any(
+        key == topic or (topic.endswith("/") and key.startswith(topic))
+        for topic in topics
+    )
+
+
+def bucket_of(key: str) -> int:
+    """Return the bucket of a key."""
+    return xxh3_64_intdigest(key.encode()) % BUCKETS
+
+
+class Replicas:
+    """The newest known version of each stored object.
+
+    Examples
+    --------
+    >>> one, other = Replicas(), Replicas()
+    >>> one.put("config/a", 3, b"{}")
+    True
+    >>> one.put("config/a", 2, b"{}")
+    False
+    >>> one.digest(["config/"]) == other.digest(["config/"])
+    False
+    """
+
+    def __init__(self) -> None:
+        self.replicas: dict[str, Replica] = {}
+        self.totals: dict[str, int] = {}
+
+    def version(self, key: str) -> int:
+        """Return the newest version known of a key, 0 for none."""
+        replica = self.replicas.get(key)
+        return replica.version if replica else 0
+
+    def value(self, key: str) -> bytes | None:
+        """Return the newest known value of a key."""
+        replica = self.replicas.get(key)
+        return unpack_value(replica.packed) if replica else None
+
+    def put(self, key: str, version: int, value: bytes) -> bool:
+        """Keep a value if it is newer; return whether it was."""
+        if version <= self.version(key):
+            return False
+        mark = xxh3_64_intdigest(f"{key}@{version}".encode())
+        known = self.replicas.get(key)
+        change = mark ^ known.mark if known else mark
+        for topic in self.totals:
+            if key.startswith(topic):
+                self.totals[topic] ^= change
+        self.replicas[key] = Replica(version, pack_value(value), mark)
+        return True
+
+    def within(self, topics: list[str]) -> Iterator[tuple[str, Replica]]:
+        """Return key and replica of each object in a scope."""
+        for topic in topics:
+            if topic.endswith("/"):
+                yield from (
+                    item for item in self.replicas.items() if item[0].startswith(topic)
+                )
+            elif topic in self.replicas:
+                yield topic, self.replicas[topic]
+
+    def digest(self, topics: list[str]) -> int:
+        """Return one hash over keys and versions of a scope, in no order."""
+        total = 0
+        for topic in topics:
+            if topic.endswith("/"):
+                total ^= self.total(topic)
+            elif topic in self.replicas:
+                total ^= self.replicas[topic].mark
+        return total
+
+    def total(self, topic: str) -> int:
+        """Return the hash over all keys that begin with a topic, kept up to date."""
+        if topic not in self.totals:
+            total = 0
+            for _, replica in self.within([topic]):
+                total ^= replica.mark
+            self.totals[topic] = total
+        return self.totals[topic]
+
+    def buckets(self, topics: list[str]) -> list[int]:
+        """Return the hash of each bucket of a scope."""
+        totals = [0] * BUCKETS
+        for key, replica in self.within(topics):
+            totals[bucket_of(key)] ^= replica.mark
+        return totals
+
+    def in_buckets(
+        self, topics: list[str], buckets: Iterable[int]
+    ) -> dict[str, Replica]:
+        """Return the objects of a scope that fall into some buckets."""
+        wanted = set(buckets)
+        return {
+            key: replica
+            for key, replica in self.within(topics)
+            if bucket_of(key) in wanted
+        }
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -27,6 +27,8 @@
 from fuchsiapin.policy import Policy
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.records import RecordTable
+from fuchsiapin.relay import Relay, RelayOptions
+from fuchsiapin.relaytree import Contact
 from fuchsiapin.requests import Request
 from fuchsiapin.tenants import Tenants
 from fuchsiapin.timers import Timers
@@ -59,6 +61,10 @@
         Time that a request may take.
     policy : Policy, optional
         Variants to follow.
+    deployment : str
+        Deployment whose configuration is followed; empty for any.
+    seeds : list of Contact, optional
+        Balancers that are asked when the store is silent.
     """
 
     def __init__(
@@ -68,12 +74,16 @@
         records: int = 100_000,
         deadline_ms: int = DEFAULT_DEADLINE_MS,
         policy: Policy | None = None,
+        deployment: str = "",
+        seeds: list[Contact] | None = None,
     ) -> None:
         self.slots = slots
         self.queue = queue
         self.records = records
         self.deadline_ms = deadline_ms
         self.policy = policy or Policy()
+        self.deployment = deployment
+        self.seeds = seeds or []
 
 
 class SideCore:
@@ -141,6 +151,7 @@
             self.admission.wait_ms,
             lambda incarnation: None,
         )
+        self.relay = self.make_relay(me, options)
         self.early: deque[tuple[str, messages.Forward]] = deque(maxlen=MAX_EARLY)
         self.message_handlers: dict[type, Callable[[str, Any], None]] = {
             messages.Forward: self.on_forward,
@@ -165,6 +176,15 @@
         self.is_finished = False
         self.next_mid = rng.randrange(65536)
 
+    def make_relay(self, me: Member, options: SideOptions) -> Relay:
+        """Return the part that gets stored objects from a balancer."""
+        topics = [f"members/{self.service}", "balancers/"]
+        topics.append(f"config/{options.deployment}")
+        relay_options = RelayOptions(
+            Contact(me.id, me.host, me.port), me.zone, topics, False, options.seeds
+        )
+        return Relay(relay_options, self.timers, self.out, self.rng, self.see_object)
+
     # Entry
 
     def handle(self, now: int, event: Any) -> list[Any]:
@@ -199,6 +219,7 @@
         """Begin to serve."""
         self.membership.start(self.now)
         self.link.start(self.now)
+        self.relay.start(self.now)
         self.clean(self.now)
 
     def on_wake(self, event: messages.Wake) -> None:
@@ -227,6 +248,8 @@
     def on_peer_message(self, event: messages.PeerMessage) -> None:
         """Take a message of another process."""
         message = event.message
+        if self.relay.receive(self.now, event.sender, message):
+            return
         if getattr(message, "service", self.service) != self.service:
             self.report(4101, sender=event.sender, service=message.service)
             return
@@ -293,6 +316,7 @@
         """Take in a stored object, if it is newer than what is known."""
         try:
             self.see_known_object(event)
+            self.relay.take(self.now, event)
         except MalformedObject as error:
             self.report(4102, key=event.key, error=str(error))
 
@@ -321,6 +345,8 @@
                 self.apply_service(service)
                 self.config = config
                 self.membership.config = config.number
+                key = f"config/{config.deployment}"
+                self.relay.acks.note(key, config.number)
 
     def apply_service(self, service: messages.ServiceConfig) -> None:
         """Put the limits of the service and of the own upstream in force."""
--- a/fuchsiapin/settingsmodel.py
+++ b/fuchsiapin/settingsmodel.py
@@ -47,3 +47,4 @@
     weight: int = 2000
     slots: int = 2
     callers: list[CallerAddress] = field(default_factory=list)
+    seeds: list[Address] = field(default_factory=list)
--- /dev/null
+++ b/fuchsiapin/tests/test_relay.py
@@ -0,0 +1,236 @@
+"""Stored objects reach every process that needs them, and never revert."""
+
+import random
+import unittest
+
+from fuchsiapin import messages
+from fuchsiapin.acknowledgements import Acknowledgements
+from fuchsiapin.codec import encode_object
+from fuchsiapin.relay import EVERYTHING, Relay, RelayOptions
+from fuchsiapin.relaytree import FANOUT, Contact, Tree, parents_of_balancer
+from fuchsiapin.replicas import Replicas, pack_value
+from fuchsiapin.timers import Timers
+from measure.world import Links, World, WorldOptions
+
+CONFIG = "config/little-threads"
+
+
+def make_config(number: int) -> messages.Configuration:
+    """Return a configuration that the service follows."""
+    service = messages.ServiceConfig("swapdesk", 20_000, 64, [], [])
+    return messages.Configuration(
+        "little-threads", number, "operator", f"change-{number}", [service], []
+    )
+
+
+def accept(world: World, number: int) -> None:
+    """Write a configuration as an operator does."""
+    version, _ = world.store.objects.get(CONFIG, (0, b""))
+    world.put(CONFIG, version, encode_object(make_config(number)))
+
+
+def numbers(world: World) -> set[int]:
+    """Return the numbers in force over all processes."""
+    return {
+        node.core.config.number if node.core.config else 0
+        for node in world.nodes.values()
+    }
+
+
+def make_zone_world(seed: int, **fields: int) -> World:
+    """Return one large availability zone with lossy links, settled."""
+    shape = {"sides": 12, "balancers": 24} | fields
+    options = WorldOptions(zones=("bole",), **shape)
+    links = Links(delay_ms=4, jitter_ms=4, loss=0.02, duplicate=0.01)
+    world = World(seed, options, links)
+    world.run(20_000)
+    return world
+
+
+class SpreadTest(unittest.TestCase):
+    """Changes reach all processes from the few that watch."""
+
+    def test_two_processes_a_zone_watch_the_store(self) -> None:
+        world = make_zone_world(1)
+        watching = [n.name for n in world.nodes.values() if n.is_watching]
+        self.assertEqual(len(watching), 2)
+        most = max(len(n.core.relay.children) for n in world.nodes.values())
+        self.assertLess(most, 2 * FANOUT)
+
+    def test_configurations_are_everywhere_in_5_s_and_never_revert(self) -> None:
+        world = make_zone_world(2)
+        for number in range(1, 6):
+            accept(world, number)
+            for _ in range(50):
+                world.run(100)
+                self.assertLessEqual(numbers(world), {number - 1, number})
+            self.assertEqual(numbers(world), {number})
+
+    def test_both_roots_killed_at_once_are_replaced(self) -> None:
+        world = make_zone_world(3)
+        for node in [n for n in world.nodes.values() if n.is_watching]:
+            world.kill(node.name)
+        world.run(15_000)
+        accept(world, 1)
+        world.run(5_000)
+        self.assertEqual(numbers(world), {1})
+        self.assertEqual(sum(n.is_watching for n in world.nodes.values()), 2)
+
+    def test_zone_cut_off_from_the_store_hears_from_the_others(self) -> None:
+        world = World(4, WorldOptions(balancers=6), Links(loss=0.02))
+        world.run(10_000)
+        cut = {n.name for n in world.nodes.values() if n.zone == "bole"}
+        world.store.unreachable |= cut
+        world.run(5_000)
+        accept(world, 1)
+        world.run(5_000)
+        self.assertEqual(numbers(world), {1})
+
+    def test_store_down_across_a_restart(self) -> None:
+        world = make_zone_world(5)
+        accept(world, 1)
+        world.run(5_000)
+        world.set_store(is_down=True)
+        balancer = world.nodes["balancer-3"]
+        world.options.seeds.append(Contact("", balancer.host, 7000))
+        old = world.kill("swapdesk-2")
+        world.add_side("swapdesk-2", "bole", old.upstream)
+        world.run(5_000)
+        core = world.nodes["swapdesk-2"].core
+        self.assertEqual(core.config.number, 1)
+        self.assertTrue(core.ownership.view)
+        self.assertEqual(core.relay.unready_reason(), "")
+
+    def test_without_store_and_seeds_a_process_says_why_it_is_unready(self) -> None:
+        world = make_zone_world(6)
+        world.set_store(is_down=True)
+        world.add_side("swapdesk-90", "bole")
+        world.run(5_000)
+        reason = world.nodes["swapdesk-90"].core.relay.unready_reason()
+        self.assertIn("object API", reason)
+
+    def test_status_tells_where_a_configuration_is_in_force(self) -> None:
+        world = make_zone_world(7)
+        accept(world, 1)
+        world.run(10_000)
+        root = next(n for n in world.nodes.values() if n.is_watching)
+        (ack,) = root.core.relay.in_force(int(world.now))
+        self.assertEqual((ack.total, ack.lowest, ack.behind), (36, 1, 0))
+        world.freeze("swapdesk-4")
+        accept(world, 2)
+        world.run(4_000)
+        (ack,) = root.core.relay.in_force(int(world.now))
+        self.assertEqual((ack.newest, ack.behind), (2, 1))
+        self.assertEqual(ack.lagging, ["swapdesk-4"])
+
+
+class RelayTest(unittest.TestCase):
+    """One process and what others may send it."""
+
+    def setUp(self) -> None:
+        self.out: list = []
+        self.seen: list = []
+        options = RelayOptions(Contact("b", "10.0.0.1", 1), "bole", EVERYTHING, True)
+        self.relay = Relay(
+            options, Timers(), self.out, random.Random(1), self.seen.append
+        )
+
+    def subscribe(self, name: str, topics: list[str]) -> messages.RelayAnswer:
+        """Subscribe a process; return the answer."""
+        digest = messages.RelayDigest("10.0.0.2", 2, topics, 0, 0, False)
+        self.relay.receive(0, name, digest)
+        return self.out[-1].message
+
+    def test_lower_version_changes_nothing(self) -> None:
+        self.relay.take(0, messages.ObjectSeen("members/a", 5, b"{}"))
+        copy = messages.RelayCopy("members/a", 4, pack_value(b"[]"))
+        self.relay.receive(0, "peer", copy)
+        self.assertFalse(self.relay.take(0, messages.ObjectSeen("members/a", 5, b"")))
+        self.assertEqual(self.seen, [])
+        self.assertEqual(self.relay.versions, {"members/a": 5})
+
+    def test_only_topics_are_pushed(self) -> None:
+        self.subscribe("side-1", ["members/a"])
+        self.out.clear()
+        self.relay.take(0, messages.ObjectSeen("members/b", 1, b"{}"))
+        self.assertEqual(self.out, [])
+        self.relay.take(0, messages.ObjectSeen("members/a", 2, b"{}"))
+        self.assertEqual(self.out[0].message.version, 2)
+
+    def test_too_many_subscribers_are_refused(self) -> None:
+        answers = [self.subscribe(f"side-{n}", []).is_accepted for n in range(65)]
+        self.assertEqual(answers, [True] * 64 + [False])
+        self.assertFalse(self.subscribe("side-99", ["x"] * 65).is_accepted)
+
+    def test_malformed_messages_are_reported_and_dropped(self) -> None:
+        bomb = messages.RelayCopy("members/a", 1, pack_value(b" " * 2_000_000))
+        self.relay.receive(0, "peer", bomb)
+        self.relay.receive(0, "peer", messages.RelayCopy("members/a", 1, b"x"))
+        self.relay.parent = Contact("peer", "10.0.0.3", 3)
+        self.relay.receive(0, "peer", messages.RelayAnswer(True, False, 0, [1]))
+        self.assertEqual([report.number for report in self.out], [5101] * 3)
+        self.assertEqual(self.relay.versions, {})
+
+    def test_subscriber_with_newer_objects_is_asked_for_them(self) -> None:
+        self.subscribe("side-1", ["members/"])
+        pull = messages.RelayPull(list(range(64)), ["members/a"], [3])
+        self.relay.receive(0, "side-1", pull)
+        self.assertEqual(self.out[-1].message, messages.RelayWanted(["members/a"]))
+
+
+class TreeTest(unittest.TestCase):
+    """The shape of a zone of the size to come."""
+
+    def test_600_balancers_are_reached_in_three_hops(self) -> None:
+        depth = [0, 0]
+        children = [0] * 600
+        for place in range(2, 600):
+            parent = parents_of_balancer(place)[0]
+            self.assertLess(parent, place)
+            depth.append(depth[parent] + 1)
+            children[parent] += 1
+        self.assertEqual((max(depth), max(children)), (3, FANOUT))
+
+    def test_lower_number_of_a_zone_changes_nothing(self) -> None:
+        tree = Tree("bole")
+        member = messages.BalancerMember("b", 1, "10.0.0.1", 1, "bole", "live", "")
+        self.assertTrue(tree.put(messages.ZoneBalancers("bole", 2, [member], "")))
+        self.assertFalse(tree.put(messages.ZoneBalancers("bole", 1, [], "")))
+        self.assertTrue(tree.is_root("b"))
+
+
+class ReplicasTest(unittest.TestCase):
+    """Digests tell copies apart whatever the order."""
+
+    def test_digest_follows_every_change(self) -> None:
+        rng = random.Random(1)
+        one, other = Replicas(), Replicas()
+        puts = [(f"members/{rng.randrange(50)}", n + 1, b"{}") for n in range(300)]
+        for item in puts:
+            one.put(*item)
+            one.digest(EVERYTHING)
+        for item in rng.sample(puts, len(puts)):
+            other.put(*item)
+        self.assertEqual(one.digest(EVERYTHING), other.digest(EVERYTHING))
+        self.assertEqual(one.buckets(EVERYTHING), other.buckets(EVERYTHING))
+        other.put("members/7", 1_000, b"{}")
+        self.assertNotEqual(one.digest(EVERYTHING), other.digest(EVERYTHING))
+
+
+class AcknowledgementsTest(unittest.TestCase):
+    """Sums over processes name those that lag."""
+
+    def test_child_that_knows_nothing_newer_is_named(self) -> None:
+        acks = Acknowledgements("root")
+        acks.note(CONFIG, 2)
+        child = Acknowledgements("side-1")
+        child.note(CONFIG, 1)
+        acks.put("side-1", child.total())
+        (ack,) = acks.total()
+        self.assertEqual((ack.behind, ack.lagging), (1, ["side-1"]))
+        acks.forget("side-1")
+        self.assertEqual(acks.total()[0].total, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/measure/world.py
+++ b/measure/world.py
@@ -15,6 +15,7 @@
 from fuchsiapin.balancing import make_balancer_core
 from fuchsiapin.codec import pack_message, unpack_message
 from fuchsiapin.policy import Policy
+from fuchsiapin.relaytree import Contact
 from fuchsiapin.serving import SideOptions, make_side_core
 from fuchsiapin.tests.standins.caller import Caller, Tally
 from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
@@ -25,6 +26,7 @@
 """Start of simulated time."""
 PEER_PORT = 7000
 CALLER_PORT = 5683
+WATCH_CHECK_MS = 500
 MAX_INBOX = 4_096
 """Datagrams that wait for a paused process."""
 
@@ -42,6 +44,7 @@
     queue: int = 64
     deadline_ms: int = 20_000
     board_ms: float = 1_000.0
+    seeds: list[Contact] = field(default_factory=list)
     policy: Policy = field(default_factory=Policy)
 
 
@@ -92,6 +95,8 @@
         self.inbox: deque[Any] = deque(maxlen=MAX_INBOX)
         self.upstream: Upstream | None = None
         self.wake_due: float | None = None
+        self.is_watching = False
+        self.watch_answers: bool | None = None
         self.reports: list[messages.Report] = []
         self.sent_bytes = 0
         self.sent_by_kind: Counter[type] = Counter()
@@ -180,7 +185,8 @@
         """Start a balancer."""
         host = self.next_host(1)
         me = messages.BalancerMember(name, int(self.now), host, PEER_PORT, zone, "live")
-        core = make_balancer_core(me, self.rng.getrandbits(32))
+        seed = self.rng.getrandbits(32)
+        core = make_balancer_core(me, seed, list(self.options.seeds))
         node = self.add_node(name, host, zone, core)
         self.balancer_addresses.append((host, CALLER_PORT))
         return node
@@ -195,6 +201,7 @@
             100_000,
             self.options.deadline_ms,
             self.options.policy,
+            seeds=list(self.options.seeds),
         )
         core = make_side_core(
             self.options.service, me, self.rng.getrandbits(32), options
@@ -245,7 +252,6 @@
     def boot(self, node: Node) -> None:
         """Start a process and let it see the store."""
         self.feed(node, messages.Start())
-        self.resync(node)
 
     def kill(self, name: str) -> Node:
         """End a process without warning; its upstream lives on."""
@@ -425,7 +431,8 @@
         self.store.revision += 1
         self.store.objects[key] = (self.store.revision, value)
         for node in list(self.nodes.values()):
-            self.push(node, key)
+            if node.is_watching:
+                self.push(node, key)
         return "done"
 
     def push(self, node: Node, key: str) -> None:
@@ -447,9 +454,24 @@
     def set_store(self, is_down: bool) -> None:
         """Begin or end an outage of the store."""
         self.store.is_down = is_down
-        if not is_down:
-            for node in self.nodes.values():
-                self.resync(node)
+
+    def watch_objects(self, node: Node, effect: messages.WatchObjects) -> None:
+        """Begin or end a watch of all objects."""
+        if effect.is_wanted and not node.is_watching:
+            node.watch_answers = None
+            self.at(self.now, lambda: self.keep_watch(node))
+        node.is_watching = effect.is_wanted
+
+    def keep_watch(self, node: Node) -> None:
+        """Tell a process when its watch breaks or works, and look again later."""
+        if not node.is_watching or not node.is_alive:
+            return
+        is_reachable = self.is_store_reachable(node)
+        if is_reachable != node.watch_answers:
+            node.watch_answers = is_reachable
+            self.resync(node)
+            self.feed(node, messages.WatchState(is_reachable))
+        self.at(self.now + WATCH_CHECK_MS, lambda: self.keep_watch(node))
 
     def read_object(self, node: Node, effect: messages.ReadObject) -> None:
         """Answer a read, or stay silent."""
@@ -479,6 +501,7 @@
     messages.SendUpstream: World.send_upstream,
     messages.WriteObject: World.write_object,
     messages.ReadObject: World.read_object,
+    messages.WatchObjects: World.watch_objects,
     messages.Report: World.report,
     messages.Finished: World.finish,
 }
