--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -313,11 +313,12 @@
 CATALOGUE: dict[int, Event] = {event.number: event for event in EVENTS}
 """Events by number."""
 
-REASON_FIELDS = ("reason", "outcome")
+REASON_FIELDS = ("reason", "outcome", "service")
+"""Fields by which occurrences of an event are counted apart, the first one found."""
 
 
 def reason_of(fields: dict) -> str:
-    """Return the reason or outcome that an event's fields tell, else nothing.
+    """Return the reason, outcome or service that fields tell, else nothing.
 
     Examples
     --------
--- a/fuchsiapin/served.py
+++ b/fuchsiapin/served.py
@@ -24,7 +24,8 @@
     3107,
 )
 NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY = 2101, 2102, 4103, 4105
-DROPPED = (NO_VIEW, NO_UPSTREAM, NO_OWNER, TOO_MANY)
+DROPPED_AT_SIDES = (NO_OWNER, TOO_MANY)
+DROPPED_AT_BALANCERS = (NO_VIEW, NO_UPSTREAM)
 FAILED = 1302
 
 refusal_reasons = {
@@ -80,7 +81,9 @@
             f"{number(lost)} open observations were closed, because the caller "
             "answered no more."
         )
-    dropped = sum(of_number(counts, item) for item in DROPPED)
+    dropped = sum(of_number(counts, item) for item in DROPPED_AT_SIDES)
+    everywhere = count_events(picture.statuses.values())
+    dropped += sum(everywhere[item, service] for item in DROPPED_AT_BALANCERS)
     if dropped:
         lines.append(
             f"{number(dropped)} packets were dropped, because no upstream could take "
--- a/fuchsiapin/tests/test_explain.py
+++ b/fuchsiapin/tests/test_explain.py
@@ -1,9 +1,11 @@
 """What is behind, and the plain account of it."""
 
+import re
 import unittest
 from dataclasses import replace
 from pathlib import Path
 
+import fuchsiapin
 from fuchsiapin.configuring import accept, mark_upstream, read_proposal
 from fuchsiapin.daemons.answers import ExitCode, answer_members, answer_status
 from fuchsiapin.events import CATALOGUE
@@ -20,7 +22,7 @@
     ZoneBalancers,
 )
 from fuchsiapin.picture import Lag, Picture, find_lags, processes_of
-from fuchsiapin.served import kept_out
+from fuchsiapin.served import kept_out, refusal_reasons
 
 FOLDER = Path(__file__).parent.parent.parent / "examples" / "casa-popescu"
 VIEWS = {"ledger": 9, "scan-intake": 4}
@@ -253,6 +255,22 @@
         headline = self.lines(picture, "1 times an error was met inside a process")
         self.assertIn("1 error happened inside the processes", headline)
 
+    def test_packets_without_an_upstream_are_counted_by_service(self) -> None:
+        picture = make_picture()
+        key = ("balancer", "b-buc-a")
+        counts = [EventCount(2101, "ledger", 4), EventCount(2102, "ledger", 1)]
+        status = replace(picture.statuses[key], counts=counts)
+        picture = replace(picture, statuses=picture.statuses | {key: status})
+        self.lines(picture, "5 packets were dropped, because no upstream could take")
+        self.assertEqual(explain(picture).text().count("packets were dropped"), 1)
+
+    def test_each_reason_of_a_refusal_has_its_words(self) -> None:
+        package = Path(fuchsiapin.__file__).parent
+        found = set()
+        for path in package.glob("*.py"):
+            found |= set(re.findall(r'\.refused = "(\w+)"', path.read_text()))
+        self.assertEqual(found, set(refusal_reasons))
+
     def test_each_event_of_the_account_is_in_the_catalogue(self) -> None:
         self.assertEqual(set(kept_out) - set(CATALOGUE), set())
 
