Let balancers keep their zone like the members of a service

Cause: each balancer sent heartbeats to all of its zone (1,200 messages a second at 600), one witness was enough to remove another, and a balancer that stopped while the store was out lived on for 30 s and was still sent answers. Change: a ring in which four watch each balancer; a second one has to confirm; small zones share a ring, so that the only balancer of a zone is removed too. A stopping balancer tells the side processes that it ends, and subscribers to go elsewhere; with the store out it ends 5 s later at the most, once quiet. Before: the only balancer of a zone stayed in its object after a stop during an outage.

--- a/fuchsiapin/balancing.py
+++ b/fuchsiapin/balancing.py
@@ -6,7 +6,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 from fuchsiapin import messages
@@ -19,14 +18,17 @@
 from fuchsiapin.relaytree import Contact
 from fuchsiapin.timers import Timers
 from fuchsiapin.views import ViewHistory
+from fuchsiapin.zonemembership import ZoneMembership
 
 __all__ = ["BalancerCore", "make_balancer_core"]
 
-HEARTBEAT_MS = 500
-SILENCE_MS = 2_000
-"""A balancer that is silent for so long is removed from its zone's object."""
 QUIET_MS = 1_000
 """A stopping balancer ends once no datagram came for so long."""
+LEAVE_MS = 5_000
+"""A stopping balancer waits so long for the store to take it out of the zone."""
+CHECK_MS = 250
+MAX_RECENT = 4_096
+"""Side processes that are told when this balancer leaves."""
 MAX_DRAIN_MS = 30_000
 """A stopping balancer ends after this time whatever comes."""
 
@@ -50,23 +52,14 @@
         rng: random.Random,
         seeds: list[Contact] | None = None,
     ) -> None:
-        self.me = me
         self.rng = rng
         self.out: list[Any] = []
         self.timers = Timers()
         self.now = 0
         self.views: dict[str, ViewHistory] = {}
         self.config: messages.Configuration | None = None
-        self.heard: dict[str, int] = {}
-        prefix = f"{me.id}#{me.incarnation}"
-        self.updater = ObjectUpdater(
-            f"balancers/{me.zone}",
-            messages.ZoneBalancers,
-            prefix,
-            self.timers,
-            self.out,
-            rng,
-        )
+        self.zone = ZoneMembership(me, self.timers, self.out, rng, self.config_number)
+        self.recent: dict[str, messages.Member] = {}
         self.relay = Relay(
             RelayOptions(
                 Contact(me.id, me.host, me.port), me.zone, EVERYTHING, True, seeds or []
@@ -76,7 +69,6 @@
             rng,
             self.see_object,
         )
-        self.checked = 0
         self.last_datagram = 0
         self.stopped_at: int | None = None
         self.is_finished = False
@@ -109,15 +101,27 @@
         """Return when the core wants to be woken, in ms."""
         return self.timers.next_due()
 
+    @property
+    def me(self) -> BalancerMember:
+        """The process as a member of its availability zone."""
+        return self.zone.me
+
+    @property
+    def updater(self) -> ObjectUpdater:
+        """The updater of the zone's object."""
+        return self.zone.updater
+
+    def config_number(self) -> int:
+        """Return the number of the configuration in force."""
+        return self.config.number if self.config else 0
+
     def report(self, number: int, **fields: Any) -> None:
         """Add a numbered event for log and metrics."""
         self.out.append(messages.Report(number, fields))
 
     def on_start(self, event: messages.Start) -> None:
         """Announce this balancer and begin to watch the others."""
-        self.checked = self.now
-        self.updater.request(self.now, "announce", self.with_me)
-        self.beat(self.now)
+        self.zone.start(self.now)
         self.relay.start(self.now)
 
     def on_watch_state(self, event: messages.WatchState) -> None:
@@ -148,6 +152,8 @@
             event.payload,
         )
         self.out.append(SendPeer(owner.host, owner.port, forward))
+        if owner.id not in self.recent and len(self.recent) < MAX_RECENT:
+            self.recent[owner.id] = owner
 
     def on_peer_message(self, event: messages.PeerMessage) -> None:
         """Take a message of another process."""
@@ -169,6 +175,9 @@
                 message.service, message.host, message.port, message.payload
             )
         )
+        if self.stopped_at is not None:
+            self.last_datagram = self.now
+            self.say_leaving(source)
         if views is not None and message.view > views.number:
             wanted = messages.ObjectWanted(f"members/{message.service}", 0)
             self.out.append(SendPeer(source.host, source.port, wanted))
@@ -196,9 +205,8 @@
 
     def see_known_object(self, event: messages.ObjectSeen) -> None:
         """Take in an object of a kind that matters here."""
-        if event.key == self.updater.key:
-            if self.updater.see(self.now, event):
-                self.note_zone()
+        if event.key.startswith("balancers/"):
+            self.zone.see(self.now, event)
         elif event.key.startswith("members/") and event.value:
             self.see_members(event)
         elif event.key.startswith("config/") and event.value:
@@ -233,91 +241,21 @@
 
     def on_write_finished(self, event: messages.WriteFinished) -> None:
         """Take the end of a conditional update."""
-        if event.key == self.updater.key:
-            self.updater.finish(self.now, event)
+        self.zone.finish(self.now, event)
 
     # Membership of the availability zone
 
-    def follow(
-        self, stored: messages.ZoneBalancers | None, members: list[BalancerMember]
-    ) -> messages.ZoneBalancers:
-        """Return the next object of the zone."""
-        number = stored.number + 1 if stored else 1
-        ordered = sorted(members, key=lambda member: member.id)
-        change_id = self.updater.next_change_id()
-        return messages.ZoneBalancers(self.me.zone, number, ordered, change_id)
-
-    def with_me(
-        self, stored: messages.ZoneBalancers | None
-    ) -> messages.ZoneBalancers | None:
-        """Return the zone with this balancer as it is now."""
-        members = stored.members if stored else []
-        if self.me in members:
-            return None
-        others = [member for member in members if member.id != self.me.id]
-        return self.follow(stored, [*others, self.me])
-
-    def without(
-        self, stored: messages.ZoneBalancers | None, gone: BalancerMember
-    ) -> messages.ZoneBalancers | None:
-        """Return the zone without one incarnation of a balancer."""
-        members = stored.members if stored else []
-        rest = [
-            member
-            for member in members
-            if (member.id, member.incarnation) != (gone.id, gone.incarnation)
-        ]
-        return self.follow(stored, rest) if len(rest) < len(members) else None
-
-    def peers(self) -> list[BalancerMember]:
-        """Return the other balancers of the zone."""
-        zone = self.updater.value
-        members = zone.members if zone else []
-        return [member for member in members if member.id != self.me.id]
-
-    def note_zone(self) -> None:
-        """Return under a new incarnation after a false removal."""
-        for member in self.peers():
-            self.heard.setdefault(member.id, self.now)
-        members = self.updater.value.members if self.updater.value else []
-        if self.me not in members and self.stopped_at is None:
-            incarnation = max(self.now, self.me.incarnation)
-            self.me = replace(self.me, incarnation=incarnation)
-            self.updater.request(self.now, "announce", self.with_me)
-
-    def beat(self, now: int) -> None:
-        """Send a sign of life, look for silent balancers, and again later."""
-        zone = self.updater.value
-        message = messages.BalancerHeartbeat(
-            self.me.zone,
-            zone.number if zone else 0,
-            self.config.number if self.config else 0,
-        )
-        for member in self.peers():
-            self.out.append(SendPeer(member.host, member.port, message))
-        self.remove_silent(now)
-        self.finish_if_quiet(now)
-        self.timers.add(now + HEARTBEAT_MS, self.beat)
-
-    def remove_silent(self, now: int) -> None:
-        """Take balancers out of the zone that were not heard for too long."""
-        if now - self.checked > SILENCE_MS // 2:
-            self.heard = dict.fromkeys(self.heard, now)
-        self.checked = now
-        for member in self.peers():
-            if now - self.heard.get(member.id, now) > SILENCE_MS:
-                self.remove(now, member)
-
-    def remove(self, now: int, member: BalancerMember) -> None:
-        """Take one balancer out of the zone's object."""
-        self.updater.request(
-            now, f"remove {member.id}", lambda stored: self.without(stored, member)
-        )
-
     def on_heartbeat(self, sender: str, message: messages.BalancerHeartbeat) -> None:
         """Note a sign of life."""
-        self.heard[sender] = self.now
-        self.updater.cancel(f"remove {sender}")
+        self.zone.on_heartbeat(self.now, sender)
+
+    def on_suspect(self, sender: str, message: messages.Suspect) -> None:
+        """Tell whether a suspected balancer is silent here too."""
+        self.zone.on_suspect(self.now, sender, message)
+
+    def on_suspect_answer(self, sender: str, message: messages.SuspectAnswer) -> None:
+        """Take another balancer's word on a silent one."""
+        self.zone.on_suspect_answer(self.now, sender, message)
 
     # Stopping
 
@@ -326,17 +264,30 @@
         if self.stopped_at is not None:
             return
         self.stopped_at = self.now
-        self.updater.cancel("announce")
-        self.updater.request(
-            self.now, "depart", lambda stored: self.without(stored, self.me)
-        )
+        self.zone.depart(self.now)
+        self.relay.close()
+        self.drain(self.now)
+
+    def drain(self, now: int) -> None:
+        """Tell the side processes to answer by others; end once it is quiet."""
+        for member in self.recent.values():
+            self.say_leaving(member)
+        self.finish_if_quiet(now)
+        if not self.is_finished:
+            self.timers.add(now + CHECK_MS, self.drain)
+
+    def say_leaving(self, member: messages.Member) -> None:
+        """Tell a side process that this balancer takes no more answers."""
+        message = messages.BalancerLeaving(self.me.incarnation)
+        self.out.append(SendPeer(member.host, member.port, message))
 
     def finish_if_quiet(self, now: int) -> None:
-        """End once this balancer has left and no datagram comes."""
-        if self.stopped_at is None or self.is_finished:
-            return
-        zone = self.updater.value
-        is_gone = zone is not None and self.me not in zone.members
+        """End once this balancer has left and no datagram comes.
+
+        While the store is out, the zone's object keeps the balancer; the others
+        take it out when the store is back.
+        """
+        is_gone = self.zone.has_left() or now - self.stopped_at > LEAVE_MS
         is_quiet = now - max(self.last_datagram, self.stopped_at) > QUIET_MS
         is_late = now - self.stopped_at > MAX_DRAIN_MS
         if (is_gone and is_quiet) or is_late:
@@ -357,6 +308,8 @@
 MESSAGE_HANDLERS: dict[type, Callable[[BalancerCore, str, Any], None]] = {
     messages.Reply: BalancerCore.on_reply,
     messages.BalancerHeartbeat: BalancerCore.on_heartbeat,
+    messages.Suspect: BalancerCore.on_suspect,
+    messages.SuspectAnswer: BalancerCore.on_suspect_answer,
     messages.ObjectCopy: BalancerCore.on_object_copy,
     messages.ObjectWanted: BalancerCore.on_object_wanted,
 }
--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -43,6 +43,7 @@
     messages.RelayWanted,
     messages.RelayCopy,
     messages.RelayAcks,
+    messages.BalancerLeaving,
 ]
 """Types that travel; the place in the list is the number on the wire."""
 
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -513,6 +513,15 @@
     value: bytes
 
 
+@dataclass(frozen=True)
+class BalancerLeaving:
+    """
+    A balancer that ends soon takes no more answers.
+    """
+
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class RelayDigest:
     """
--- a/fuchsiapin/relay.py
+++ b/fuchsiapin/relay.py
@@ -137,6 +137,7 @@
         self.is_store_reachable = False
         self.is_synced = False
         self.hops = MAX_HOPS
+        self.is_closed = False
         self.source = ""
         self.read_pause = READ_MS
         self.read_due = 0
@@ -373,7 +374,9 @@
         """Take a subscriber in and tell whether it lacks something."""
         contact = Contact(sender, message.host, message.port)
         is_full = sender not in self.children and len(self.children) >= MAX_CHILDREN
-        if not self.options.is_balancer or is_full or len(message.topics) > MAX_TOPICS:
+        is_willing = self.options.is_balancer and not self.is_closed
+        if not is_willing or is_full or len(message.topics) > MAX_TOPICS:
+            self.children.pop(sender, None)
             self.send(contact, messages.RelayAnswer(False, False, MAX_HOPS, []))
             return
         self.children[sender] = Child(contact, message.topics, now, message.is_root)
@@ -403,6 +406,10 @@
         if newer:
             self.send(child.contact, messages.RelayWanted(newer))
 
+    def close(self) -> None:
+        """Send the subscribers elsewhere, for this process ends soon."""
+        self.is_closed = True
+
     def forget_children(self, now: int) -> None:
         """Forget subscribers that went elsewhere or ended."""
         for name, child in list(self.children.items()):
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -118,6 +118,7 @@
         self.routes: OrderedDict[bytes, str] = OrderedDict()
         self.balancers: dict[str, dict[str, messages.BalancerMember]] = {}
         self.balancer_versions: dict[str, int] = {}
+        self.ended: dict[str, int] = {}
         self.config: messages.Configuration | None = None
         self.admission = Admission(options.slots, options.queue)
         self.tenants = Tenants([])
@@ -171,6 +172,7 @@
             messages.SuspectAnswer: self.on_suspect_answer,
             messages.ObjectWanted: self.on_object_wanted,
             messages.ObjectCopy: self.on_object_copy,
+            messages.BalancerLeaving: self.on_balancer_leaving,
         }
         self.is_stopping = False
         self.is_finished = False
@@ -334,7 +336,24 @@
         """Take in the balancers of an availability zone."""
         if zone.number > self.balancer_versions.get(zone.zone, 0):
             self.balancer_versions[zone.zone] = zone.number
-            self.balancers[zone.zone] = {member.id: member for member in zone.members}
+            self.balancers[zone.zone] = {
+                member.id: member
+                for member in zone.members
+                if not self.is_ended(member)
+            }
+
+    def is_ended(self, balancer: messages.BalancerMember) -> bool:
+        """Return whether this incarnation of a balancer told that it ends."""
+        return balancer.incarnation <= self.ended.get(balancer.id, 0)
+
+    def on_balancer_leaving(
+        self, sender: str, message: messages.BalancerLeaving
+    ) -> None:
+        """Answer by other balancers from now on, also while the store is out."""
+        balancer = self.find_balancer(sender)
+        if balancer is not None and balancer.incarnation <= message.incarnation:
+            self.ended[sender] = message.incarnation
+            del self.balancers[balancer.zone][sender]
 
     def see_config(self, config: messages.Configuration) -> None:
         """Put a newer configuration in force."""
--- /dev/null
+++ b/fuchsiapin/zonemembership.py
@@ -0,0 +1,307 @@
+"""Membership of an availability zone, kept by its balancers themselves.
+
+Each balancer sends heartbeats to the next few in a ring of all of its zone, so
+that their number does not grow with the zone. One that falls silent is removed
+by one of those, once a second one confirms it. Zones with too few balancers for
+that share one ring.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from xxhash import xxh3_64_intdigest
+
+from fuchsiapin.messages import (
+    BalancerHeartbeat,
+    BalancerMember,
+    ObjectSeen,
+    SendPeer,
+    Suspect,
+    SuspectAnswer,
+    WriteFinished,
+    ZoneBalancers,
+)
+from fuchsiapin.objects import ObjectUpdater
+from fuchsiapin.timers import Timers
+
+__all__ = ["ZoneMembership", "watchers_of"]
+
+HEARTBEAT_MS = 500
+SILENCE_MS = 2_000
+"""A balancer that is silent for so long is suspected."""
+GRACE_MS = 3_000
+"""Time that a balancer gets to learn who watches it."""
+WATCHERS = 4
+"""Balancers that watch one other."""
+SUBJECT = "balancers"
+"""Stands in place of a service in questions about balancers."""
+SMALL_ZONE = 3
+"""A zone of fewer balancers shares a ring with the other small ones."""
+
+
+def ring_of(name: str, members: list[BalancerMember]) -> list[BalancerMember]:
+    """Return the other balancers of a zone in the order of the ring, after one."""
+
+    def place(member: BalancerMember) -> tuple[int, str]:
+        return xxh3_64_intdigest(member.id.encode()), member.id
+
+    own = (xxh3_64_intdigest(name.encode()), name)
+    others = sorted((m for m in members if m.id != name), key=place)
+    after = [member for member in others if place(member) > own]
+    return after + others[: len(others) - len(after)]
+
+
+def watchers_of(name: str, members: list[BalancerMember]) -> list[BalancerMember]:
+    """Return the balancers that watch one: the next few in the ring.
+
+    Examples
+    --------
+    >>> zone = [BalancerMember(n, 1, "10.0.0.1", 1, "z", "live", "") for n in "ab"]
+    >>> [member.id for member in watchers_of("a", zone)]
+    ['b']
+    """
+    return ring_of(name, members)[:WATCHERS]
+
+
+def watched_by(name: str, members: list[BalancerMember]) -> list[BalancerMember]:
+    """Return the balancers that one watches: the few before it in the ring."""
+    return ring_of(name, members)[-WATCHERS:]
+
+
+class ZoneMembership:
+    """One balancer as a member of its availability zone.
+
+    Parameters
+    ----------
+    me : BalancerMember
+        This balancer.
+    timers, out, rng
+        Timers, effects and random numbers of the core.
+    config_number : callable
+        Returns the number of the configuration in force.
+
+    Attributes
+    ----------
+    watchers : list of BalancerMember
+        Balancers that watch this one.
+    watched : list of BalancerMember
+        Balancers that this one watches.
+    """
+
+    def __init__(
+        self,
+        me: BalancerMember,
+        timers: Timers,
+        out: list[Any],
+        rng: random.Random,
+        config_number: Callable[[], int],
+    ) -> None:
+        self.me = me
+        self.timers = timers
+        self.out = out
+        self.config_number = config_number
+        self.key = f"balancers/{me.zone}"
+        self.prefix = f"{me.id}#{me.incarnation}"
+        self.rng = rng
+        self.updaters: dict[str, ObjectUpdater] = {}
+        self.updater = self.updater_of(self.key)
+        self.ring: list[BalancerMember] = [me]
+        self.heard: dict[str, int] = {}
+        self.watchers: list[BalancerMember] = []
+        self.watched: list[BalancerMember] = []
+        self.checked = 0
+        self.is_departing = False
+
+    def updater_of(self, key: str) -> ObjectUpdater:
+        """Return the updater of a zone's object."""
+        if key not in self.updaters:
+            self.updaters[key] = ObjectUpdater(
+                key, ZoneBalancers, self.prefix, self.timers, self.out, self.rng
+            )
+        return self.updaters[key]
+
+    def finish(self, now: int, event: WriteFinished) -> None:
+        """Take the end of a conditional update."""
+        if event.key in self.updaters:
+            self.updaters[event.key].finish(now, event)
+
+    def start(self, now: int) -> None:
+        """Announce this balancer and begin to watch others."""
+        self.checked = now
+        self.updater.request(now, "announce", self.with_me)
+        self.beat(now)
+
+    def depart(self, now: int) -> None:
+        """Leave the zone's object for good."""
+        self.is_departing = True
+        self.updater.cancel("announce")
+        self.updater.request(
+            now, "depart", lambda stored: self.without(stored, self.me)
+        )
+
+    def has_left(self) -> bool:
+        """Return whether the zone's object lacks this balancer."""
+        zone = self.updater.value
+        return zone is not None and not self.is_in(zone.members)
+
+    # Changes of the stored object
+
+    def follow(
+        self, stored: ZoneBalancers | None, members: list[BalancerMember]
+    ) -> ZoneBalancers:
+        """Return the next object of a zone, of the own one if it has none."""
+        number = stored.number + 1 if stored else 1
+        zone = stored.zone if stored else self.me.zone
+        ordered = sorted(members, key=lambda member: member.id)
+        change_id = self.updater_of(f"balancers/{zone}").next_change_id()
+        return ZoneBalancers(zone, number, ordered, change_id)
+
+    def with_me(self, stored: ZoneBalancers | None) -> ZoneBalancers | None:
+        """Return the zone with this balancer as it is now."""
+        members = stored.members if stored else []
+        if self.me in members:
+            return None
+        others = [member for member in members if member.id != self.me.id]
+        return self.follow(stored, [*others, self.me])
+
+    def without(
+        self, stored: ZoneBalancers | None, gone: BalancerMember
+    ) -> ZoneBalancers | None:
+        """Return the zone without one incarnation of a balancer."""
+        members = stored.members if stored else []
+        rest = [
+            member
+            for member in members
+            if (member.id, member.incarnation) != (gone.id, gone.incarnation)
+        ]
+        return self.follow(stored, rest) if len(rest) < len(members) else None
+
+    def is_in(self, members: list[BalancerMember]) -> bool:
+        """Return whether this incarnation is among some members."""
+        own = (self.me.id, self.me.incarnation)
+        return any((member.id, member.incarnation) == own for member in members)
+
+    def see(self, now: int, event: ObjectSeen) -> None:
+        """Take in the object of a zone."""
+        updater = self.updater_of(event.key)
+        if not updater.see(now, event) or updater.value is None:
+            return
+        self.ring = self.find_ring()
+        self.watchers = watchers_of(self.me.id, self.ring)
+        self.watched = watched_by(self.me.id, self.ring)
+        names = {member.id for member in self.watched}
+        self.heard = {
+            name: self.heard.get(name, now + GRACE_MS - SILENCE_MS) for name in names
+        }
+        if updater is self.updater:
+            self.note_own_place(now, updater.value.members)
+
+    def find_ring(self) -> list[BalancerMember]:
+        """Return the balancers among which each watches a few."""
+        own = self.updater.value.members if self.updater.value else []
+        if len(own) >= SMALL_ZONE:
+            return own
+        values = [updater.value for updater in self.updaters.values()]
+        small = [v for v in values if v and len(v.members) < SMALL_ZONE]
+        return [member for value in small for member in value.members]
+
+    def note_own_place(self, now: int, members: list[BalancerMember]) -> None:
+        """Return under a new incarnation after a false removal."""
+        is_announced = "announce" in self.updater.changes
+        if not (self.is_in(members) or is_announced or self.is_departing):
+            incarnation = max(now, self.me.incarnation + 1)
+            self.me = replace(self.me, incarnation=incarnation)
+            self.updater.request(now, "announce", self.with_me)
+
+    # Heartbeats and suspicion
+
+    def peers(self) -> list[BalancerMember]:
+        """Return the other balancers of the ring."""
+        return [member for member in self.ring if member.id != self.me.id]
+
+    def peer(self, name: str) -> BalancerMember | None:
+        """Return another balancer of the ring by name."""
+        for member in self.peers():
+            if member.id == name:
+                return member
+        return None
+
+    def send(self, member: BalancerMember, message: Any) -> None:
+        """Send a message to another balancer."""
+        self.out.append(SendPeer(member.host, member.port, message))
+
+    def heartbeat(self) -> BalancerHeartbeat:
+        """Return a sign of life."""
+        zone = self.updater.value
+        number = zone.number if zone else 0
+        return BalancerHeartbeat(self.me.zone, number, self.config_number())
+
+    def beat(self, now: int) -> None:
+        """Send a sign of life, look for silent balancers, and again later."""
+        message = self.heartbeat()
+        for member in self.watchers:
+            self.send(member, message)
+        self.suspect_silent(now)
+        self.timers.add(now + HEARTBEAT_MS, self.beat)
+
+    def on_heartbeat(self, now: int, sender: str) -> None:
+        """Note a sign of life."""
+        if sender in self.heard:
+            self.heard[sender] = now
+        for updater in self.updaters.values():
+            updater.cancel(f"remove {sender}")
+
+    def is_silent(self, now: int, name: str) -> bool:
+        """Return whether a balancer that is watched here was not heard."""
+        return now - self.heard.get(name, now) > SILENCE_MS
+
+    def suspect_silent(self, now: int) -> None:
+        """Ask the others that watch a silent balancer whether they hear it.
+
+        A process that was paused itself has heard nobody; it starts afresh.
+        """
+        if now - self.checked > SILENCE_MS // 2:
+            self.heard = dict.fromkeys(self.heard, now)
+        self.checked = now
+        for member in self.watched:
+            if self.is_silent(now, member.id):
+                self.suspect(now, member)
+
+    def suspect(self, now: int, member: BalancerMember) -> None:
+        """Ask a silent balancer and the others that watch it."""
+        message = Suspect(SUBJECT, member.id, member.incarnation)
+        self.send(member, message)
+        if len(self.peers()) == 1:
+            self.remove(now, member)
+            return
+        for other in watchers_of(member.id, self.ring):
+            if other.id != self.me.id:
+                self.send(other, message)
+
+    def on_suspect(self, now: int, sender: str, message: Suspect) -> None:
+        """Tell whether a suspected balancer is silent here too."""
+        asker = self.peer(sender)
+        if asker is None or message.service != SUBJECT:
+            return
+        if message.member == self.me.id:
+            self.send(asker, self.heartbeat())
+            return
+        is_silent = self.is_silent(now, message.member)
+        answer = SuspectAnswer(SUBJECT, message.member, message.incarnation, is_silent)
+        self.send(asker, answer)
+
+    def on_suspect_answer(self, now: int, sender: str, answer: SuspectAnswer) -> None:
+        """Remove a balancer that a second one finds silent."""
+        member = self.peer(answer.member)
+        if member is None or not answer.silent or sender == answer.member:
+            return
+        if member.incarnation == answer.incarnation and self.is_silent(now, member.id):
+            self.remove(now, member)
+
+    def remove(self, now: int, member: BalancerMember) -> None:
+        """Take one balancer out of its zone's object."""
+        self.updater_of(f"balancers/{member.zone}").request(
+            now, f"remove {member.id}", lambda stored: self.without(stored, member)
+        )
