Show what the relay counts in force beside what each process tells

Cause: a process that doesn't answer the operator may still be reached by the balancers, and at full size not every process can be asked. Change: a root's sums in its status, in status' first line, and in the account where somebody did not answer; readiness names what the relay still lacks.

--- a/fuchsiapin/daemons/answers.py
+++ b/fuchsiapin/daemons/answers.py
@@ -13,7 +13,7 @@
 from fuchsiapin.configuring import Difference
 from fuchsiapin.faults import Fault, render_faults
 from fuchsiapin.messages import Configuration
-from fuchsiapin.picture import Lag, Picture, find_lags, newest_number
+from fuchsiapin.picture import Lag, Picture, find_lags, newest_number, relay_count
 
 __all__ = [
     "EXIT_TEXT",
@@ -209,7 +209,12 @@
     stored = picture.configuration
     author = f" by {stored.author}" if stored else ""
     config = f"configuration {number}{author}" if number else "no configuration yet"
-    return f"{picture.deployment}: {config}; object API {picture.store}"
+    head = f"{picture.deployment}: {config}; object API {picture.store}"
+    total = relay_count(picture)
+    if total is None:
+        return head
+    done = total.total - total.behind
+    return f"{head}; relay: {total.newest} in force on {done} of {total.total}"
 
 
 def status_row(picture: Picture, process: Any) -> list[Any]:
--- a/fuchsiapin/explain.py
+++ b/fuchsiapin/explain.py
@@ -5,7 +5,7 @@
 
 from fuchsiapin.messages import ServiceConfig
 from fuchsiapin.phrases import count, join, name_some
-from fuchsiapin.picture import Lag, Picture, find_lags, newest_number
+from fuchsiapin.picture import Lag, Picture, find_lags, newest_number, relay_count
 from fuchsiapin.served import (
     Section,
     count_errors,
@@ -295,6 +295,7 @@
     silent = [lag.process for lag in lags if lag.what == "silent"]
     if silent:
         lines.append(f"Did not answer when asked: {name_some(silent)}.")
+        lines += relay_lines(picture)
     moving = [lag for lag in lags if lag.what in ("view", "active")]
     if moving:
         named = name_some(sorted({lag.process for lag in moving}))
@@ -304,6 +305,18 @@
     return lines
 
 
+def relay_lines(picture: Picture) -> list[str]:
+    """Return what the balancers know of processes that did not answer here."""
+    total = relay_count(picture)
+    if total is None:
+        return []
+    done = total.total - total.behind
+    return [
+        f"The balancers, which pass configurations on, count {total.newest} in force "
+        f"on {done} of the {count(total.total, 'process')} that they reach."
+    ]
+
+
 def last_change(picture: Picture) -> list[str]:
     """Return what the newest configuration changed."""
     history = picture.configuration.history if picture.configuration else []
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -190,31 +190,6 @@
     admin: str
 
 
-@dataclass(frozen=True)
-class ProcessStatus:
-    """
-    What one process tells at its admin address.
-    """
-
-    name: str
-    role: Literal["side", "balancer"]
-    service: str
-    zone: str
-    version: str
-    incarnation: int
-    state: Literal["live", "leaving", "down"]
-    not_ready: list[str]
-    object_api: Literal["unknown", "reachable", "unreachable"]
-    config: int
-    views: list[ViewStatus]
-    in_flight: int
-    waiting: int
-    observations: int
-    records: int
-    counts: list[EventCount]
-    retries: int = 0
-
-
 @dataclass(frozen=True)
 class Forward:
     """
@@ -754,3 +729,29 @@
     """
     Effect: the process may end.
     """
+
+
+@dataclass(frozen=True)
+class ProcessStatus:
+    """
+    What one process tells at its admin address.
+    """
+
+    name: str
+    role: Literal["side", "balancer"]
+    service: str
+    zone: str
+    version: str
+    incarnation: int
+    state: Literal["live", "leaving", "down"]
+    not_ready: list[str]
+    object_api: Literal["unknown", "reachable", "unreachable"]
+    config: int
+    views: list[ViewStatus]
+    in_flight: int
+    waiting: int
+    observations: int
+    records: int
+    counts: list[EventCount]
+    retries: int = 0
+    in_force: list[ConfigAck] = field(default_factory=list)
--- a/fuchsiapin/picture.py
+++ b/fuchsiapin/picture.py
@@ -6,6 +6,7 @@
 from typing import Literal
 
 from fuchsiapin.messages import (
+    ConfigAck,
     Configuration,
     KnownProcess,
     ProcessStatus,
@@ -21,6 +22,7 @@
     "newest_number",
     "newest_views",
     "processes_of",
+    "relay_count",
 ]
 
 ProcessKey = tuple[str, str]
@@ -143,6 +145,21 @@
     return found
 
 
+def relay_count(picture: Picture) -> ConfigAck | None:
+    """Return where the configuration is in force by the word of a relay root.
+
+    The largest count is the most complete one.
+    """
+    key = f"config/{picture.deployment}"
+    found = [
+        ack
+        for status in picture.statuses.values()
+        for ack in status.in_force
+        if ack.key == key
+    ]
+    return max(found, key=lambda ack: ack.total, default=None)
+
+
 def view_lags(
     process: KnownProcess, status: ProcessStatus, views: dict[str, int]
 ) -> list[Lag]:
--- a/fuchsiapin/statuses.py
+++ b/fuchsiapin/statuses.py
@@ -76,7 +76,7 @@
 def side_faults(core: SideCore) -> list[str]:
     """Return why a side process can't do its whole work."""
     me, ownership = core.membership.me, core.ownership
-    found = []
+    found = relay_faults(core)
     if core.config is None:
         found.append("no configuration is known yet")
     if not ownership.view:
@@ -92,6 +92,12 @@
     return found
 
 
+def relay_faults(core: SideCore | BalancerCore) -> list[str]:
+    """Return why a process may lack stored objects."""
+    reason = core.relay.unready_reason()
+    return [reason] if reason else []
+
+
 @describers.register("balancer")
 def describe_balancer(
     core: BalancerCore, version: str, object_api: str, counts: list[EventCount]
@@ -119,12 +125,13 @@
         observations=0,
         records=0,
         counts=counts,
+        in_force=core.relay.in_force(core.now) if core.relay.is_watching else [],
     )
 
 
 def balancer_faults(core: BalancerCore) -> list[str]:
     """Return why a balancer can't do its whole work."""
-    found = []
+    found = relay_faults(core)
     if core.config is None:
         found.append("no configuration is known yet")
     if not core.views:
--- a/fuchsiapin/tests/test_explain.py
+++ b/fuchsiapin/tests/test_explain.py
@@ -12,6 +12,7 @@
 from fuchsiapin.explain import explain
 from fuchsiapin.messages import (
     BalancerMember,
+    ConfigAck,
     EventCount,
     Member,
     ProcessStatus,
@@ -184,6 +185,18 @@
         )
         self.assertIn("1 process did not answer and 1 process is still", headline)
 
+    def test_balancers_tell_of_processes_that_do_not_answer_here(self) -> None:
+        picture = make_picture()
+        acks = [ConfigAck("config/casa-popescu", 1, 0, 13, 2, ["ledger-2"])]
+        acks.append(ConfigAck("config/other", 9, 9, 99, 0, []))
+        key = ("balancer", "b-buc-a")
+        status = replace(picture.statuses[key], in_force=acks)
+        picture.statuses[key] = status
+        self.assertIn("relay: 1 in force on 11 of 13", answer_status(picture).text)
+        self.assertNotIn("count 1 in force", explain(picture).text())
+        del picture.statuses["side", "ledger-2"]
+        self.lines(picture, "count 1 in force on 11 of the 13 processes")
+
     def test_leaving_upstream_and_what_it_still_has(self) -> None:
         picture = with_state(make_picture(), "ledger-3", "leaving")
         picture = with_status(picture, "ledger-3", in_flight=1, waiting=1)
