Let requests that only read move to a peer too

Cause: a request was looked at for a move only once its record was at the witness; requests that only read have no record and always waited at home. Change: they are considered as soon as they wait.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -115,6 +115,8 @@
         elif coap.is_safe(request.message):
             if request.refused:
                 self.refuse(request)
+            else:
+                self.core.mover.consider_move(request)
         elif standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
             self.give_up(request)
         elif standing in (Standing.READY, Standing.UNCERTAIN):
