Let idle peers pull the requests that wait elsewhere

Cause: a request was moved once, by two backlogs that were old when it arrived; afterwards it waited although other peers had become idle. Change: moves are strategies in a registry. In the new one, 'reserve', a request that has to wait leaves its name with up to six peers (late binding, as in Sparrow); a peer with a spare slot offers it to the name that waits longest; the owner hands over that request or the one that waits longest there.

--- a/fuchsiapin/admission.py
+++ b/fuchsiapin/admission.py
@@ -52,6 +52,14 @@
         """Let a request wait for a slot."""
         self.queue.append(request)
 
+    def insert(self, request: Request) -> None:
+        """Let a request wait before all that are due later."""
+        for place, other in enumerate(self.queue):
+            if other.deadline > request.deadline:
+                self.queue.insert(place, request)
+                return
+        self.queue.append(request)
+
     def remove(self, request: Request) -> None:
         """Take a request out of the queue, if it waits there."""
         if request in self.queue:
--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -44,6 +44,7 @@
     messages.RelayCopy,
     messages.RelayAcks,
     messages.BalancerLeaving,
+    messages.OfferDeclined,
 ]
 """Types that travel; the place in the list is the number on the wire."""
 
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -224,9 +224,10 @@
         ):
             request = self.next_startable()
             if request is None:
-                return
+                break
             self.core.admission.remove(request)
             self.start_request(request)
+        self.core.mover.strategy.on_pumped()
 
     def next_startable(self) -> Request | None:
         """Return the first waiting request that may run now."""
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -416,6 +416,16 @@
     wait_ms: int
 
 
+@dataclass(frozen=True)
+class OfferDeclined:
+    """
+    Tells a peer that offered a slot that nothing waits for it.
+    """
+
+    service: str
+    key: bytes
+
+
 @dataclass(frozen=True)
 class Handoff:
     """
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -1,35 +1,44 @@
-"""Requests that have not started move to the better one of two peers.
-
-References
-----------
-.. [1] M. Mitzenmacher, "The power of two choices in randomized load balancing",
-   IEEE Transactions on Parallel and Distributed Systems, 2001.
-"""
+"""Requests that have not started are handed to a peer, which runs them once."""
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from fuchsiapin import coap, messages
 from fuchsiapin.messages import Member, SendPeer
 from fuchsiapin.ranking import flow_key
-from fuchsiapin.registry import Registry
 from fuchsiapin.requests import Request, Stage
 
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
 
-__all__ = ["Mover", "movers"]
+__all__ = ["MoveStrategy", "Mover"]
+
+
+class MoveStrategy(Protocol):
+    """Which requests move where, and what a peer that is asked does."""
+
+    def consider(self, request: Request) -> None:
+        """Look at an own request that waits."""
+
+    def on_ask(self, peer: Member, message: messages.BacklogAsk) -> None:
+        """Take the question of a peer."""
+
+    def on_tell(self, peer: Member, message: messages.BacklogTell) -> None:
+        """Take the word of a peer that was asked."""
+
+    def on_declined(self, sender: str) -> None:
+        """Take a peer's word that it has no use for a slot."""
+
+    def on_handoff(self, sender: str) -> None:
+        """Note that a peer handed a request over."""
+
+    def on_pumped(self) -> None:
+        """Look for slots that nothing here waits for."""
 
-movers = Registry("move")
 
 RESEND_MS = 200
 """A handoff is sent again after this time."""
-ASK_PATIENCE_MS = 25
-"""Wait for the peers that were asked for their backlog."""
-HOP_MS = 16
-"""A move has to save more than the way there and back."""
-ASKED_PEERS = 2
 MAX_HANDLED = 65_536
 """Requests of peers whose result is remembered."""
 
@@ -41,33 +50,21 @@
     ----------
     core : SideCore
         The core that this is a part of.
-    consider : callable
-        Called with the mover and a request that waits.
+    make_strategy : callable
+        Returns the strategy, which decides which requests move where.
     """
 
     def __init__(
-        self, core: "SideCore", consider: Callable[["Mover", Request], None]
+        self, core: "SideCore", make_strategy: Callable[["Mover"], MoveStrategy]
     ) -> None:
         self.core = core
-        self.consider = consider
+        self.strategy = make_strategy(self)
         self.handled: OrderedDict[bytes, messages.HandoffResult | None] = OrderedDict()
 
     def consider_move(self, request: Request) -> None:
         """Look whether a request that waits here would start sooner elsewhere."""
         if self.may_move(request):
-            self.consider(self, request)
-
-    def ask_peers(self, request: Request) -> None:
-        """Ask two peers how long a request would wait there."""
-        peers = [m for m in self.core.membership.peers() if m.state == "live"]
-        asked = self.core.rng.sample(peers, min(ASKED_PEERS, len(peers)))
-        request.stage = Stage.ASKING
-        for member in asked:
-            ask = messages.BacklogAsk(self.core.service, request.key)
-            self.core.out.append(SendPeer(member.host, member.port, ask))
-        self.core.timers.add(
-            self.core.now + ASK_PATIENCE_MS, lambda now: self.decide_move(request)
-        )
+            self.strategy.consider(request)
 
     def may_move(self, request: Request) -> bool:
         """Return whether a waiting request may run elsewhere."""
@@ -76,56 +73,63 @@
             request.stage is Stage.WAITING
             and request.key in self.core.requests
             and not request.origin
-            and request.tries == 0
             and message.opt.observe is None
             and not coap.is_blockwise(message)
-            and not self.core.admission.has_free_slot
         )
 
     def on_backlog_ask(self, sender: str, message: messages.BacklogAsk) -> None:
-        """Tell how long new work would wait here."""
+        """Take a peer's question for its waiting request."""
         peer = self.core.membership.peer(sender)
         if peer is not None and self.core.membership.me.state == "live":
-            tell = messages.BacklogTell(
-                self.core.service, message.key, self.core.admission.wait_ms()
-            )
-            self.core.out.append(SendPeer(peer.host, peer.port, tell))
+            self.strategy.on_ask(peer, message)
 
     def on_backlog_tell(self, sender: str, message: messages.BacklogTell) -> None:
-        """Note a peer's backlog; decide once all that were asked told."""
-        request = self.core.requests.get(message.key)
-        if request is None or request.stage is not Stage.ASKING:
-            return
-        request.offers[sender] = message.wait_ms
-        if len(request.offers) == ASKED_PEERS:
-            self.decide_move(request)
+        """Take the word of a peer that was asked."""
+        peer = self.core.membership.peer(sender)
+        if peer is not None:
+            self.strategy.on_tell(peer, message)
 
-    def decide_move(self, request: Request) -> None:
-        """Hand a request to the better peer, if that saves time."""
-        if request.stage is not Stage.ASKING or request.key not in self.core.requests:
-            return
-        request.stage = Stage.WAITING
-        request.tries += 1
-        if request.offers and self.core.dispatcher.may_start(request):
-            best = min(request.offers, key=lambda name: request.offers[name])
-            peer = self.core.membership.peer(best)
-            saved = self.core.admission.wait_ms() - request.offers[best]
-            if peer is not None and saved > HOP_MS:
-                self.hand_off(request, peer)
-                return
-        self.core.dispatcher.pump()
+    def on_offer_declined(self, sender: str, message: messages.OfferDeclined) -> None:
+        """Note that a peer has no use for a slot that was offered."""
+        self.strategy.on_declined(sender)
+
+    def tell(self, peer: Member, key: bytes, wait_ms: int) -> None:
+        """Tell a peer how long its request would wait here."""
+        message = messages.BacklogTell(self.core.service, key, wait_ms)
+        self.core.out.append(SendPeer(peer.host, peer.port, message))
+
+    def ask(self, request: Request, count: int) -> int:
+        """Ask peers drawn at random about a request; return how many."""
+        peers = [m for m in self.core.membership.peers() if m.state == "live"]
+        asked = self.core.rng.sample(peers, min(count, len(peers)))
+        message = messages.BacklogAsk(self.core.service, request.key)
+        for member in asked:
+            self.core.out.append(SendPeer(member.host, member.port, message))
+        return len(asked)
 
     def hand_off(self, request: Request, peer: Member) -> None:
         """Let a peer run a request; from now on it may have run."""
         request.stage = Stage.HANDED
+        request.handed_to = peer.id
         request.started = self.core.now
         self.core.admission.remove(request)
         self.core.report(3103, host=request.host, port=request.port, peer=peer.id)
         self.send_handoff(request, peer)
 
+    def is_handed_to(self, request: Request, name: str) -> bool:
+        """Return whether a peer is the one that was told last to run a request.
+
+        A late word of an earlier one that declined says nothing any more.
+        """
+        return (
+            request.key in self.core.requests
+            and request.stage is Stage.HANDED
+            and request.handed_to == name
+        )
+
     def send_handoff(self, request: Request, peer: Member) -> None:
         """Send a request to a peer until it tells what became of it."""
-        if request.key not in self.core.requests or request.stage is not Stage.HANDED:
+        if not self.is_handed_to(request, peer.id):
             return
         handoff = messages.Handoff(
             self.core.service,
@@ -144,6 +148,7 @@
 
     def on_handoff(self, sender: str, message: messages.Handoff) -> None:
         """Run a request for its owner, once."""
+        self.strategy.on_handoff(sender)
         peer = self.core.membership.peer(sender)
         if peer is None:
             return
@@ -189,7 +194,7 @@
         self.core.timers.add(
             deadline, lambda now: self.core.dispatcher.expire_request(request)
         )
-        self.core.admission.enqueue(request)
+        self.core.admission.insert(request)
         self.core.dispatcher.pump()
 
     def remember_handled(
@@ -219,7 +224,7 @@
     def on_handoff_result(self, sender: str, message: messages.HandoffResult) -> None:
         """Take what became of a request that was handed to a peer."""
         request = self.core.requests.get(message.key)
-        if request is None or request.stage is not Stage.HANDED:
+        if request is None or not self.is_handed_to(request, sender):
             return
         if message.outcome == "done":
             answer = coap.parse_datagram(message.payload)
@@ -234,14 +239,3 @@
             self.core.dispatcher.pump()
         else:
             self.core.dispatcher.give_up(request)
-
-
-@movers.register("stay")
-def stay(mover: Mover, request: Request) -> None:
-    """Let every request wait where its flow is."""
-
-
-@movers.register("ask-two")
-def ask_two(mover: Mover, request: Request) -> None:
-    """Ask two peers once, when the request has to wait."""
-    mover.ask_peers(request)
--- a/fuchsiapin/policy.py
+++ b/fuchsiapin/policy.py
@@ -1,13 +1,18 @@
-"""Names of the variants that a side process follows, each from a registry."""
+"""Behaviour that varies: its registries, and the names that a process follows."""
 
 from dataclasses import dataclass
 
-__all__ = ["Policy"]
+from fuchsiapin.registry import Registry
+
+__all__ = ["Policy", "movers"]
+
+movers = Registry("move")
+"""When a request that has not started moves to a peer."""
 
 
 @dataclass(frozen=True)
 class Policy:
     """One name for each behaviour that varies."""
 
-    move: str = "ask-two"
-    """When a request that has not started moves to a peer."""
+    move: str = "reserve"
+    """One of `movers`."""
--- a/fuchsiapin/requests.py
+++ b/fuchsiapin/requests.py
@@ -73,6 +73,7 @@
         self.refused = ""
         self.refused_at = 0
         self.tries = 0
+        self.handed_to = ""
         self.offers: dict[str, int] = {}
         self.received = 0
         self.started = 0
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -21,10 +21,9 @@
 from fuchsiapin.flowstate import KeptFlows
 from fuchsiapin.membership import Membership
 from fuchsiapin.messages import Member, SendPeer
-from fuchsiapin.moving import Mover, movers
+from fuchsiapin.moving import Mover
 from fuchsiapin.observing import Observations
 from fuchsiapin.ownership import Ownership, Standing
-from fuchsiapin.policy import Policy
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.records import RecordTable
 from fuchsiapin.relay import Relay, RelayOptions
@@ -34,6 +33,7 @@
 from fuchsiapin.timers import Timers
 from fuchsiapin.transfers import Transfers
 from fuchsiapin.upstream import UpstreamLink
+from fuchsiapin.variants import Policy, movers
 from fuchsiapin.watching import Watcher
 
 __all__ = ["SideCore", "SideOptions", "make_side_core"]
@@ -166,6 +166,7 @@
             messages.ObservationPut: self.watcher.on_observation_put,
             messages.BacklogAsk: self.mover.on_backlog_ask,
             messages.BacklogTell: self.mover.on_backlog_tell,
+            messages.OfferDeclined: self.mover.on_offer_declined,
             messages.Handoff: self.mover.on_handoff,
             messages.HandoffResult: self.mover.on_handoff_result,
             messages.Suspect: self.on_suspect,
--- a/fuchsiapin/tests/test_measure.py
+++ b/fuchsiapin/tests/test_measure.py
@@ -42,6 +42,11 @@
         self.assertGreater(found["refused"], 0)
         self.assertEqual((found["false_not_run"], found["ran_twice"]), (0, 0))
 
+    def test_late_word_of_a_peer_that_declined_runs_nothing_twice(self) -> None:
+        found = run_short(MAIN, 1.6)
+        self.assertGreater(found["moved"], 0)
+        self.assertEqual((found["ran_twice"], found["unknown"]), (0, 0))
+
     def test_replaced_upstreams_leave_no_uncertain_flows(self) -> None:
         faults = [Fault(1.0 + 2 * place, "replace", place) for place in range(4)]
         found = run_short(MAIN, 0.3, *faults)
--- a/measure/cluster.py
+++ b/measure/cluster.py
@@ -42,6 +42,7 @@
     messages.ObservationPut,
     messages.BacklogAsk,
     messages.BacklogTell,
+    messages.OfferDeclined,
     messages.Handoff,
     messages.HandoffResult,
 )
