--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -36,6 +36,8 @@
 PING = bytes([0x40, 0, 0, 1])
 """An empty confirmable message, which is answered with a reset."""
 RESET_TYPE = 3
+NOT_READY = 503
+"""Status of `/ready` with the reasons, while there are some."""
 SET_PARENT_DEATH_SIGNAL = 1
 """Request number of prctl."""
 
@@ -120,7 +122,17 @@
         request = Request(url, data=body, method=method)
         with urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
             return json.loads(answer.read() or b"null")
-    except (HTTPError, URLError, OSError, ValueError):
+    except HTTPError as error:
+        return json_or_none(error.read()) if error.code == NOT_READY else None
+    except (URLError, OSError, ValueError):
+        return None
+
+
+def json_or_none(body: bytes) -> Any:
+    """Return a body's value, None where it is no JSON."""
+    try:
+        return json.loads(body)
+    except ValueError:
         return None
 
 
