Run a declined request at its old owner once the flow has a new one

Cause: a peer declines a handoff that comes by an older view; when the flow had moved by then, the old owner passed the request on, but the new owner held it as one that may have run and ignored it, and told "outcome unknown" once the old owner had left: a planned stop cut requests. Ruled out: a lost or overtaken outcome (the caller was never answered).

--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -6,6 +6,7 @@
 
 from fuchsiapin import coap, messages
 from fuchsiapin.messages import Member, SendPeer
+from fuchsiapin.ownership import Standing
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.requests import Request, Stage
 
@@ -232,6 +233,8 @@
                 answer, request.message, self.core.take_mid()
             )
             self.core.dispatcher.finish(request, "done", datagram)
+        elif message.outcome == "not_run" and self.is_bound_here(request):
+            self.core.dispatcher.start_request(request)
         elif message.outcome == "not_run":
             request.stage = Stage.WAITING
             self.core.admission.queue.appendleft(request)
@@ -239,3 +242,12 @@
             self.core.dispatcher.pump()
         else:
             self.core.dispatcher.give_up(request)
+
+    def is_bound_here(self, request: Request) -> bool:
+        """Return whether no other process will run a request that came back.
+
+        The flow has a new owner, which was told that the request may have run
+        here; it would not run it if it were passed on.
+        """
+        standing = self.core.ownership.standing(request.flow, self.core.now)
+        return standing is Standing.FOREIGN and not coap.is_safe(request.message)
--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -95,6 +95,19 @@
         world.run(5_000)
         self.assertEqual(self.uncertain(world), [])
 
+    def test_request_that_a_peer_declines_survives_the_stop_of_its_owner(self) -> None:
+        for offset in (43, 51, 59, 62):
+            world = World(offset, WorldOptions(sides=4, service_ms=20))
+            world.run(4_000)
+            callers = [world.add_caller() for _ in range(12)]
+            for number, caller in enumerate(callers * 3):
+                caller.post("claims", f"claim-{number}")
+            world.run(offset)
+            world.stop("swapdesk-4")
+            world.run(60_000)
+            self.assertEqual(Oracle(world).faults(), [])
+            self.assertEqual(world.tally.done, 36)
+
     def test_killed_balancer_breaks_no_flow(self) -> None:
         world = make_busy_world(4)
         world.kill("balancer-2")
