Let a new owner run what an earlier owner never ran

Cause: a request that its owner had handed to a peer counts as "may have run" when the flow moves. If the peer then declines it (it does when its view differs, so at every planned leave under load), the new owner kept the intent for good and stayed silent to retransmissions. The same silence followed when both the answer and the message that shares the outcome were lost.

Ruled out: answering "outcome unknown" at once, which cuts a request that a planned stop must not cut.

Change: the earlier owner sends a withdrawal when it passes a request on, and on a retransmission the new owner asks the member that may run the request; it tells the outcome or withdraws. A withdrawal frees only an intent that names that incarnation of the sender.

--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -45,6 +45,8 @@
     messages.RelayAcks,
     messages.BalancerLeaving,
     messages.OfferDeclined,
+    messages.RecordAsk,
+    messages.Withdrawal,
 ]
 """Types that travel; the place in the list is the number on the wire."""
 
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -11,7 +11,7 @@
 from aiocoap.numbers.codes import Code
 
 from fuchsiapin import coap, messages
-from fuchsiapin.messages import Record, SendPeer
+from fuchsiapin.messages import Member, Record, SendPeer
 from fuchsiapin.ownership import Standing
 from fuchsiapin.ranking import member_key
 from fuchsiapin.requests import Request, Stage
@@ -71,13 +71,47 @@
         if record.response:
             self.core.send_to_caller(record.host, record.port, record.response)
             return
-        if not self.is_present(record.executor):
+        executor = self.find_incarnation(record.executor)
+        if executor is None:
             self.tell_unknown(record)
+        elif not self.core.ownership.is_self(executor):
+            ask = messages.RecordAsk(self.core.service, record.key, record.executor)
+            self.core.out.append(SendPeer(executor.host, executor.port, ask))
+
+    def find_incarnation(self, executor: str) -> Member | None:
+        """Return one incarnation of a member, if it is in the newest view."""
+        for member in self.core.ownership.history.members():
+            if member_key(member) == executor:
+                return member
+        return None
 
-    def is_present(self, executor: str) -> bool:
-        """Return whether one incarnation of a member is in the newest view."""
-        members = self.core.ownership.history.members()
-        return any(member_key(member) == executor for member in members)
+    def on_record_ask(self, sender: str, message: messages.RecordAsk) -> None:
+        """Tell the new owner of a flow what became of a request here."""
+        owner = self.core.membership.peer(sender)
+        if owner is None or message.key in self.core.requests:
+            return
+        record = self.core.table.get(message.key)
+        if record is not None and record.response:
+            view = self.core.ownership.view
+            put = messages.RecordPut(self.core.service, view, record)
+            self.core.out.append(SendPeer(owner.host, owner.port, put))
+        elif message.executor == member_key(self.core.membership.me):
+            self.withdraw(message.key, owner)
+
+    def withdraw(self, key: bytes, owner: Member) -> None:
+        """Give the owner of a flow the word that a request never ran here."""
+        executor = member_key(self.core.membership.me)
+        withdrawal = messages.Withdrawal(self.core.service, key, executor)
+        self.core.out.append(SendPeer(owner.host, owner.port, withdrawal))
+
+    def on_withdrawal(self, sender: str, message: messages.Withdrawal) -> None:
+        """Let a request run after all that an earlier owner never ran."""
+        record = self.core.table.get(message.key)
+        if record is None or record.state != "intent":
+            return
+        is_of_sender = message.executor.rpartition("#")[0] == sender
+        if is_of_sender and record.executor == message.executor:
+            self.core.table.drop(message.key)
 
     def tell_unknown(self, record: Record) -> None:
         """Tell a caller that it can't be known whether its request ran."""
@@ -171,7 +205,7 @@
         ok = ok and not (
             self.core.table.is_full and self.core.table.get(record.key) is None
         )
-        if ok or record.state == "done":
+        if ok or record.response:
             self.core.table.put(record)
         answer = messages.RecordAck(
             self.core.service, message.view, record.key, record.state, ok
@@ -214,7 +248,7 @@
                 Standing.SETTLING,
             ):
                 continue
-            if not self.is_present(record.executor):
+            if self.find_incarnation(record.executor) is None:
                 self.tell_unknown(record)
 
     def pump(self) -> None:
@@ -389,6 +423,7 @@
         self.core.table.drop(request.key)
         owner, _ = self.core.ownership.pair(request.flow)
         if owner is not None:
+            self.withdraw(request.key, owner)
             self.core.pass_on(owner, request.host, request.port, request.datagram)
 
     def is_withdrawn(self, key: bytes) -> bool:
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -442,6 +442,28 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class RecordAsk:
+    """
+    Asks the member that may run a request what became of it.
+    """
+
+    service: str
+    key: bytes
+    executor: str
+
+
+@dataclass(frozen=True)
+class Withdrawal:
+    """
+    The word of a member that it never ran a request and never will.
+    """
+
+    service: str
+    key: bytes
+    executor: str
+
+
 @dataclass(frozen=True)
 class HandoffResult:
     """
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -168,6 +168,8 @@
             messages.BacklogTell: self.mover.on_backlog_tell,
             messages.OfferDeclined: self.mover.on_offer_declined,
             messages.Handoff: self.mover.on_handoff,
+            messages.RecordAsk: self.dispatcher.on_record_ask,
+            messages.Withdrawal: self.dispatcher.on_withdrawal,
             messages.HandoffResult: self.mover.on_handoff_result,
             messages.Suspect: self.on_suspect,
             messages.SuspectAnswer: self.on_suspect_answer,
