Try shed and lost requests again within a budget for each class

Cause: a request that its upstream shed was answered 5.03 although six others had slots, the shedding upstream got the next one at once, and a request handed to a peer that died waited for its deadline. Change: strategies of second tries in a registry. 'budget' lets a shed request wait again (it was not run) and an idempotent one whose peer is gone or whose upstream is silent; each class may make one second try for ten answers, and save ten. A shedding upstream is spared 100 ms, twice as long the next time, and then tried with one request. Others whose peer is gone are told so at once.

--- a/fuchsiapin/admission.py
+++ b/fuchsiapin/admission.py
@@ -8,6 +8,9 @@
 
 FIRST_SERVICE_MS = 100
 """Service time assumed before the first answer."""
+FIRST_PAUSE_MS = 100
+"""An upstream that sheds is spared for so long, twice as long the next time."""
+MAX_PAUSE_MS = 3_200
 SMOOTHING = 0.1
 """Weight of the newest service time in the mean."""
 
@@ -29,11 +32,40 @@
         self.running: dict[bytes, int] = {}
         self.queue: deque[Request] = deque()
         self.service_ms = float(FIRST_SERVICE_MS)
+        self.pause_ms = 0
+        self.paused_until = 0
+        self.is_paused = False
 
     @property
     def has_free_slot(self) -> bool:
         """Whether a request could start now."""
-        return len(self.running) < self.slots
+        return len(self.running) < self.limit
+
+    @property
+    def limit(self) -> int:
+        """Requests that the upstream is given at the same time just now.
+
+        While it sheds, none until the pause is over, and then one to see.
+        """
+        if not self.pause_ms:
+            return self.slots
+        return 0 if self.is_paused else 1
+
+    def note_shed(self, now: int) -> int:
+        """Note that the upstream shed a request; return how long it is spared."""
+        self.pause_ms = min(max(2 * self.pause_ms, FIRST_PAUSE_MS), MAX_PAUSE_MS)
+        self.paused_until = now + self.pause_ms
+        self.is_paused = True
+        return self.pause_ms
+
+    def resume(self, now: int) -> None:
+        """End the pause, if it is over."""
+        if now >= self.paused_until:
+            self.is_paused = False
+
+    def note_served(self) -> None:
+        """Note that the upstream served a request."""
+        self.pause_ms = self.pause_ms // 2 if self.pause_ms > FIRST_PAUSE_MS else 0
 
     def wait_ms(self) -> int:
         """Return how long a request that arrives now would wait."""
@@ -69,6 +101,10 @@
         """Note that a request takes a slot."""
         self.running[key] = now
 
+    def release(self, key: bytes) -> None:
+        """Note that a request left its slot without being served."""
+        self.running.pop(key, None)
+
     def finish(self, key: bytes, now: int) -> None:
         """Note that a request left its slot, and learn from its time."""
         started = self.running.pop(key, None)
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -261,6 +261,7 @@
             coap.is_idempotent(request.message),
             observe,
         )
+        request.token = token
         self.core.timers.add(
             self.core.now + MAX_SLOT_MS, lambda now: self.free_slot(request, token)
         )
@@ -276,11 +277,20 @@
         if token in self.core.observations.by_token:
             self.core.watcher.on_notification(token, answer)
             return
-        self.core.admission.finish(request.key, self.core.now)
-        if request.key in self.core.requests:
-            self.complete(request, token, answer)
+        self.take_answer(request, token, answer)
         self.pump()
 
+    def take_answer(self, request: Request, token: bytes, answer: Message) -> None:
+        """Free the slot and give the answer on, unless the request is tried again."""
+        if answer.code is Code.SERVICE_UNAVAILABLE:
+            self.core.admission.release(request.key)
+        else:
+            self.core.admission.finish(request.key, self.core.now)
+        if request.key not in self.core.requests:
+            return
+        if not self.core.retrier.on_answer(request, answer):
+            self.complete(request, token, answer)
+
     def complete(self, request: Request, token: bytes, answer: Message) -> None:
         """Give the caller the whole answer."""
         if request.origin:
@@ -298,6 +308,7 @@
     def finish(self, request: Request, state: str, datagram: bytes) -> None:
         """Send the final answer and keep it for retransmissions."""
         self.forget_request(request)
+        self.core.retrier.on_ended(request)
         self.report_end(request, state)
         self.core.send_to_caller(request.host, request.port, datagram)
         if coap.is_safe(request.message):
@@ -366,7 +377,9 @@
         if request.origin:
             outcome = "unknown" if request.has_started else "not_run"
             self.core.mover.return_result(request, outcome, b"")
-        elif coap.is_safe(request.message) and not request.has_started:
+        elif coap.is_safe(request.message) and not (
+            request.has_started or request.may_have_run
+        ):
             request.refused = "deadline"
             request.refused_at = self.core.now
             self.refuse(request)
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -254,6 +254,15 @@
             Field("latency_ms", "integer"),
         ),
     ),
+    Event(
+        3108,
+        "request tried again",
+        "debug",
+        "A request that was shed, or an idempotent one whose fate is unknown, is "
+        "tried again, within the budget of its class.",
+        "See whether an upstream sheds, is silent or was lost.",
+        (Field("reason"), Field("tenant")),
+    ),
     Event(
         4101,
         "message of another service",
--- a/fuchsiapin/policy.py
+++ b/fuchsiapin/policy.py
@@ -4,10 +4,12 @@
 
 from fuchsiapin.registry import Registry
 
-__all__ = ["Policy", "movers"]
+__all__ = ["Policy", "movers", "retriers"]
 
 movers = Registry("move")
 """When a request that has not started moves to a peer."""
+retriers = Registry("retry")
+"""When a request is tried a second time."""
 
 
 @dataclass(frozen=True)
@@ -16,3 +18,5 @@
 
     move: str = "reserve"
     """One of `movers`."""
+    retry: str = "budget"
+    """One of `retriers`."""
--- a/fuchsiapin/requests.py
+++ b/fuchsiapin/requests.py
@@ -74,6 +74,8 @@
         self.refused_at = 0
         self.tries = 0
         self.handed_to = ""
+        self.token = b""
+        self.may_have_run = False
         self.offers: dict[str, int] = {}
         self.received = 0
         self.started = 0
--- a/fuchsiapin/reserving.py
+++ b/fuchsiapin/reserving.py
@@ -73,7 +73,7 @@
     def has_to_wait(self) -> bool:
         """Return whether more requests are here than slots."""
         admission = self.core.admission
-        return len(admission.running) + len(admission.queue) > admission.slots
+        return len(admission.running) + len(admission.queue) > admission.limit
 
     def use_offer(self, request: Request, name: str) -> None:
         """Hand a request to the peer that offered a slot."""
@@ -140,7 +140,7 @@
         admission = self.core.admission
         taken = len(admission.running) + len(admission.queue) + len(self.offered)
         is_live = self.core.membership.me.state == "live"
-        return is_live and taken < admission.slots
+        return is_live and taken < admission.limit
 
     def age_ahead(self) -> int | None:
         """Return how long a peer's request must have waited to go before own ones.
@@ -150,7 +150,7 @@
         int or None
             Milliseconds; None while none is known to have waited so long.
         """
-        if len(self.offered) >= self.core.admission.slots:
+        if len(self.offered) >= self.core.admission.limit:
             return None
         own = [r.received for r in self.core.admission.queue if not r.origin]
         if not own:
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -33,7 +33,7 @@
 from fuchsiapin.timers import Timers
 from fuchsiapin.transfers import Transfers
 from fuchsiapin.upstream import UpstreamLink
-from fuchsiapin.variants import Policy, movers
+from fuchsiapin.variants import Policy, movers, retriers
 from fuchsiapin.watching import Watcher
 
 __all__ = ["SideCore", "SideOptions", "make_side_core"]
@@ -113,6 +113,7 @@
         self.requests: dict[bytes, Request] = {}
         self.dispatcher = Dispatcher(self)
         self.mover = Mover(self, movers.get(options.policy.move))
+        self.retrier = retriers.get(options.policy.retry)(self)
         self.transfers = Transfers(self)
         self.watcher = Watcher(self)
         self.routes: OrderedDict[bytes, str] = OrderedDict()
@@ -239,8 +240,11 @@
         """Leave the ranking while the own upstream is silent."""
         if self.membership.me.state == "leaving":
             return
-        state = "down" if self.link.is_silent(now) else "live"
-        self.membership.set_state(now, state)
+        if self.link.is_silent(now):
+            self.retrier.on_silent()
+            self.membership.set_state(now, "down")
+        else:
+            self.membership.set_state(now, "live")
 
     def report(self, number: int, **fields: Any) -> None:
         """Add a numbered event for log and metrics."""
@@ -401,6 +405,7 @@
             flow = flow_key(self.service, key[0], key[1])
             if self.ownership.standing(flow, self.now) is Standing.FOREIGN:
                 self.watcher.release_observation(key)
+        self.retrier.on_view()
         self.take_early()
 
     # Datagrams of callers
--- a/fuchsiapin/tests/test_measure.py
+++ b/fuchsiapin/tests/test_measure.py
@@ -47,6 +47,17 @@
         self.assertGreater(found["moved"], 0)
         self.assertEqual((found["ran_twice"], found["unknown"]), (0, 0))
 
+    def test_shed_requests_run_elsewhere_once(self) -> None:
+        found = run_short(MAIN, 0.5, Fault(3.0, "shed", 1))
+        self.assertGreater(found["retried"], 0)
+        self.assertLess(found["refused"], 0.01 * found["requests"])
+        self.assertEqual((found["ran_twice"], found["false_not_run"]), (0, 0))
+
+    def test_lost_zone_adds_few_second_tries(self) -> None:
+        found = run_short(MAIN, 0.4, Fault(6.0, "lose_zone", 1))
+        self.assertLessEqual(found["retried"], 0.1 * found["requests"])
+        self.assertEqual((found["ran_twice"], found["silent"]), (0, 0))
+
     def test_replaced_upstreams_leave_no_uncertain_flows(self) -> None:
         faults = [Fault(1.0 + 2 * place, "replace", place) for place in range(4)]
         found = run_short(MAIN, 0.3, *faults)
