--- /dev/null
+++ b/measure/forwarding.py
@@ -0,0 +1,243 @@
+"""Processor time a datagram and memory a flow, beside a bare forwarder.
+
+Both read real datagrams from a loopback socket with Twisted's port and write
+each one to another address; sending them there is not counted. A benchmark, so
+its figures belong to the machine that it ran on.
+"""
+
+import cProfile
+import json
+import pstats
+import random
+import socket
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.protocol import DatagramProtocol
+
+from fuchsiapin import messages
+from fuchsiapin.balancing import make_balancer_core
+from fuchsiapin.clock import SystemClock
+from fuchsiapin.codec import encode_object
+from fuchsiapin.daemons.balancer import BalancerShell, CallerSocket
+from fuchsiapin.records import RecordTable
+from fuchsiapin.settings import Settings
+from fuchsiapin.settingsmodel import Address
+
+__all__ = ["main", "measure_forwarding"]
+
+SERVICE = "swapdesk"
+HOST = "127.0.0.1"
+SOCKET_BYTES = 65_536
+BATCH = 64
+"""Datagrams that wait in the socket before it is read."""
+PAYLOAD_BYTES = 64
+SIDES = 7
+RECORDS = 100_000
+REPLY_BYTES = 64
+ROUNDS = 5
+TOP = 18
+
+
+class BareForwarder(DatagramProtocol):
+    """Writes each datagram to one address."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target = target
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Write a datagram on."""
+        self.transport.write(datagram, self.target)
+
+
+class ManyCallers(DatagramProtocol):
+    """Gives datagrams to a protocol as if each came from another caller.
+
+    Parameters
+    ----------
+    inner : DatagramProtocol
+        The protocol that is measured.
+    flows : list of (str, int)
+        Callers, in the order in which they send.
+    """
+
+    def __init__(self, inner: DatagramProtocol, flows: list[tuple[str, int]]) -> None:
+        self.inner = inner
+        self.flows = flows
+        self.count = 0
+
+    def makeConnection(self, transport: Any) -> None:
+        """Let both write to the same socket."""
+        super().makeConnection(transport)
+        self.inner.makeConnection(transport)
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Give a datagram on under the next caller's address."""
+        caller = self.flows[self.count % len(self.flows)]
+        self.count += 1
+        self.inner.datagramReceived(datagram, caller)
+
+
+def make_flows(count: int) -> list[tuple[str, int]]:
+    """Return callers in random order."""
+    flows = [
+        (f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}", 40_000) for n in range(count)
+    ]
+    random.Random(1).shuffle(flows)
+    return flows
+
+
+def make_shell(target: tuple[str, int]) -> BalancerShell:
+    """Return a balancer that knows a service of side processes at one address."""
+    settings = Settings(
+        name="balancer-1",
+        availability_zone="bole",
+        peer=Address(HOST, 1),
+        object_api="http://127.0.0.1:1",
+        keys=["00" * 16],
+    )
+    clock = SystemClock()
+    shell = BalancerShell(reactor, settings, clock)
+    me = messages.BalancerMember("balancer-1", 1, HOST, 1, "bole", "live", "")
+    shell.core = make_balancer_core(me, 1)
+    members = [
+        messages.Member(f"{SERVICE}-{n}", 1, *target, f"zone-{n % 3}", 2_000, "live")
+        for n in range(SIDES)
+    ]
+    membership = messages.ServiceMembership(SERVICE, messages.View(1, members), [], "1")
+    seen = messages.ObjectSeen(f"members/{SERVICE}", 1, encode_object(membership))
+    shell.core.handle(clock.now(), seen)
+    shell.peers.listen(HOST, 0)
+    return shell
+
+
+def time_port(port: Any, many: ManyCallers, total: int) -> float:
+    """Return the processor time a datagram in microseconds, sending not counted."""
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    address = (HOST, port.getHost().port)
+    payload = b"\x40\x02" + bytes(PAYLOAD_BYTES - 2)
+    spent = 0
+    for _ in range(total // BATCH):
+        for _ in range(BATCH):
+            sender.sendto(payload, address)
+        wanted = many.count + BATCH
+        began = time.process_time_ns()
+        while many.count < wanted:
+            port.doRead()
+        spent += time.process_time_ns() - began
+    sender.close()
+    return spent / 1000 / (total // BATCH * BATCH)
+
+
+def time_forwarding(flows: int, total: int) -> tuple[float, float, float]:
+    """Return bare time, balancer's time and their ratio, the best of some rounds."""
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sink.bind((HOST, 0))
+    target = sink.getsockname()
+    callers = make_flows(flows)
+    bare = ManyCallers(BareForwarder(target), callers)
+    full = ManyCallers(CallerSocket(SERVICE, make_shell(target)), callers)
+    ports = [reactor.listenUDP(0, many, HOST, SOCKET_BYTES) for many in (bare, full)]
+    rounds = [
+        (time_port(ports[0], bare, total), time_port(ports[1], full, total))
+        for _ in range(ROUNDS)
+    ]
+    least_bare = min(one for one, _ in rounds)
+    least_full = min(other for _, other in rounds)
+    return least_bare, least_full, least_full / least_bare
+
+
+def memory_per(count: int, fill: Callable[[int], Any]) -> float:
+    """Return the bytes for each of so many things that `fill` keeps."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = fill(count)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return (after - before) / count
+
+
+def fill_balancer(count: int) -> BalancerShell:
+    """Return a balancer after a datagram of each of so many flows."""
+    shell = make_shell((HOST, 9))
+    now = shell.clock.now()
+    for host, port in make_flows(count):
+        shell.core.handle(now, messages.CallerDatagram(SERVICE, host, port, b""))
+    return shell
+
+
+def fill_records(count: int) -> RecordTable:
+    """Return a table with so many records of answered requests."""
+    table = RecordTable(count)
+    for number in range(count):
+        key = number.to_bytes(12, "big")
+        answer = bytes([number % 256]) * REPLY_BYTES
+        host = f"10.9.{number >> 8 & 255}.{number & 255}"
+        table.put(
+            messages.Record(key, host, 4_000, key[:8], "done", "a#1", answer, number)
+        )
+    return table
+
+
+def profile(flows: int, total: int) -> None:
+    """Print what the balancer spends its time on."""
+    shell = make_shell((HOST, 9))
+    callers = make_flows(flows)
+    inner = CallerSocket(SERVICE, shell)
+    profiler = cProfile.Profile()
+    profiler.enable()
+    for number in range(total):
+        inner.datagramReceived(bytes(PAYLOAD_BYTES), callers[number % flows])
+    profiler.disable()
+    pstats.Stats(profiler).sort_stats("tottime").print_stats(TOP)
+
+
+def measure_forwarding(
+    *,
+    flows: int = 300_000,
+    total: int = 64_000,
+    profiled: bool = False,
+    out: Path = Path("reports/forwarding.json"),
+) -> None:
+    """Measure what a balancer spends on a datagram.
+
+    Parameters
+    ----------
+    flows : int
+        Flows held; each datagram is of the next one.
+    total : int
+        Datagrams in a round.
+    profiled : bool
+        Print a profile too.
+    out : Path
+        Where the report goes.
+    """
+    bare, full, ratio = time_forwarding(flows, total)
+    report = {
+        "flows": flows,
+        "bare_us": round(bare, 2),
+        "balancer_us": round(full, 2),
+        "ratio": round(ratio, 2),
+        "balancer_bytes_a_flow": round(memory_per(flows, fill_balancer), 1),
+        "record_bytes": round(memory_per(RECORDS, fill_records)),
+    }
+    print(json.dumps(report, indent=1))
+    out.parent.mkdir(parents=True, exist_ok=True)
+    out.write_text(json.dumps(report, indent=1) + "\n")
+    if profiled:
+        profile(flows, total)
+
+
+def main() -> None:
+    """Enter from the command line."""
+    defopt.run(measure_forwarding)
+
+
+if __name__ == "__main__":
+    main()
