Read the fields of a message at once and keep the keyed hash

Cause: packing and sealing took 4.7 us of a forwarded datagram under the profiler. Change: one attrgetter for each type, one packer, a copy of the keyed hash.

--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -3,7 +3,9 @@
 import dataclasses
 import json
 import typing
+from collections.abc import Callable, Sequence
 from functools import cache
+from operator import attrgetter
 from typing import Any, TypeVar
 
 import msgpack
@@ -52,12 +54,22 @@
 
 NUMBER_OF = {kind: number for number, kind in enumerate(WIRE_TYPES)}
 
+packer = msgpack.Packer(default=lambda message: as_values(message))
 converter = Converter(forbid_extra_keys=False)
 
 
-def as_values(message: Any) -> list[Any]:
+def as_values(message: Any) -> Sequence[Any]:
     """Return the fields of a message in order, nested messages likewise."""
-    return [getattr(message, name) for name in field_names(type(message))]
+    return getter_of(type(message))(message)
+
+
+@cache
+def getter_of(kind: type) -> Callable[[Any], Sequence[Any]]:
+    """Return a function that reads the fields of a message type in order."""
+    names = field_names(kind)
+    if len(names) > 1:
+        return attrgetter(*names)
+    return lambda message: [getattr(message, name) for name in names]
 
 
 @cache
@@ -113,7 +125,7 @@
     """
     body = [sender, incarnation, sequence, NUMBER_OF[type(message)]]
     body.extend(as_values(message))
-    return msgpack.packb(body, default=as_values)
+    return packer.pack(body)
 
 
 def unpack_message(data: bytes) -> tuple[str, int, int, Any]:
--- a/fuchsiapin/envelope.py
+++ b/fuchsiapin/envelope.py
@@ -41,14 +41,16 @@
     def __init__(self, sender: str, incarnation: int, key: bytes) -> None:
         self.sender = sender
         self.incarnation = incarnation
-        self.key = key
+        self.keyed = blake2b(digest_size=TAG_BYTES, key=key)
         self.sequence = 0
 
     def seal(self, message: Any) -> bytes:
         """Return the envelope of a message."""
         self.sequence += 1
         body = pack_message(self.sender, self.incarnation, self.sequence, message)
-        return blake2b(body, digest_size=TAG_BYTES, key=self.key).digest() + body
+        tag = self.keyed.copy()
+        tag.update(body)
+        return tag.digest() + body
 
 
 class Opener:
