Send envelopes by the socket itself

Cause: the transport checks each address anew, three times a datagram; with it a write took 10.5 us under the profiler, the system call 3.4 us. Change: the peer socket writes by its handle; what it won't take is lost, as on the way, and counted.

--- a/fuchsiapin/daemons/transport.py
+++ b/fuchsiapin/daemons/transport.py
@@ -32,6 +32,17 @@
         """Open an envelope."""
         self.owner.open(datagram)
 
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram by the socket itself; one that it won't take is lost.
+
+        The addresses come from checked objects, so that the checks of the
+        transport, a third of its time, find nothing.
+        """
+        try:
+            self.transport.getHandle().sendto(datagram, address)
+        except OSError:
+            self.owner.lost += 1
+
 
 class PeerStream(Int32StringReceiver):
     """One TCP stream of envelopes, each behind its length."""
@@ -129,6 +140,7 @@
         self.datagrams = PeerDatagrams(self)
         self.streams: dict[tuple[str, int], PeerClient] = {}
         self.on_sent = on_sent
+        self.lost = 0
 
     def listen(self, host: str, port: int) -> int:
         """Open the peer port, UDP and TCP; return its number."""
@@ -142,7 +154,7 @@
         envelope = self.sealer.seal(message)
         self.on_sent(type(message).__name__, len(envelope))
         if len(envelope) <= MAX_DATAGRAM_BYTES:
-            self.datagrams.transport.write(envelope, (host, port))
+            self.datagrams.send(envelope, (host, port))
             return
         address = (host, port)
         if address not in self.streams:
