Bound, resume and count the calls to the object API

Cause: a watch that broke read all objects again after a fixed pause; bodies were read without a bound; a watch that was ended lived on beside the next. Change: watches go on from their last revision and read all again only when the object API lost what came after it; pauses double with jitter; bodies end at 1 MB, lists at 64 MiB; calls are counted by method. Connections are reused (one for four calls in the test).

--- a/fuchsiapin/daemons/gathering.py
+++ b/fuchsiapin/daemons/gathering.py
@@ -8,7 +8,12 @@
 from twisted.internet.defer import DeferredSemaphore, ensureDeferred, gatherResults
 
 from fuchsiapin.codec import converter, decode_object
-from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
+from fuchsiapin.daemons.objectapi import (
+    MAX_LIST_BYTES,
+    ObjectApiClient,
+    StoredObject,
+    read_list,
+)
 from fuchsiapin.exceptions import MalformedObject, ObjectApiError
 from fuchsiapin.messages import (
     Configuration,
@@ -100,19 +105,11 @@
         If the object API fails or its answer makes no sense.
     """
     status, data, _ = await client.call(
-        "GET", "/objects?since=0", b"", {}, CALL_TIMEOUT_S
+        "GET", "/objects?since=0", b"", {}, CALL_TIMEOUT_S, MAX_LIST_BYTES
     )
     if status != 200:
         raise ObjectApiError(f"list: status {status}")
-    try:
-        return [
-            StoredObject(
-                item["key"], item["version"], json.dumps(item["value"]).encode()
-            )
-            for item in json.loads(data)["objects"]
-        ]
-    except (ValueError, KeyError, TypeError) as error:
-        raise ObjectApiError(f"list: {error!r}") from error
+    return read_list(data)[1]
 
 
 async def find_known(reactor: Any, address: str) -> dict[tuple[str, str], KnownProcess]:
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -175,7 +175,12 @@
         self.feed(messages.ObjectSeen(stored.key, stored.version, stored.value))
 
     def on_api_state(self, is_reachable: bool) -> None:
-        """Note whether the object API answers, and tell the core."""
+        """Tell the core whether the watch of the object API answers."""
+        self.note_api(is_reachable)
+        self.feed(messages.WatchState(is_reachable))
+
+    def note_api(self, is_reachable: bool) -> None:
+        """Note whether the object API answered a call."""
         state = "reachable" if is_reachable else "unreachable"
         if state != self.api_state:
             self.api_state = state
@@ -183,7 +188,6 @@
                 self.note(1202)
             else:
                 self.note(1201)
-        self.feed(messages.WatchState(is_reachable))
 
     def watch_objects(self, effect: messages.WatchObjects) -> None:
         """Begin or end to watch all stored objects."""
@@ -207,6 +211,7 @@
             outcome = "done" if is_done else "conflict"
         except ObjectApiError:
             outcome = "unreachable"
+        self.note_api(outcome != "unreachable")
         self.feed(messages.WriteFinished(effect.key, effect.change_id, outcome))
 
     def read_object(self, effect: messages.ReadObject) -> None:
@@ -217,7 +222,9 @@
         """Read an object and give it to the core."""
         try:
             self.on_object(await self.api.read(key))
+            self.note_api(True)
         except ObjectApiError as error:
+            self.note_api(False)
             self.note(1203, key=key, error=str(error))
 
     # What operators see
--- a/fuchsiapin/exceptions.py
+++ b/fuchsiapin/exceptions.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "FuchsiapinError",
+    "HistoryLost",
     "MalformedDatagram",
     "MalformedEnvelope",
     "MalformedObject",
@@ -31,6 +32,10 @@
     """The platform's object API failed or could not be reached."""
 
 
+class HistoryLost(ObjectApiError):
+    """The object API no longer tells what changed since a revision."""
+
+
 class SettingsError(FuchsiapinError):
     """Settings, register or rules with faults."""
 
--- a/fuchsiapin/tests/standins/objectapi.py
+++ b/fuchsiapin/tests/standins/objectapi.py
@@ -21,6 +21,8 @@
     outage: bool = False
     delay_ms: int = 0
     lose_answers: int = 0
+    oldest: int = 0
+    """Watches from an earlier revision than this one are gone."""
 
 
 @dataclass
@@ -138,6 +140,9 @@
         self.store.count("watch")
         since = int(request.args.get(b"since", [b"0"])[0])
         wait = float(request.args.get(b"wait", [b"0"])[0])
+        if since > self.store.revision or 0 < since < self.faults.oldest:
+            self.finish(request, 410, b"{}")
+            return
         if self.store.since(since) or not wait:
             self.answer_watch(request, since)
             return
--- /dev/null
+++ b/fuchsiapin/tests/test_objectapi.py
@@ -0,0 +1,187 @@
+"""The client of the object API against the stand-in, over one real socket."""
+
+import json
+import random
+import unittest
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import deferLater
+
+from fuchsiapin.daemons.objectapi import ObjectApiClient, read_list, version_of
+from fuchsiapin.exceptions import ObjectApiError
+from fuchsiapin.tests.standins.objectapi import Faults, make_site
+
+
+def drive(coroutine: Any) -> Any:
+    """Run the reactor by hand until a coroutine has ended; return its result."""
+    ended: list[Any] = []
+    deferred: Deferred = ensureDeferred(coroutine)
+    deferred.addBoth(ended.append)
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    for _ in range(100_000):
+        if ended:
+            break
+        reactor.iterate(0.001)
+    [result] = ended
+    if hasattr(result, "raiseException"):
+        result.raiseException()
+    return result
+
+
+def tearDownModule() -> None:
+    """End the threads of the reactor, which outlive the tests else."""
+    reactor.getThreadPool().stop()
+
+
+class ClientTest(unittest.TestCase):
+    """Reads, conditional writes and watches under faults."""
+
+    def setUp(self) -> None:
+        self.faults = Faults()
+        self.site = make_site(reactor, self.faults)
+        self.port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
+        url = f"http://127.0.0.1:{self.port.getHost().port}"
+        self.client = ObjectApiClient(reactor, url, random.Random(1))
+        self.seen: list[tuple[str, int]] = []
+        self.states: list[bool] = []
+
+    def tearDown(self) -> None:
+        self.client.stop()
+        drive(self.close())
+
+    async def close(self) -> None:
+        """End connections and port."""
+        await self.client.pool.closeCachedConnections()
+        await self.port.stopListening()
+
+    @property
+    def store(self) -> Any:
+        """What the stand-in holds."""
+        return self.site.resource.store
+
+    async def until(self, condition: Any) -> None:
+        """Wait until a condition holds."""
+        for _ in range(10_000):
+            if condition():
+                return
+            await deferLater(reactor, 0.001)
+        self.fail("waited in vain")
+
+    def begin_watch(self) -> None:
+        """Watch into `seen` and `states`."""
+        ensureDeferred(
+            self.client.watch(
+                lambda item: self.seen.append((item.key, item.version)),
+                self.states.append,
+            )
+        )
+
+    def test_conditional_writes_and_reads(self) -> None:
+        async def session() -> list[Any]:
+            done = [
+                await self.client.write("config/a", version, b"{}")
+                for version in (0, 0)
+            ]
+            stored = await self.client.read("config/a")
+            absent = await self.client.read("config/b")
+            return [done, stored.version, stored.value, absent.version]
+
+        self.assertEqual(drive(session()), [[True, False], 1, b"{}", 0])
+        self.assertEqual(self.client.calls, {"PUT": 2, "GET": 2})
+        self.assertEqual(len(self.client.pool._connections), 1)
+
+    def test_lost_answer_is_an_error_and_the_write_stands(self) -> None:
+        self.faults.lose_answers = 1
+
+        async def session() -> int:
+            with self.assertRaises(ObjectApiError):
+                await self.client.write("config/a", 0, b"{}")
+            return (await self.client.read("config/a")).version
+
+        self.assertEqual(drive(session()), 1)
+
+    def test_body_over_the_bound_is_refused(self) -> None:
+        self.store.put("config/a", "x" * 1_100_000)
+
+        async def session() -> None:
+            with self.assertRaises(ObjectApiError):
+                await self.client.read("config/a")
+
+        drive(session())
+
+    def test_value_of_a_megabyte_passes(self) -> None:
+        value = json.dumps("x" * 999_990).encode()
+
+        async def session() -> int:
+            await self.client.write("config/a", 0, value)
+            return len((await self.client.read("config/a")).value)
+
+        self.assertEqual(drive(session()), len(value))
+
+    def test_watch_goes_on_from_the_last_revision_after_an_outage(self) -> None:
+        async def session() -> None:
+            self.store.put("a", 1)
+            self.begin_watch()
+            await self.until(lambda: self.store.counts.get("watch") == 2)
+            self.faults.outage = True
+            self.store.put("b", 2)
+            await self.until(lambda: len(self.seen) == 2)
+            await self.until(lambda: False in self.states)
+            self.store.put("c", 3)
+            self.faults.outage = False
+            await self.until(lambda: len(self.seen) == 3)
+
+        drive(session())
+        self.assertEqual(self.seen, [("a", 1), ("b", 2), ("c", 3)])
+
+    def test_lost_history_brings_a_full_list(self) -> None:
+        async def session() -> None:
+            self.store.put("a", 1)
+            self.begin_watch()
+            await self.until(lambda: self.store.counts.get("watch") == 2)
+            self.faults.oldest = 3
+            self.store.put("b", 2)
+            await self.until(lambda: len(self.seen) > 2)
+
+        drive(session())
+        self.assertEqual(self.seen, [("a", 1), ("b", 2), ("a", 1), ("b", 2)])
+
+    def test_store_that_went_back_is_read_anew(self) -> None:
+        self.client.revision = 9
+
+        async def session() -> None:
+            self.store.put("a", 1)
+            self.begin_watch()
+            await self.until(lambda: len(self.seen) == 1)
+
+        drive(session())
+        self.assertEqual(self.client.revision, 1)
+
+    def test_watch_begun_again_runs_once(self) -> None:
+        async def session() -> None:
+            self.begin_watch()
+            await self.until(lambda: self.store.counts.get("watch"))
+            self.client.stop()
+            self.begin_watch()
+            await self.until(lambda: self.store.counts["watch"] == 2)
+            self.store.put("a", 1)
+            await self.until(lambda: self.store.counts["watch"] == 3)
+            await deferLater(reactor, 0.05)
+
+        drive(session())
+        self.assertEqual(self.seen, [("a", 1)])
+        self.assertEqual(self.store.counts["watch"], 3)
+
+    def test_answers_that_make_no_sense_are_errors(self) -> None:
+        for data in (b"x", b"[]", b'{"objects": [1], "revision": 1}', b"{}"):
+            with self.assertRaises(ObjectApiError):
+                read_list(data)
+        with self.assertRaises(ObjectApiError):
+            version_of("a", "W/x")
+
+
+if __name__ == "__main__":
+    unittest.main()
