Hold equal members of a service's views once at a balancer

Cause: a membership object carries the newest view and earlier ones; each was decoded to members of its own, 39 for 13 upstreams.

--- a/fuchsiapin/balancing.py
+++ b/fuchsiapin/balancing.py
@@ -6,6 +6,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from fuchsiapin import messages
@@ -221,7 +222,8 @@
         if event.key != f"members/{membership.service}":
             raise MalformedObject(f"{event.key} holds another service")
         views = self.views.setdefault(membership.service, ViewHistory())
-        views.adopt(membership)
+        if membership.view.number > views.number:
+            views.adopt(share_members(membership))
 
     def on_object_copy(self, sender: str, message: messages.ObjectCopy) -> None:
         """Take a stored object from a peer, as from the store."""
@@ -295,6 +297,23 @@
             self.out.append(messages.Finished())
 
 
+def share_members(
+    membership: messages.ServiceMembership,
+) -> messages.ServiceMembership:
+    """Return a membership whose views hold equal members once, to save memory."""
+    known: dict[messages.Member, messages.Member] = {}
+
+    def share(view: messages.View) -> messages.View:
+        members = [known.setdefault(member, member) for member in view.members]
+        return messages.View(view.number, members)
+
+    return replace(
+        membership,
+        view=share(membership.view),
+        history=[share(view) for view in membership.history],
+    )
+
+
 EVENT_HANDLERS: dict[type, Callable[[BalancerCore, Any], None]] = {
     messages.Start: BalancerCore.on_start,
     messages.PeerMessage: BalancerCore.on_peer_message,
