Share one Twisted loop between all tests of a run

Cause: the tests of the object API client drove the loop by hand, the tests of real processes run it in a thread. A loop starts once in a process, so that after the former every one of the latter waited 90 s in vain for it.

Ruled out: a fault of the processes (all were ready and idle meanwhile).

Change: both use one loop in a thread (tests/loops.py); what is checked is the same.

--- a/fuchsiapin/tests/fleets.py
+++ b/fuchsiapin/tests/fleets.py
@@ -3,7 +3,6 @@
 import random
 import shutil
 import tempfile
-import threading
 import time
 import unittest
 from collections.abc import Callable
@@ -11,8 +10,8 @@
 from typing import Any
 
 from twisted.internet import reactor
-from twisted.internet.threads import blockingCallFromThread
 
+from fuchsiapin.tests.loops import in_loop
 from fuchsiapin.tests.standins.caller import Caller, Tally
 from tools.fleet import Deployment, Fleet, wait_until
 
@@ -24,15 +23,6 @@
 CLAIMS = 3
 
 
-def in_loop(function: Callable[..., Any], *args: Any) -> Any:
-    """Call a function in the loop's thread, which is started where needed."""
-    if not reactor.running:
-        run = {"installSignalHandlers": False}
-        threading.Thread(target=reactor.run, kwargs=run, daemon=True).start()
-        wait_until(lambda: reactor.running, GENEROUS_S, "loop")
-    return blockingCallFromThread(reactor, function, *args)
-
-
 class Callers:
     """Callers of one service, each with an open board.
 
--- a/fuchsiapin/tests/test_objectapi.py
+++ b/fuchsiapin/tests/test_objectapi.py
@@ -6,34 +6,15 @@
 from typing import Any
 
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
 from fuchsiapin.daemons.objectapi import ObjectApiClient, read_list, version_of
 from fuchsiapin.exceptions import ObjectApiError
+from fuchsiapin.tests.loops import drive, in_loop
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
 
-
-def drive(coroutine: Any) -> Any:
-    """Run the reactor by hand until a coroutine has ended; return its result."""
-    ended: list[Any] = []
-    deferred: Deferred = ensureDeferred(coroutine)
-    deferred.addBoth(ended.append)
-    if not reactor.running:
-        reactor.startRunning(installSignalHandlers=False)
-    for _ in range(100_000):
-        if ended:
-            break
-        reactor.iterate(0.001)
-    [result] = ended
-    if hasattr(result, "raiseException"):
-        result.raiseException()
-    return result
-
-
-def tearDownModule() -> None:
-    """End the threads of the reactor, which outlive the tests else."""
-    reactor.getThreadPool().stop()
+BACKLOG = 50
 
 
 class ClientTest(unittest.TestCase):
@@ -42,18 +23,18 @@
     def setUp(self) -> None:
         self.faults = Faults()
         self.site = make_site(reactor, self.faults)
-        self.port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
+        self.port = in_loop(reactor.listenTCP, 0, self.site, BACKLOG, "127.0.0.1")
         url = f"http://127.0.0.1:{self.port.getHost().port}"
         self.client = ObjectApiClient(reactor, url, random.Random(1))
         self.seen: list[tuple[str, int]] = []
         self.states: list[bool] = []
 
     def tearDown(self) -> None:
-        self.client.stop()
         drive(self.close())
 
     async def close(self) -> None:
-        """End connections and port."""
+        """End watch, connections and port."""
+        self.client.stop()
         await self.client.pool.closeCachedConnections()
         await self.port.stopListening()
 
