--- a/measure/world.py
+++ b/measure/world.py
@@ -27,6 +27,7 @@
 PEER_PORT = 7000
 CALLER_PORT = 5683
 WATCH_CHECK_MS = 500
+REORDER_MS = 60.0
 MAX_INBOX = 4_096
 """Datagrams that wait for a paused process."""
 
@@ -46,6 +47,8 @@
     board_ms: float = 1_000.0
     seeds: list[Contact] = field(default_factory=list)
     policy: Policy = field(default_factory=Policy)
+    others: tuple[tuple[str, int], ...] = ()
+    """Further services behind the same balancers, with their side processes."""
 
 
 @dataclass
@@ -57,7 +60,10 @@
     caller_ms: float = 3.0
     loss: float = 0.0
     duplicate: float = 0.0
+    reorder: float = 0.0
+    """Share of datagrams that are held back by `REORDER_MS`."""
     cuts: set[tuple[str, str]] = field(default_factory=set)
+    """Directed pairs of processes or availability zones."""
 
 
 class WorldClock:
@@ -85,11 +91,14 @@
 class Node:
     """One process: its core, and whether it runs."""
 
-    def __init__(self, name: str, host: str, zone: str, core: Any) -> None:
+    def __init__(
+        self, name: str, host: str, zone: str, core: Any, service: str = ""
+    ) -> None:
         self.name = name
         self.host = host
         self.zone = zone
         self.core = core
+        self.service = service
         self.is_alive = True
         self.is_frozen = False
         self.inbox: deque[Any] = deque(maxlen=MAX_INBOX)
@@ -152,8 +161,14 @@
         self.balancer_addresses: list[tuple[str, int]] = []
         for place in range(self.options.balancers):
             self.add_balancer(f"balancer-{place + 1}", self.zone_of(place))
-        for place in range(self.options.sides):
-            self.add_side(f"{self.options.service}-{place + 1}", self.zone_of(place))
+        for service, sides in self.services().items():
+            for place in range(sides):
+                name = f"{service}-{place + 1}"
+                self.add_side(name, self.zone_of(place), service=service)
+
+    def services(self) -> dict[str, int]:
+        """Return the services and their first number of side processes."""
+        return {self.options.service: self.options.sides, **dict(self.options.others)}
 
     def zone_of(self, place: int) -> str:
         """Return the availability zone of a place."""
@@ -194,12 +209,18 @@
     def restart_side(self, name: str) -> Node:
         """Kill a side process and start it again on the same VM."""
         old = self.kill(name)
-        return self.add_side(name, old.zone, old.upstream, old.host)
+        return self.add_side(name, old.zone, old.upstream, old.service, old.host)
 
     def add_side(
-        self, name: str, zone: str, upstream: Upstream | None = None, host: str = ""
+        self,
+        name: str,
+        zone: str,
+        upstream: Upstream | None = None,
+        service: str = "",
+        host: str = "",
     ) -> Node:
         """Start a side process, beside a new upstream unless one is given."""
+        service = service or self.options.service
         host = host or self.next_host(2)
         me = messages.Member(name, int(self.now), host, PEER_PORT, zone, 2000, "live")
         options = SideOptions(
@@ -210,21 +231,19 @@
             self.options.policy,
             seeds=list(self.options.seeds),
         )
-        core = make_side_core(
-            self.options.service, me, self.rng.getrandbits(32), options
-        )
-        node = self.add_node(name, host, zone, core)
-        node.upstream = upstream or self.make_upstream(name)
+        core = make_side_core(service, me, self.rng.getrandbits(32), options)
+        node = self.add_node(name, host, zone, core, service)
+        node.upstream = upstream or self.make_upstream(name, service)
         node.upstream.sink = lambda data, address: self.at(
             self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
         )
         return node
 
-    def make_upstream(self, name: str) -> Upstream:
+    def make_upstream(self, name: str, service: str) -> Upstream:
         """Start an upstream stand-in."""
         options = UpstreamOptions(
             name,
-            self.options.service,
+            service,
             self.options.slots,
             self.options.service_ms,
             self.options.board_ms,
@@ -241,16 +260,18 @@
         node.upstream.datagramReceived = lambda data, address: None
 
         def begin() -> None:
-            node.upstream = self.make_upstream(node.name)
+            node.upstream = self.make_upstream(node.name, node.service)
             node.upstream.sink = lambda data, address: self.at(
                 self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
             )
 
         self.at(self.now + silent_ms, begin)
 
-    def add_node(self, name: str, host: str, zone: str, core: Any) -> Node:
+    def add_node(
+        self, name: str, host: str, zone: str, core: Any, service: str = ""
+    ) -> Node:
         """Join a process to the world and start it."""
-        node = Node(name, host, zone, core)
+        node = Node(name, host, zone, core, service)
         self.nodes[name] = node
         self.by_address[(host, PEER_PORT)] = node
         self.at(self.now + self.rng.uniform(0, 5), lambda: self.boot(node))
@@ -321,13 +342,25 @@
 
     def delay(self, base: float) -> float:
         """Return the delay of one datagram."""
+        if self.links.reorder and self.rng.random() < self.links.reorder:
+            base += REORDER_MS
         return base + self.rng.uniform(0, self.links.jitter_ms)
 
+    def is_cut(self, source: str, target: str) -> bool:
+        """Return whether datagrams between two processes are lost."""
+        if not self.links.cuts:
+            return False
+        ends = [
+            {name, self.nodes[name].zone} if name in self.nodes else {name}
+            for name in (source, target)
+        ]
+        return any(one in ends[0] and two in ends[1] for one, two in self.links.cuts)
+
     def deliver(
         self, source: str, target: str, base: float, call: Callable[[], None]
     ) -> None:
         """Carry a datagram, or lose or repeat it."""
-        if (source, target) in self.links.cuts:
+        if self.is_cut(source, target):
             return
         copies = 1
         if self.links.loss and self.rng.random() < self.links.loss:
@@ -372,36 +405,39 @@
             self.now, lambda: node.upstream.datagramReceived(effect.payload, address)
         )
 
-    def add_caller(self) -> Caller:
+    def add_caller(self, service: str = "") -> Caller:
         """Add a caller with a flow of its own."""
+        service = service or self.options.service
         rng = random.Random(self.rng.getrandbits(32))
         address = (f"10.9.{len(self.callers) // 250}.{len(self.callers) % 250}", 4000)
         caller = Caller(
-            self.options.service,
+            service,
             self.balancer_addresses,
             self.tally,
             self.clock,
             rng,
         )
         caller.transport = Wire(
-            lambda data, target: self.call_balancer(address, data, target)
+            lambda data, target: self.call_balancer(service, address, data, target)
         )
         caller.spray = lambda data: self.call_balancer(
-            address, data, rng.choice(self.balancer_addresses or [("", 0)])
+            service, address, data, rng.choice(self.balancer_addresses or [("", 0)])
         )
         self.callers[address] = caller
         return caller
 
     def call_balancer(
-        self, source: tuple[str, int], data: bytes, target: tuple[str, int]
+        self,
+        service: str,
+        source: tuple[str, int],
+        data: bytes,
+        target: tuple[str, int],
     ) -> None:
         """Carry a caller's datagram to a balancer."""
         node = self.by_address.get((target[0], PEER_PORT))
         if node is None:
             return
-        event = messages.CallerDatagram(
-            self.options.service, source[0], source[1], data
-        )
+        event = messages.CallerDatagram(service, source[0], source[1], data)
         self.deliver(
             "caller", node.name, self.links.caller_ms, lambda: self.feed(node, event)
         )
