Keep each range of lost flows once

Cause: every claim answer and every install added its ranges of lost flows to those already held, so that a few view changes after a crash made lists of thousands, handed on with each message.

Ruled out: a storm of messages (counted by kind: none passes 2,500 a second).

Change: ranges are kept by view and lost members, the one that lasts longer wins.

--- /dev/null
+++ b/fuchsiapin/tests/test_ownership.py
@@ -0,0 +1,32 @@
+"""Claims, fences and ranges of lost flows, one rule at a time."""
+
+import unittest
+
+from fuchsiapin.messages import Member, UncertainRange, View
+from fuchsiapin.ownership import Ownership
+from fuchsiapin.timers import Timers
+
+
+def make_member(name: str, zone: str = "bole") -> Member:
+    """Return a live member."""
+    return Member(name, 1, "10.0.0.1", 7000, zone, 2000, "live")
+
+
+def make_ownership() -> Ownership:
+    """Return the ownership of one side process that knows no view."""
+    return Ownership("swapdesk", "a", 1, None, Timers(), [], lambda now: None)
+
+
+class UncertainTest(unittest.TestCase):
+    """Ranges of which owner and witness were both silent."""
+
+    def test_repeated_ranges_are_kept_once(self) -> None:
+        ownership = make_ownership()
+        view = View(3, [make_member("b"), make_member("c", "arada")])
+        for until in (5, 9, 7):
+            ownership.add_uncertain([UncertainRange(view, ["b", "c"], until)])
+        self.assertEqual([item.until for item in ownership.uncertain], [9])
+
+
+if __name__ == "__main__":
+    unittest.main()
