Fuzz whole sessions statefully against each promise

Cause: the sessions on simulated time had one fault each, written by hand.

Ruled out: an oracle that mirrors the cores; it knows executions, answers and numbers in force only.

Change: faults and planned changes with their time, one registered check per promise, two rule-based machines (planned changes only, every fault), a tool that runs them from a seed for a time. Callers reset what they don't know and come back when a registration is refused.

--- a/fuchsiapin/tests/standins/caller.py
+++ b/fuchsiapin/tests/standins/caller.py
@@ -255,7 +255,8 @@
 
     def close_board(self) -> None:
         """Cancel the observation of the board."""
-        message = self.request(Code.GET, "board").copy(_token=self.board_token)
+        message = self.request(Code.GET, "board")
+        message.token = self.board_token
         message.opt.observe = 1
         self.send_request(message, "board")
 
@@ -265,8 +266,12 @@
         if message.code is Code.EMPTY:
             return
         if message.mtype is Type.CON:
+            is_known = message.token in (self.board_token, *self.pending)
             ack = Message(
-                code=Code.EMPTY, _mtype=Type.ACK, _mid=message.mid, _token=b""
+                code=Code.EMPTY,
+                _mtype=Type.ACK if is_known else Type.RST,
+                _mid=message.mid,
+                _token=b"",
             )
             self.spray(ack.encode())
         pending = self.pending.pop(message.token, None)
@@ -277,7 +282,8 @@
 
     def take_board(self, message: Message) -> None:
         """Check a notification."""
-        if message.code in REFUSALS:
+        if not message.code.is_successful():
+            self.is_open = False
             self.clock.callLater(message.opt.max_age or 1, self.open_board)
             return
         self.tally.notifications += 1
--- /dev/null
+++ b/measure/faults.py
@@ -0,0 +1,266 @@
+"""Faults and planned changes of a simulated world, counted by kind."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+from fuchsiapin import messages
+from fuchsiapin.codec import decode_object, encode_object
+from measure.world import Node, World
+
+__all__ = ["CONFIG_KEY", "Faults", "make_config"]
+
+CONFIG_KEY = "config/town"
+SETTLE_MS = 6_000
+"""Time that views need after a crash or the end of a fault."""
+DEADLINE_MS = 20_000
+QUEUE = 64
+
+
+def make_config(world: World) -> messages.Configuration:
+    """Return a configuration that names all upstreams of a world."""
+    services = []
+    for service in world.services():
+        upstreams = [
+            messages.UpstreamConfig(
+                node.name, node.name, node.host, node.zone, 2, 2000, False
+            )
+            for node in world.nodes.values()
+            if node.service == service
+        ]
+        services.append(
+            messages.ServiceConfig(service, DEADLINE_MS, QUEUE, upstreams, [])
+        )
+    return messages.Configuration("town", 1, "operator", "first", services, [])
+
+
+class Faults:
+    """Injects faults into a world and takes them back when their time is over.
+
+    Parameters
+    ----------
+    world : World
+        The world.
+
+    Attributes
+    ----------
+    injected : Counter
+        Faults and changes by kind.
+    severe : int
+        Faults that can take a flow's owner or witness away.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.injected: Counter[str] = Counter()
+        self.severe = 0
+        self.disturbed = 0.0
+        self.leaving: dict[str, float] = {}
+        self.accepted: dict[int, float] = {}
+        self.joined = 0
+
+    # What there is
+
+    def sides(self, service: str = "") -> list[Node]:
+        """Return the running side processes, of one service or all."""
+        return [
+            node
+            for node in self.world.nodes.values()
+            if node.service and (not service or node.service == service)
+        ]
+
+    def balancers(self) -> list[Node]:
+        """Return the running balancers."""
+        return [node for node in self.world.nodes.values() if not node.service]
+
+    def staying(self, service: str) -> list[Node]:
+        """Return the side processes of a service that were not asked to leave."""
+        return [node for node in self.sides(service) if node.name not in self.leaving]
+
+    def note(self, kind: str, is_severe: bool = False) -> None:
+        """Count a fault."""
+        self.injected[kind] += 1
+        self.severe += is_severe
+
+    def disturb_until(self, duration_ms: float) -> None:
+        """Note that bounds in time don't hold for a time."""
+        self.disturbed = max(self.disturbed, self.world.now + duration_ms)
+
+    def later(self, duration_ms: float, call: Callable[[], None]) -> None:
+        """Call after a time."""
+        self.world.at(self.world.now + duration_ms, call)
+
+    # Processes
+
+    def kill(self, node: Node) -> None:
+        """End a process without warning."""
+        self.note("kill side" if node.service else "kill balancer", bool(node.service))
+        self.disturb_until(SETTLE_MS)
+        self.world.kill(node.name)
+
+    def restart(self, node: Node) -> None:
+        """Start a side process anew under its address, with nothing kept."""
+        self.note("restart side", True)
+        self.disturb_until(SETTLE_MS)
+        self.leaving.pop(node.name, None)
+        self.world.restart(node.name)
+
+    def freeze(self, node: Node, duration_ms: float) -> None:
+        """Pause a process for a time."""
+        if node.is_frozen:
+            return
+        self.note("freeze side" if node.service else "freeze balancer", True)
+        self.disturb_until(duration_ms + SETTLE_MS)
+        self.world.freeze(node.name)
+
+        def thaw() -> None:
+            if self.world.nodes.get(node.name) is node:
+                self.world.thaw(node.name)
+
+        self.later(duration_ms, thaw)
+
+    def restart_upstream(self, node: Node, silent_ms: float) -> None:
+        """Let an upstream forget everything; its side process lives on."""
+        self.note("restart upstream", True)
+        self.disturb_until(silent_ms + SETTLE_MS)
+        self.world.restart_upstream(node, silent_ms)
+
+    def join_side(self, service: str) -> None:
+        """Start one more side process."""
+        self.note("join side")
+        self.joined += 1
+        zone = self.world.zone_of(self.joined)
+        name = f"{service}-{100 + self.joined}"
+        self.world.add_side(name, zone, service=service)
+
+    def join_balancer(self) -> None:
+        """Start one more balancer."""
+        self.note("join balancer")
+        self.joined += 1
+        self.world.add_balancer(
+            f"balancer-{100 + self.joined}", self.world.zone_of(self.joined)
+        )
+
+    def leave(self, node: Node, times: int = 1) -> None:
+        """Ask a process for a planned stop."""
+        self.note("leave side" if node.service else "leave balancer")
+        if node.service:
+            self.leaving.setdefault(node.name, self.world.now)
+        for _ in range(times):
+            self.world.stop(node.name)
+
+    # Links
+
+    def cut(self, one: str, two: str, duration_ms: float, both: bool) -> None:
+        """Lose all datagrams from one process or zone to another for a time."""
+        self.note("cut" if both else "cut one way", True)
+        self.disturb_until(duration_ms + SETTLE_MS)
+        pairs = {(one, two), (two, one)} if both else {(one, two)}
+        self.world.links.cuts |= pairs
+
+        def heal() -> None:
+            self.world.links.cuts -= pairs
+
+        self.later(duration_ms, heal)
+
+    def disturb(self, duration_ms: float, **changes: float) -> None:
+        """Change delay, jitter, loss, duplicates or reordering for a time."""
+        self.disturb_until(duration_ms + SETTLE_MS)
+        for name, value in changes.items():
+            self.note(f"links {name}")
+            usual = getattr(self.world.links, name)
+            setattr(self.world.links, name, value)
+            self.later(
+                duration_ms,
+                lambda name=name, usual=usual: setattr(self.world.links, name, usual),
+            )
+
+    # Store
+
+    def store_down(self, duration_ms: float) -> None:
+        """Begin an outage of the store."""
+        if self.world.store.is_down:
+            return
+        self.note("store down")
+        self.disturb_until(duration_ms + SETTLE_MS)
+        self.world.set_store(True)
+        self.later(duration_ms, lambda: self.world.set_store(False))
+
+    def store_slow(self, duration_ms: float, delay_ms: float) -> None:
+        """Let the store answer late for a time."""
+        self.note("store slow")
+        self.disturb_until(duration_ms + SETTLE_MS)
+        self.world.store.delay_ms = delay_ms
+        self.later(duration_ms, lambda: setattr(self.world.store, "delay_ms", 3.0))
+
+    def lose_answers(self, count: int) -> None:
+        """Let the store carry out writes without telling."""
+        self.note("store answer lost")
+        self.disturb_until(SETTLE_MS)
+        self.world.store.lose_answers += count
+
+    def hide_store(self, names: list[str], duration_ms: float) -> None:
+        """Cut the store off from some processes for a time."""
+        self.note("store unreachable from some")
+        self.disturb_until(duration_ms + SETTLE_MS)
+        self.world.store.unreachable |= set(names)
+
+        def heal() -> None:
+            self.world.store.unreachable -= set(names)
+            for node in list(self.world.nodes.values()):
+                self.world.resync(node)
+
+        self.later(duration_ms, heal)
+
+    # Operators
+
+    def accept_config(self, deadline_ms: int, leaving: str = "") -> None:
+        """Accept a configuration, as an operator's conditional update does."""
+        store = self.world.store
+        version, value = store.objects.get(CONFIG_KEY, (0, b""))
+        stored = decode_object(messages.Configuration, value) if value else None
+        config = stored or make_config(self.world)
+        number = stored.number + 1 if stored else 1
+        services = [
+            replace(
+                service,
+                deadline_ms=deadline_ms,
+                upstreams=[
+                    replace(item, leaving=item.leaving or item.id == leaving)
+                    for item in service.upstreams
+                ],
+            )
+            for service in config.services
+        ]
+        config = replace(
+            config, number=number, services=services, change_id=f"change-{number}"
+        )
+        if store.is_down:
+            return
+        if self.world.put(CONFIG_KEY, version, encode_object(config)) == "done":
+            self.note("configuration")
+            self.accepted[number] = self.world.now
+            if leaving in self.world.nodes:
+                self.leaving.setdefault(leaving, self.world.now)
+
+    def race_configs(self) -> None:
+        """Let two operators write from the same version; one loses."""
+        store = self.world.store
+        version, value = store.objects.get(CONFIG_KEY, (0, b""))
+        if not value or store.is_down:
+            return
+        self.note("operators race")
+        self.accept_config(15_000)
+        lost = self.world.put(CONFIG_KEY, version, value)
+        assert lost == "conflict"
+
+    def heal(self) -> None:
+        """Take all faults of links and store back."""
+        self.world.links.cuts.clear()
+        self.world.store.unreachable.clear()
+        self.world.store.lose_answers = 0
+        self.world.store.delay_ms = 3.0
+        self.world.set_store(False)
+        for node in list(self.world.nodes.values()):
+            if node.is_frozen:
+                self.world.thaw(node.name)
--- a/measure/world.py
+++ b/measure/world.py
@@ -159,6 +159,7 @@
         self.tally = Tally()
         self.upstreams: list[Upstream] = []
         self.balancer_addresses: list[tuple[str, int]] = []
+        self.tap: Callable[[Node, bytes], None] = lambda node, payload: None
         for place in range(self.options.balancers):
             self.add_balancer(f"balancer-{place + 1}", self.zone_of(place))
         for service, sides in self.services().items():
@@ -233,11 +234,15 @@
         )
         core = make_side_core(service, me, self.rng.getrandbits(32), options)
         node = self.add_node(name, host, zone, core, service)
-        node.upstream = upstream or self.make_upstream(name, service)
-        node.upstream.sink = lambda data, address: self.at(
+        self.attach(node, upstream or self.make_upstream(name, service))
+        return node
+
+    def attach(self, node: Node, upstream: Upstream) -> None:
+        """Join a side process and its upstream."""
+        node.upstream = upstream
+        upstream.sink = lambda data, address: self.at(
             self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
         )
-        return node
 
     def make_upstream(self, name: str, service: str) -> Upstream:
         """Start an upstream stand-in."""
@@ -260,10 +265,8 @@
         node.upstream.datagramReceived = lambda data, address: None
 
         def begin() -> None:
-            node.upstream = self.make_upstream(node.name, node.service)
-            node.upstream.sink = lambda data, address: self.at(
-                self.now, lambda: self.feed(node, messages.UpstreamDatagram(data))
-            )
+            current = self.nodes.get(node.name, node)
+            self.attach(current, self.make_upstream(node.name, node.service))
 
         self.at(self.now + silent_ms, begin)
 
@@ -400,6 +403,7 @@
 
     def send_upstream(self, node: Node, effect: messages.SendUpstream) -> None:
         """Carry a datagram to the upstream of the same VM."""
+        self.tap(node, effect.payload)
         address = (node.host, CALLER_PORT)
         self.at(
             self.now, lambda: node.upstream.datagramReceived(effect.payload, address)
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,75 @@
+"""Runs the stateful fuzzers from a seed for a time and prints what they did."""
+
+import sys
+import time
+
+import defopt
+from hypothesis import seed as seeded
+from hypothesis.stateful import run_state_machine_as_test
+
+from fuchsiapin.tests.test_fuzz import Failures, Sessions, make_settings
+
+__all__ = ["fuzz", "main"]
+
+EXAMPLES = 20
+STEPS = 50
+
+
+def run_batch(machine: type, seed: int, shrink: bool) -> str:
+    """Run one batch of sessions; return what broke, empty when nothing did."""
+    limits = make_settings(EXAMPLES, STEPS, shrink)
+    batch = seeded(seed)(type(machine.__name__, (machine,), {}))
+    try:
+        run_state_machine_as_test(batch, settings=limits)
+    except AssertionError as error:
+        notes = "\n".join(getattr(error, "__notes__", []))
+        return f"{error}\n{notes}"
+    return ""
+
+
+def fuzz(*, seconds: float = 60, seed: int = 1, shrink: bool = False) -> int:
+    """Fuzz until the time is over.
+
+    Parameters
+    ----------
+    seconds : float
+        Time to run for; a batch that began is ended.
+    seed : int
+        Seed of the first batch.
+    shrink : bool
+        Whether a failure is made as short as it can be, which takes minutes.
+
+    Returns
+    -------
+    int
+        How many batches found a broken promise.
+    """
+    end = time.monotonic() + seconds
+    batches = broken = 0
+    while time.monotonic() < end:
+        machine = (Sessions, Failures, Failures)[batches % 3]
+        found = run_batch(machine, seed * 1_000_003 + batches, shrink)
+        if found:
+            broken += 1
+            print(f"batch {batches} of seed {seed}, {machine.__name__}: {found}")
+        batches += 1
+    print_counts(batches, broken, seed)
+    return broken
+
+
+def print_counts(batches: int, broken: int, seed: int) -> None:
+    """Print steps run and faults injected, by kind."""
+    counts = Sessions.steps + Failures.steps
+    steps = counts.pop("steps", 0)
+    print(f"seed {seed}: {batches} batches, {steps} steps, {broken} batches broken")
+    for kind, count in sorted(counts.items()):
+        print(f"  {kind}: {count}")
+
+
+def main() -> None:
+    """Enter from the command line."""
+    sys.exit(1 if defopt.run(fuzz) else 0)
+
+
+if __name__ == "__main__":
+    main()
