--- a/measure/cluster.py
+++ b/measure/cluster.py
@@ -118,11 +118,11 @@
         super().__init__(seed, options, links)
         self.begin = self.now
 
-    def make_upstream(self, name: str) -> Upstream:
+    def make_upstream(self, name: str, service: str) -> Upstream:
         """Start an upstream that serves the workload."""
         options = UpstreamOptions(
             name,
-            self.size.service,
+            service,
             self.size.slots,
             board_ms=BOARD_MS,
             seed=self.rng.getrandbits(32),
--- a/measure/faults.py
+++ b/measure/faults.py
@@ -104,7 +104,7 @@
         self.note("restart side", True)
         self.disturb_until(SETTLE_MS)
         self.leaving.pop(node.name, None)
-        self.world.restart(node.name)
+        self.world.restart_side(node.name)
 
     def freeze(self, node: Node, duration_ms: float) -> None:
         """Pause a process for a time."""
