Keep the answers to a restarted side process's forerunner from its callers

Cause: tokens and message IDs towards the upstream began at 1 in each process. The upstream outlives its side process; its answers to the one before, and its memory of message IDs, matched requests of the one after: a caller got another caller's answer.

Ruled out: the balancers and the handoff (the answer came from the upstream under the very token that the new process waited for).

Change: tokens begin with four bytes drawn at start, the first message ID is drawn.

--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -123,7 +123,9 @@
         self.config: messages.Configuration | None = None
         self.admission = Admission(options.slots, options.queue)
         self.tenants = Tenants([])
-        self.link = UpstreamLink(self.timers, self.out, self.watcher.register_again)
+        self.link = UpstreamLink(
+            self.timers, self.out, self.watcher.register_again, rng
+        )
         self.observations = Observations(
             self.timers,
             self.watcher.send_notification,
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -5,6 +5,7 @@
 from fuchsiapin.messages import Member, UncertainRange, View
 from fuchsiapin.ownership import Ownership
 from fuchsiapin.timers import Timers
+from measure.world import World, WorldOptions
 
 
 def make_member(name: str, zone: str = "bole") -> Member:
@@ -28,5 +29,24 @@
         self.assertEqual([item.until for item in ownership.uncertain], [9])
 
 
+class RecoveryTest(unittest.TestCase):
+    """Failures that the fuzzer or a review found, one test each."""
+
+    def test_restarted_side_process_takes_no_answer_to_the_one_before(self) -> None:
+        world = World(1, WorldOptions(sides=3, service_ms=2_000.0))
+        world.run(6_000)
+        callers = [world.add_caller() for _ in range(12)]
+        for number, caller in enumerate(callers):
+            caller.open_board()
+            caller.post("claims", f"before-{number}")
+        world.run(200)
+        for name in ("swapdesk-1", "swapdesk-2", "swapdesk-3"):
+            world.restart_side(name)
+        for number, caller in enumerate(callers):
+            caller.get_long("long", f"after-{number}")
+        world.run(60_000)
+        self.assertEqual(world.tally.wrong, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fuchsiapin/upstream.py
+++ b/fuchsiapin/upstream.py
@@ -1,5 +1,6 @@
 """Exchanges of a side process with its own upstream over CoAP."""
 
+import random
 from collections.abc import Callable
 
 from aiocoap import Message
@@ -48,16 +49,25 @@
     on_return : callable
         Called with the time when the upstream is heard again after it left a
         ping unanswered: it may have restarted and forgotten its observers.
+    rng : random.Random
+        Draws the first message ID and the begin of all tokens: an upstream
+        outlives its side process, and what it still answers to the one before
+        must match nothing of the one after.
     """
 
     def __init__(
-        self, timers: Timers, out: list, on_return: Callable[[int], None]
+        self,
+        timers: Timers,
+        out: list,
+        on_return: Callable[[int], None],
+        rng: random.Random,
     ) -> None:
         self.timers = timers
         self.out = out
         self.exchanges: dict[bytes, Exchange] = {}
         self.mids: dict[int, Exchange] = {}
-        self.next_mid = 1
+        self.next_mid = rng.randrange(MID_RANGE)
+        self.token_prefix = rng.randbytes(4)
         self.next_token = 1
         self.repeats = 0
         self.last_heard = 0
@@ -104,7 +114,7 @@
         A request that must not run twice is sent once only: an upstream that
         restarts has forgotten the message IDs that it has seen.
         """
-        token = self.next_token.to_bytes(4, "big")
+        token = self.token_prefix + self.next_token.to_bytes(4, "big")
         self.next_token += 1
         mid = self.take_mid()
         data = request_for_upstream(message, mid, token, True, tag)
