Bound the wait of a refusal for its witness

Cause: a refused request was told so only after the witness held the refusal; with a silent witness and no view change it waited for its deadline of 20 s.

Ruled out: telling "not run" without the witness (a copy could run at a later owner).

Change: after 3 s it ends as "outcome unknown" with Max-Age.

Measured: the new test, store down and both members cut off: nothing told after 4 s before, "outcome unknown" after.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -23,6 +23,8 @@
 
 RESEND_MS = 200
 """A record is sent to the witness again after this time."""
+REFUSAL_PATIENCE_MS = 3_000
+"""A refusal that no witness takes down for so long ends as unknown."""
 MAX_REQUESTS = 4_096
 """Requests under way at one side process."""
 MAX_SLOT_MS = 120_000
@@ -164,6 +166,18 @@
         record = self.new_record(request, state, b"")
         self.core.table.put(record)
         self.put_at_witness(request, record)
+        if request.refused:
+            due = self.core.now + REFUSAL_PATIENCE_MS
+            self.core.timers.add(due, lambda now: self.end_refusal(request))
+
+    def end_refusal(self, request: Request) -> None:
+        """Give the final answer where no witness takes a refusal down.
+
+        "Not run" can't be said then: a later owner might run a copy.
+        """
+        is_open = self.core.requests.get(request.key) is request
+        if is_open and request.refused and not request.has_started:
+            self.give_up(request)
 
     def new_record(self, request: Request, state: str, response: bytes) -> Record:
         """Return a record of a request."""
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -47,6 +47,19 @@
         world.run(60_000)
         self.assertEqual(world.tally.wrong, 0)
 
+    def test_refusal_without_witness_is_answered(self) -> None:
+        world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
+        world.run(6_000)
+        caller = world.add_caller()
+        world.links.cuts |= {
+            ("swapdesk-1", "swapdesk-2"),
+            ("swapdesk-2", "swapdesk-1"),
+        }
+        world.set_store(True)
+        caller.post("claims", "claim")
+        world.run(4_000)
+        self.assertEqual(world.tally.told, {"claim": "unknown"})
+
 
 if __name__ == "__main__":
     unittest.main()
