--- /dev/null
+++ b/fuchsiapin/tests/test_ownership.py
@@ -0,0 +1,65 @@
+"""Claims, fences and ranges of lost flows, one rule at a time."""
+
+import unittest
+
+from fuchsiapin.messages import Member, UncertainRange, View
+from fuchsiapin.ownership import Ownership
+from fuchsiapin.timers import Timers
+from measure.world import World, WorldOptions
+
+
+def make_member(name: str, zone: str = "bole") -> Member:
+    """Return a live member."""
+    return Member(name, 1, "10.0.0.1", 7000, zone, 2000, "live")
+
+
+def make_ownership() -> Ownership:
+    """Return the ownership of one side process that knows no view."""
+    return Ownership("swapdesk", "a", 1, None, Timers(), [], lambda now: None)
+
+
+class UncertainTest(unittest.TestCase):
+    """Ranges of which owner and witness were both silent."""
+
+    def test_repeated_ranges_are_kept_once(self) -> None:
+        ownership = make_ownership()
+        view = View(3, [make_member("b"), make_member("c", "arada")])
+        for until in (5, 9, 7):
+            ownership.add_uncertain([UncertainRange(view, ["b", "c"], until)])
+        self.assertEqual([item.until for item in ownership.uncertain], [9])
+
+
+class RecoveryTest(unittest.TestCase):
+    """Failures that the fuzzer or a review found, one test each."""
+
+    def test_restarted_side_process_takes_no_answer_to_the_one_before(self) -> None:
+        world = World(1, WorldOptions(sides=3, service_ms=2_000.0))
+        world.run(6_000)
+        callers = [world.add_caller() for _ in range(12)]
+        for number, caller in enumerate(callers):
+            caller.open_board()
+            caller.post("claims", f"before-{number}")
+        world.run(200)
+        for name in ("swapdesk-1", "swapdesk-2", "swapdesk-3"):
+            world.restart_side(name)
+        for number, caller in enumerate(callers):
+            caller.get_long("long", f"after-{number}")
+        world.run(60_000)
+        self.assertEqual(world.tally.wrong, 0)
+
+    def test_refusal_without_witness_is_answered(self) -> None:
+        world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
+        world.run(6_000)
+        caller = world.add_caller()
+        world.links.cuts |= {
+            ("swapdesk-1", "swapdesk-2"),
+            ("swapdesk-2", "swapdesk-1"),
+        }
+        world.set_store(True)
+        caller.post("claims", "claim")
+        world.run(4_000)
+        self.assertEqual(world.tally.told, {"claim": "unknown"})
+
+
+if __name__ == "__main__":
+    unittest.main()
