--- a/fuchsiapin/relay.py
+++ b/fuchsiapin/relay.py
@@ -42,7 +42,7 @@
 READ_MS = 250
 MAX_READ_MS = 30_000
 """Pauses between reads of the store while nobody is subscribed to."""
-TELL_MS = 30_000
+TELL_MS = 60_000
 """A root repeats its sums to the other roots after this time."""
 MAX_HOPS = 4
 """A root that is so far from the object API counts as cut off."""
@@ -142,8 +142,8 @@
         self.read_pause = READ_MS
         self.read_due = 0
         self.wants_soon = False
-        self.elsewhere: dict[str, tuple[int, list[ConfigAck]]] = {}
-        self.told = 0
+        self.elsewhere: dict[str, dict[str, tuple[int, ConfigAck]]] = {}
+        self.told: dict[str, ConfigAck] = {}
         self.tell_due = 0
 
     def start(self, now: int) -> None:
@@ -424,20 +424,27 @@
         child = self.children.get(sender)
         if any(root.id == sender for root in self.tree.roots(self.name)):
             self.acks.forget(sender)
-            self.elsewhere[sender] = (now, message.acks)
+            heard = self.elsewhere.setdefault(sender, {})
+            heard.update({ack.key: (now, ack) for ack in message.acks})
         elif child is not None:
             self.acks.put(sender, message.acks)
 
     def tell_roots(self, now: int) -> None:
-        """Tell the other roots what is in force below this one."""
-        digest = self.acks.digest()
-        if digest == self.told and now < self.tell_due:
-            return
-        self.told = digest
-        self.tell_due = now + TELL_MS
-        message = messages.RelayAcks(self.acks.total())
-        for root in self.tree.roots(self.name):
-            self.send(root, message)
+        """Tell the other roots what changed in force below this one.
+
+        All sums are told again from time to time, so that a lost message or a
+        new root is made good.
+        """
+        sums = {ack.key: ack for ack in self.acks.total()}
+        if now >= self.tell_due:
+            self.told = {}
+            self.tell_due = now + TELL_MS
+        changed = [ack for key, ack in sums.items() if self.told.get(key) != ack]
+        self.told = sums
+        if changed:
+            message = messages.RelayAcks(changed)
+            for root in self.tree.roots(self.name):
+                self.send(root, message)
 
     def in_force(self, now: int) -> list[ConfigAck]:
         """Return where configurations are in force; complete at a root only."""
@@ -445,9 +452,9 @@
         parts: dict[str, list[ConfigAck]] = {}
         for ack in self.acks.total():
             parts.setdefault(ack.key, []).append(ack)
-        for name, (heard, acks) in self.elsewhere.items():
-            if name in roots and now - heard <= 2 * TELL_MS:
-                for ack in acks:
+        for name in roots & self.elsewhere.keys():
+            for heard, ack in self.elsewhere[name].values():
+                if now - heard <= 2 * TELL_MS:
                     parts.setdefault(ack.key, []).append(ack)
         return [
             sum_acks(parts[key], self.acks.known.get(key, 0)) for key in sorted(parts)
