Work out the capacity of each role from measured slopes

Costs are measured at three or more sizes, carried on by their lines, and set against the bounds; calls to the store and the spread of a configuration are counted in simulated worlds. The page's tables are made from the committed report, and a test compares them.

--- /dev/null
+++ b/fuchsiapin/tests/test_capacity.py
@@ -0,0 +1,41 @@
+"""The page on capacity says what its report says."""
+
+import json
+import unittest
+
+from measure.capacity import FLEET, PAGE, REPORT, Model, render_page, tables
+from measure.slopes import SIZES
+
+
+class CapacityTest(unittest.TestCase):
+    """Tables are those of the committed report."""
+
+    def setUp(self) -> None:
+        self.report = json.loads(REPORT.read_text())
+
+    def test_page_holds_every_table_as_made_from_the_report(self) -> None:
+        text = PAGE.read_text()
+        self.assertEqual(render_page(text, self.report), text)
+        for name in tables.variants:
+            self.assertIn(f"<!-- table: {name} -->", text)
+
+    def test_every_cost_was_measured_at_three_sizes_or_more(self) -> None:
+        names = {slope["name"] for slope in self.report["slopes"]}
+        self.assertEqual(names, set(SIZES))
+        for slope in self.report["slopes"]:
+            self.assertGreaterEqual(len(set(slope["sizes"])), 3)
+
+    def test_changed_figures_change_the_page(self) -> None:
+        slope = self.report["slopes"][0]
+        slope["values"][0] += 1_000
+        text = PAGE.read_text()
+        self.assertNotEqual(render_page(text, self.report), text)
+
+    def test_few_watch_the_store(self) -> None:
+        reads, _ = Model(self.report).store()["ordinary day"]
+        self.assertGreater(reads, FLEET.roots)
+        self.assertLess(reads, FLEET.bound_reads_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
