Bound what strangers can make a process hold, and check every field from the wire

Envelopes carry the time of sending and are refused after 60 s, so that a restarted process, which has no replay window, takes no old ones. A stream begins with a greeting that proves the key; until then it holds one frame of 22 bytes, for 5 s, one of 64 at the most. Field types, words and head of a sealed message are checked against the schema.

--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -92,8 +92,81 @@
     return tuple(found)
 
 
+@cache
+def wire_types(kind: type) -> tuple[type, ...]:
+    """Return what each field of a message type is on the wire.
+
+    Examples
+    --------
+    >>> wire_types(messages.Pairing)
+    (<class 'int'>, <class 'str'>)
+    """
+    hints = typing.get_type_hints(kind)
+    return tuple(wire_type(hints[name]) for name in field_names(kind))
+
+
+def wire_type(hint: Any) -> type:
+    """Return what a field is on the wire; messages are lists of their fields."""
+    if typing.get_origin(hint) is list or dataclasses.is_dataclass(hint):
+        return list
+    if typing.get_origin(hint) is typing.Literal:
+        return str
+    return hint
+
+
+@cache
+def plain_lists(kind: type) -> tuple[tuple[int, type], ...]:
+    """Return place and item type of each list of plain values."""
+    hints = typing.get_type_hints(kind)
+    found = []
+    for place, name in enumerate(field_names(kind)):
+        if typing.get_origin(hints[name]) is list:
+            [inner] = typing.get_args(hints[name])
+            if not dataclasses.is_dataclass(inner):
+                found.append((place, wire_type(inner)))
+    return tuple(found)
+
+
+@cache
+def literal_fields(kind: type) -> tuple[tuple[int, frozenset[str]], ...]:
+    """Return place and words of each field that takes some words only."""
+    hints = typing.get_type_hints(kind)
+    return tuple(
+        (place, frozenset(typing.get_args(hints[name])))
+        for place, name in enumerate(field_names(kind))
+        if typing.get_origin(hints[name]) is typing.Literal
+    )
+
+
+def check_values(kind: type, values: list[Any]) -> None:
+    """Check the types of field values.
+
+    Raises
+    ------
+    MalformedEnvelope
+        If one is of another type than the schema says.
+    """
+    if tuple(map(type, values)) != wire_types(kind):
+        raise MalformedEnvelope(f"fields of another type in {kind.__name__}")
+    for place, inner in plain_lists(kind):
+        if any(type(item) is not inner for item in values[place]):
+            raise MalformedEnvelope(f"items of another type in {kind.__name__}")
+    for place, words in literal_fields(kind):
+        if values[place] not in words:
+            raise MalformedEnvelope(f"an unknown word in {kind.__name__}")
+
+
 def from_values(kind: type[T], values: list[Any]) -> T:
-    """Build a message of a type from its field values."""
+    """Build a message of a type from its field values.
+
+    Raises
+    ------
+    MalformedEnvelope
+        If one is of another type than the schema says.
+    """
+    if type(values) is not list:
+        raise MalformedEnvelope(f"no fields of {kind.__name__}")
+    check_values(kind, values)
     for place, inner, repeated in nested_fields(kind):
         value = values[place]
         values[place] = (
@@ -138,9 +211,12 @@
     """
     try:
         sender, incarnation, sequence, number, *values = msgpack.unpackb(data)
-        return sender, incarnation, sequence, from_values(WIRE_TYPES[number], values)
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise MalformedEnvelope(str(error)) from error
+    head = (type(sender), type(incarnation), type(sequence), type(number))
+    if head != (str, int, int, int) or not 0 <= number < len(WIRE_TYPES):
+        raise MalformedEnvelope("no head of a message")
+    return sender, incarnation, sequence, from_values(WIRE_TYPES[number], values)
 
 
 def encode_object(value: Any) -> bytes:
@@ -158,5 +234,5 @@
     """
     try:
         return converter.structure(json.loads(data), kind)
-    except (ValueError, TypeError, BaseValidationError) as error:
+    except (ValueError, TypeError, RecursionError, BaseValidationError) as error:
         raise MalformedObject(f"no {kind.__name__}: {error}") from error
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -70,8 +70,8 @@
         keys = [bytes.fromhex(key) for key in settings.keys]
         self.peers = PeerTransport(
             reactor,
-            Sealer(settings.name, incarnation, keys[0]),
-            Opener(keys),
+            Sealer(settings.name, incarnation, keys[0], clock),
+            Opener(keys, clock),
             self.on_message,
             self.on_dropped,
             self.metrics.note_sent,
--- a/fuchsiapin/daemons/transport.py
+++ b/fuchsiapin/daemons/transport.py
@@ -6,8 +6,9 @@
 from twisted.internet.interfaces import IReactorTCP, IReactorUDP
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, ServerFactory
 from twisted.protocols.basic import Int32StringReceiver
+from twisted.protocols.policies import TimeoutMixin
 
-from fuchsiapin.envelope import Opener, Sealer
+from fuchsiapin.envelope import GREETING_BYTES, Opener, Sealer
 from fuchsiapin.exceptions import MalformedEnvelope
 
 __all__ = ["PeerTransport"]
@@ -18,6 +19,13 @@
 MAX_QUEUED_FRAMES = 64
 """Frames that wait for a stream to open."""
 
+MAX_STREAMS = 1_024
+"""Streams that peers may hold open here."""
+MAX_STRANGERS = 64
+"""Streams that have not proved the key yet."""
+GREETING_S = 5
+"""Time to prove the key on a new stream."""
+
 OnMessage = Callable[[str, int, Any], None]
 """Called with sender, incarnation and message."""
 
@@ -45,29 +53,92 @@
 
 
 class PeerStream(Int32StringReceiver):
-    """One TCP stream of envelopes, each behind its length."""
+    """A stream to a peer: a greeting, then envelopes, each behind its length."""
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
     def connectionMade(self) -> None:
-        """Send what waited."""
+        """Prove the key, then send what waited."""
+        self.sendString(self.factory.owner.sealer.greet())
         self.factory.opened(self)
 
     def stringReceived(self, string: bytes) -> None:
-        """Open an envelope."""
-        self.factory.owner.open(string)
+        """Drop what a peer sends on a stream that isn't its own."""
+        self.transport.loseConnection()
+
+
+class ServedStream(Int32StringReceiver, TimeoutMixin):
+    """A stream that somebody opened, who is a stranger until the greeting.
+
+    A stranger can make this process hold no more than one small frame, and not
+    for long.
+    """
+
+    MAX_LENGTH = GREETING_BYTES
+    is_stranger = True
+
+    def connectionMade(self) -> None:
+        """Take the stream within the bounds."""
+        if self.factory.is_full():
+            self.transport.abortConnection()
+            return
+        self.factory.strangers += 1
+        self.factory.streams.add(self)
+        self.setTimeout(GREETING_S)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Take the greeting, later open an envelope."""
+        owner = self.factory.owner
+        if not self.is_stranger:
+            owner.open(string)
+            return
+        try:
+            owner.opener.check_greeting(string)
+        except MalformedEnvelope as error:
+            owner.on_dropped(error)
+            self.transport.abortConnection()
+            return
+        self.welcome()
+
+    def welcome(self) -> None:
+        """Let a peer that proved the key send whole frames."""
+        self.is_stranger = False
+        self.factory.strangers -= 1
+        self.MAX_LENGTH = MAX_FRAME_BYTES
+        self.setTimeout(None)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Count a frame that is too long and close the stream."""
+        self.factory.owner.on_dropped(MalformedEnvelope("frame is too long"))
+        self.transport.abortConnection()
+
+    def timeoutConnection(self) -> None:
+        """Close a stream without a greeting."""
+        self.factory.owner.on_dropped(MalformedEnvelope("stream without a greeting"))
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Free the place of this stream."""
+        self.setTimeout(None)
+        if self in self.factory.streams:
+            self.factory.streams.remove(self)
+            self.factory.strangers -= self.is_stranger
 
 
 class PeerServer(ServerFactory):
     """Streams that peers open."""
 
-    protocol = PeerStream
+    protocol = ServedStream
+    noisy = False
 
     def __init__(self, owner: "PeerTransport") -> None:
         self.owner = owner
+        self.streams: set[ServedStream] = set()
+        self.strangers = 0
 
-    def opened(self, stream: PeerStream) -> None:
-        """Nothing waits for a stream that a peer opened."""
+    def is_full(self) -> bool:
+        """Return whether no further stream may be opened."""
+        return self.strangers >= MAX_STRANGERS or len(self.streams) >= MAX_STREAMS
 
 
 class PeerClient(ClientFactory):
--- a/fuchsiapin/envelope.py
+++ b/fuchsiapin/envelope.py
@@ -10,12 +10,19 @@
 from hashlib import blake2b
 from typing import Any
 
+from fuchsiapin.clock import Clock
 from fuchsiapin.codec import pack_message, unpack_message
 from fuchsiapin.exceptions import MalformedEnvelope
 
 __all__ = ["Opened", "Opener", "Sealer"]
 
 TAG_BYTES = 16
+STAMP_BYTES = 6
+"""Time of sending, ms since the epoch."""
+MAX_AGE_MS = 60_000
+"""Older or so much younger envelopes are refused; clocks may differ by less."""
+GREETING = b"fuchsiapin stream"
+GREETING_BYTES = TAG_BYTES + STAMP_BYTES
 REPLAY_WINDOW = 1_024
 """Messages of one sender that may overtake each other."""
 MAX_SENDERS = 16_384
@@ -25,6 +32,18 @@
 """Sender, incarnation and message."""
 
 
+def keyed_hash(key: bytes) -> Any:
+    """Return a hash that has taken in a key, to be copied for each tag."""
+    return blake2b(digest_size=TAG_BYTES, key=key)
+
+
+def tag_of(body: bytes, keyed: Any) -> bytes:
+    """Return the tag of a body under a key."""
+    tag = keyed.copy()
+    tag.update(body)
+    return tag.digest()
+
+
 class Sealer:
     """Seals the messages of one process.
 
@@ -36,34 +55,48 @@
         Start time in ms.
     key : bytes
         Key of the tag.
+    clock : Clock
+        Time in ms.
     """
 
-    def __init__(self, sender: str, incarnation: int, key: bytes) -> None:
+    def __init__(self, sender: str, incarnation: int, key: bytes, clock: Clock) -> None:
         self.sender = sender
         self.incarnation = incarnation
-        self.keyed = blake2b(digest_size=TAG_BYTES, key=key)
+        self.keyed = keyed_hash(key)
+        self.clock = clock
         self.sequence = 0
 
+    def stamp(self) -> bytes:
+        """Return the time of sending."""
+        return self.clock.now().to_bytes(STAMP_BYTES, "big")
+
     def seal(self, message: Any) -> bytes:
         """Return the envelope of a message."""
         self.sequence += 1
-        body = pack_message(self.sender, self.incarnation, self.sequence, message)
-        tag = self.keyed.copy()
-        tag.update(body)
-        return tag.digest() + body
+        packed = pack_message(self.sender, self.incarnation, self.sequence, message)
+        body = self.stamp() + packed
+        return tag_of(body, self.keyed) + body
+
+    def greet(self) -> bytes:
+        """Return the first frame of a stream, which proves the key."""
+        stamp = self.stamp()
+        return tag_of(GREETING + stamp, self.keyed) + stamp
 
 
 class Opener:
-    """Opens envelopes and refuses forged and repeated ones.
+    """Opens envelopes and refuses forged, old and repeated ones.
 
     Parameters
     ----------
     keys : list of bytes
         Accepted keys; two while the key changes.
+    clock : Clock
+        Time in ms.
     """
 
-    def __init__(self, keys: list[bytes]) -> None:
-        self.keys = keys
+    def __init__(self, keys: list[bytes], clock: Clock) -> None:
+        self.keyed = [keyed_hash(key) for key in keys]
+        self.clock = clock
         self.windows: dict[tuple[str, int], tuple[int, int]] = {}
 
     def open(self, envelope: bytes) -> Opened:
@@ -72,20 +105,32 @@
         Raises
         ------
         MalformedEnvelope
-            If no key fits, the body is no message, or it came before.
+            If no key fits, the body is no message, or it is old or came before.
         """
         tag, body = envelope[:TAG_BYTES], envelope[TAG_BYTES:]
-        if not any(self.fits(tag, body, key) for key in self.keys):
-            raise MalformedEnvelope("no key fits the tag")
-        sender, incarnation, sequence, message = unpack_message(body)
+        self.check(tag, body, body[:STAMP_BYTES])
+        sender, incarnation, sequence, message = unpack_message(body[STAMP_BYTES:])
         if not self.is_fresh((sender, incarnation), sequence):
             raise MalformedEnvelope("message came before")
         return sender, incarnation, message
 
-    def fits(self, tag: bytes, body: bytes, key: bytes) -> bool:
-        """Return whether the tag is that of the body under the key."""
-        wanted = blake2b(body, digest_size=TAG_BYTES, key=key).digest()
-        return hmac.compare_digest(tag, wanted)
+    def check_greeting(self, frame: bytes) -> None:
+        """Check the first frame of a stream.
+
+        Raises
+        ------
+        MalformedEnvelope
+            If no key fits, or it is old.
+        """
+        tag, stamp = frame[:TAG_BYTES], frame[TAG_BYTES:]
+        self.check(tag, GREETING + stamp, stamp)
+
+    def check(self, tag: bytes, body: bytes, stamp: bytes) -> None:
+        """Check tag and time of sending."""
+        if not any(hmac.compare_digest(tag, tag_of(body, key)) for key in self.keyed):
+            raise MalformedEnvelope("no key fits the tag")
+        if abs(self.clock.now() - int.from_bytes(stamp, "big")) > MAX_AGE_MS:
+            raise MalformedEnvelope("sent too long ago, or clocks differ")
 
     def is_fresh(self, sender: tuple[str, int], sequence: int) -> bool:
         """Note a sequence number; return whether it is new."""
@@ -95,8 +140,10 @@
             seen = ((seen << shift) | 1) & ((1 << REPLAY_WINDOW) - 1)
             self.remember(sender, (sequence, seen))
             return True
+        if top - sequence >= REPLAY_WINDOW:
+            return False
         bit = 1 << (top - sequence)
-        if top - sequence >= REPLAY_WINDOW or seen & bit:
+        if seen & bit:
             return False
         self.windows[sender] = (top, seen | bit)
         return True
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -294,7 +294,7 @@
         4104,
         "malformed datagram",
         "info",
-        "A caller's datagram is no CoAP message and was dropped.",
+        "A caller's datagram, or one that a peer passed on, is no CoAP message.",
         NOTHING,
         (FLOW,),
         is_bounded=True,
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -263,8 +263,12 @@
             self.report(4101, sender=event.sender, service=message.service)
             return
         handler = self.message_handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(event.sender, message)
+        except MalformedDatagram:
+            self.report(4104, flow=f"from {event.sender}")
 
     def on_heartbeat(self, sender: str, message: messages.Heartbeat) -> None:
         """Take a peer's sign of life."""
