--- a/fuchsiapin/tests/standins/objectapi.py
+++ b/fuchsiapin/tests/standins/objectapi.py
@@ -21,6 +21,19 @@
     outage: bool = False
     delay_ms: int = 0
     lose_answers: int = 0
+    break_watches: int = 0
+    """Watches whose answer is lost."""
+    repeat_watches: int = 0
+    """Watches that tell all objects again, also known ones."""
+    skip_watches: int = 0
+    """Watches that tell the newest revision, but not what changed."""
+
+    def take(self, name: str) -> bool:
+        """Return whether a fault that is counted strikes now."""
+        left = getattr(self, name)
+        if left > 0:
+            setattr(self, name, left - 1)
+        return left > 0
 
 
 @dataclass
@@ -124,14 +137,23 @@
         if len(data) > MAX_VALUE_BYTES:
             self.finish(request, 413, b"{}")
         elif str(version) != wanted:
-            self.finish(request, 412, b"{}", version)
+            body = json.dumps({"version": version}).encode()
+            self.finish(request, 412 if version else 409, body, version)
         else:
-            written = self.store.put(key, json.loads(data))
-            if self.faults.lose_answers > 0:
-                self.faults.lose_answers -= 1
-                request.transport.abortConnection()
-                return
-            self.finish(request, 200, b"{}", written)
+            self.replace(request, key, data)
+
+    def replace(self, request: Any, key: str, data: bytes) -> None:
+        """Write an object whose condition holds."""
+        try:
+            value = json.loads(data)
+        except ValueError:
+            self.finish(request, 400, b"{}")
+            return
+        written = self.store.put(key, value)
+        if self.faults.take("lose_answers"):
+            request.transport.abortConnection()
+            return
+        self.finish(request, 200, b"{}", written)
 
     def watch(self, request: Any) -> None:
         """Answer with what changed, once something did or the time is over."""
@@ -152,7 +174,12 @@
 
     def answer_watch(self, request: Any, since: int) -> None:
         """Send the changes since a revision."""
-        body = {"revision": self.store.revision, "objects": self.store.since(since)}
+        if self.faults.outage or self.faults.take("break_watches"):
+            request.transport.abortConnection()
+            return
+        known = 0 if self.faults.take("repeat_watches") else since
+        found = [] if self.faults.take("skip_watches") else self.store.since(known)
+        body = {"revision": self.store.revision, "objects": found}
         self.finish(request, 200, json.dumps(body).encode())
 
 
