Run no copy that came while the earlier owners were still asked

Cause: a request that reaches the new owner before the claims are answered waits. The record of another copy came with the answers and was replaced by the new owner's own intent, so both ran.

Ruled out: the fence (the handed-over records name the request), the withdrawal.

Change: before an intent is recorded, a record of another executor ends the waiting copy, which is then answered like a retransmission.

Measured: the new test runs the copy before, and not after.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -153,11 +153,32 @@
                 self.refuse(request)
             else:
                 self.core.mover.consider_move(request)
+        elif standing is not Standing.SETTLING and self.take_known(request):
+            return
         elif standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
             self.give_up(request)
         elif standing in (Standing.READY, Standing.UNCERTAIN):
             self.record_intent(request)
 
+    def take_known(self, request: Request) -> bool:
+        """Drop a request that an earlier owner has a copy of; return whether so.
+
+        It came while the earlier owners were still asked. Its record, which they
+        handed over since then, counts: the copy may have run.
+        """
+        record = self.core.table.get(request.key)
+        if record is None or self.is_own(record.executor):
+            return False
+        self.forget_request(request)
+        self.answer_again(record)
+        return True
+
+    def is_own(self, executor: str) -> bool:
+        """Return whether an incarnation is of this process."""
+        name, _, incarnation = executor.rpartition("#")
+        is_mine = int(incarnation) in self.core.ownership.incarnations
+        return is_mine and name == self.core.membership.me.id
+
     def record_intent(self, request: Request) -> None:
         """Have the witness keep what will become of a request."""
         if request.recorded_in == self.core.ownership.view:
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -1,9 +1,11 @@
 """Claims, fences and ranges of lost flows, one rule at a time."""
 
 import unittest
+from dataclasses import replace
 
 from fuchsiapin.messages import Member, UncertainRange, View
 from fuchsiapin.ownership import Ownership
+from fuchsiapin.ranking import member_key
 from fuchsiapin.timers import Timers
 from measure.world import World, WorldOptions
 
@@ -47,6 +49,26 @@
         world.run(60_000)
         self.assertEqual(world.tally.wrong, 0)
 
+    def test_copy_that_came_before_the_record_does_not_run(self) -> None:
+        world = World(3, WorldOptions(sides=3))
+        world.run(6_000)
+        caller = world.add_caller()
+        cores = [world.nodes[f"swapdesk-{number}"].core for number in (1, 2, 3)]
+        for core in cores:
+            core.ownership.is_settled = False
+        caller.post("claims", "claim")
+        world.run(50)
+        [owner] = [core for core in cores if core.requests]
+        [request] = owner.requests.values()
+        other = next(core for core in cores if core is not owner)
+        record = owner.dispatcher.new_record(request, "intent", b"")
+        executor = member_key(other.membership.me)
+        owner.table.put(replace(record, executor=executor))
+        owner.ownership.is_settled = True
+        owner.progress(int(world.now))
+        world.run(1_000)
+        self.assertEqual([item.executions for item in world.upstreams], [[], [], []])
+
     def test_refusal_without_witness_is_answered(self) -> None:
         world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
         world.run(6_000)
