Read all blocks of a long answer from one run

Cause: where a peer ran the request for a long answer, the owner did not note that the later blocks are there, and read them from its own upstream, which may hold the answer of another run. A retransmission of a finished safe request ran anew with the same effect.

Ruled out: the caller and the links (one first block, later blocks of another member).

Change: the peer that ran it is noted; the first part of a long answer is kept and sent again, as answers to unsafe requests are.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -15,6 +15,7 @@
 from fuchsiapin.ownership import Standing
 from fuchsiapin.ranking import member_key
 from fuchsiapin.requests import Request, Stage
+from fuchsiapin.transfers import goes_on
 
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
@@ -371,16 +372,22 @@
         datagram = coap.answer_for_caller(
             answer, request.message, self.core.take_mid(), sequence
         )
-        self.core.transfers.note_upload(request, answer)
-        self.finish(request, "done", datagram)
+        self.core.transfers.note_upload(request, answer, self.core.membership.me.id)
+        self.finish(request, "done", datagram, goes_on(answer))
 
-    def finish(self, request: Request, state: str, datagram: bytes) -> None:
-        """Send the final answer and keep it for retransmissions."""
+    def finish(
+        self, request: Request, state: str, datagram: bytes, is_part: bool = False
+    ) -> None:
+        """Send the final answer and keep it for retransmissions.
+
+        The answer to a safe request is kept only if it is part of a longer one:
+        a second run elsewhere would mix two bodies.
+        """
         self.forget_request(request)
         self.core.retrier.on_ended(request)
         self.report_end(request, state)
         self.core.send_to_caller(request.host, request.port, datagram)
-        if coap.is_safe(request.message):
+        if coap.is_safe(request.message) and not is_part:
             return
         record = self.new_record(request, state, datagram)
         self.core.table.put(record)
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -9,6 +9,7 @@
 from fuchsiapin.ownership import Standing
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.requests import Request, Stage
+from fuchsiapin.transfers import goes_on
 
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
@@ -232,7 +233,8 @@
             datagram = coap.answer_for_caller(
                 answer, request.message, self.core.take_mid()
             )
-            self.core.dispatcher.finish(request, "done", datagram)
+            self.core.transfers.note_upload(request, answer, sender)
+            self.core.dispatcher.finish(request, "done", datagram, goes_on(answer))
         elif message.outcome == "not_run" and self.is_bound_here(request):
             self.core.dispatcher.start_request(request)
         elif message.outcome == "not_run":
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -7,7 +7,7 @@
 from fuchsiapin.ownership import Ownership
 from fuchsiapin.ranking import member_key
 from fuchsiapin.timers import Timers
-from measure.world import World, WorldOptions
+from measure.world import Links, World, WorldOptions
 
 
 def make_member(name: str, zone: str = "bole") -> Member:
@@ -69,6 +69,18 @@
         world.run(1_000)
         self.assertEqual([item.executions for item in world.upstreams], [[], [], []])
 
+    def test_blocks_of_a_moved_long_answer_are_of_one_run(self) -> None:
+        options = WorldOptions(sides=3, service_ms=1_500.0, slots=1)
+        world = World(5, options, Links(loss=0.05))
+        world.run(6_000)
+        for number in range(40):
+            due = world.now + 300 * number
+            caller = world.add_caller()
+            world.at(due, lambda c=caller, n=number: c.get_long("long", f"long-{n}"))
+        world.run(120_000)
+        self.assertEqual(world.tally.wrong, 0)
+        self.assertGreater(world.tally.done, 0)
+
     def test_refusal_without_witness_is_answered(self) -> None:
         world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
         world.run(6_000)
--- a/fuchsiapin/transfers.py
+++ b/fuchsiapin/transfers.py
@@ -16,7 +16,13 @@
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
 
-__all__ = ["Transfers"]
+__all__ = ["Transfers", "goes_on"]
+
+
+def goes_on(answer: Message) -> bool:
+    """Return whether more blocks follow an answer."""
+    block = answer.opt.block2
+    return answer.code is Code.CONTINUE or (block is not None and block.more)
 
 
 class Transfers:
@@ -44,18 +50,13 @@
         self.core.mover.hand_off(request, peer)
         return True
 
-    def note_upload(self, request: Request, answer: Message) -> None:
-        """Remember where a transfer goes on, while it is under way."""
+    def note_upload(self, request: Request, answer: Message, executor: str) -> None:
+        """Remember at which member a transfer goes on, while it is under way."""
         tag = coap.transfer_digest(request.flow, request.message)
-        goes_on = answer.code is Code.CONTINUE or (
-            answer.opt.block2 is not None and answer.opt.block2.more
-        )
-        if goes_on:
+        if goes_on(answer):
             expires = self.core.now + coap.EXCHANGE_LIFETIME_MS
             self.core.flows.put_upload(
-                messages.Upload(
-                    request.host, request.port, tag, self.core.membership.me.id, expires
-                )
+                messages.Upload(request.host, request.port, tag, executor, expires)
             )
         else:
             self.core.flows.transfers.pop(tag, None)
