--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -15,6 +15,7 @@
 from fuchsiapin.ownership import Standing
 from fuchsiapin.ranking import member_key
 from fuchsiapin.requests import Request, Stage
+from fuchsiapin.transfers import goes_on
 
 if TYPE_CHECKING:
     from fuchsiapin.serving import SideCore
@@ -153,11 +154,32 @@
                 self.refuse(request)
             else:
                 self.core.mover.consider_move(request)
+        elif standing is not Standing.SETTLING and self.take_known(request):
+            return
         elif standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
             self.give_up(request)
         elif standing in (Standing.READY, Standing.UNCERTAIN):
             self.record_intent(request)
 
+    def take_known(self, request: Request) -> bool:
+        """Drop a request that an earlier owner has a copy of; return whether so.
+
+        It came while the earlier owners were still asked. Its record, which they
+        handed over since then, counts: the copy may have run.
+        """
+        record = self.core.table.get(request.key)
+        if record is None or self.is_own(record.executor):
+            return False
+        self.forget_request(request)
+        self.answer_again(record)
+        return True
+
+    def is_own(self, executor: str) -> bool:
+        """Return whether an incarnation is of this process."""
+        name, _, incarnation = executor.rpartition("#")
+        is_mine = int(incarnation) in self.core.ownership.incarnations
+        return is_mine and name == self.core.membership.me.id
+
     def record_intent(self, request: Request) -> None:
         """Have the witness keep what will become of a request."""
         if request.recorded_in == self.core.ownership.view:
@@ -350,16 +372,22 @@
         datagram = coap.answer_for_caller(
             answer, request.message, self.core.take_mid(), sequence
         )
-        self.core.transfers.note_upload(request, answer)
-        self.finish(request, "done", datagram)
+        self.core.transfers.note_upload(request, answer, self.core.membership.me.id)
+        self.finish(request, "done", datagram, goes_on(answer))
 
-    def finish(self, request: Request, state: str, datagram: bytes) -> None:
-        """Send the final answer and keep it for retransmissions."""
+    def finish(
+        self, request: Request, state: str, datagram: bytes, is_part: bool = False
+    ) -> None:
+        """Send the final answer and keep it for retransmissions.
+
+        The answer to a safe request is kept only if it is part of a longer one:
+        a second run elsewhere would mix two bodies.
+        """
         self.forget_request(request)
         self.core.retrier.on_ended(request)
         self.report_end(request, state)
         self.core.send_to_caller(request.host, request.port, datagram)
-        if coap.is_safe(request.message):
+        if coap.is_safe(request.message) and not is_part:
             return
         record = self.new_record(request, state, datagram)
         self.core.table.put(record)
