Compare roots with each other for what a watch skipped

Cause: a root whose watch skips a change never learned of it, nor did those below, for the other roots told it only while its own watch was broken. Change: each root sends its digest to another one every 2 s.

--- a/fuchsiapin/relay.py
+++ b/fuchsiapin/relay.py
@@ -42,6 +42,8 @@
 READ_MS = 250
 MAX_READ_MS = 30_000
 """Pauses between reads of the store while nobody is subscribed to."""
+COMPARE_MS = 2_000
+"""Time between two comparisons of a root with another one."""
 TELL_MS = 60_000
 """A root repeats its sums to the other roots after this time."""
 MAX_HOPS = 4
@@ -145,6 +147,7 @@
         self.elsewhere: dict[str, dict[str, tuple[int, ConfigAck]]] = {}
         self.told: dict[str, ConfigAck] = {}
         self.tell_due = 0
+        self.compare_due = 0
 
     def start(self, now: int) -> None:
         """Read what the tree is made of and begin to subscribe."""
@@ -271,12 +274,22 @@
             self.check_parent(now)
             self.read_if_orphaned(now)
             self.send_digest()
+        else:
+            self.compare_with_root(now)
         if self.is_watching:
             self.tell_roots(now)
         pause = SOON_MS if self.wants_soon else DIGEST_MS
         self.wants_soon = False
         self.timers.add(now + self.rng.randint(pause * 3 // 4, pause), self.beat)
 
+    def compare_with_root(self, now: int) -> None:
+        """Ask any other root now and then for what the own watch skipped."""
+        roots = self.tree.roots(self.name)
+        if now >= self.compare_due and roots:
+            self.compare_due = now + COMPARE_MS
+            self.parent = self.rng.choice(roots)
+            self.send_digest()
+
     def check_parent(self, now: int) -> None:
         """Replace a silent parent; return to the wanted one in time.
 
@@ -319,11 +332,14 @@
         if not self.is_parent(sender):
             return
         if not message.is_accepted:
+            if not self.needs_parent():
+                return
             self.choose_parent(now, self.tried + 1)
             return
         self.heard = now
         self.read_pause = READ_MS
-        self.hops = min(message.hops + self.is_watching, MAX_HOPS)
+        if self.needs_parent():
+            self.hops = min(message.hops + self.is_watching, MAX_HOPS)
         if message.wants_acks:
             self.send(self.parent, messages.RelayAcks(self.acks.total()))
         if not message.buckets:
--- a/fuchsiapin/tests/test_relay.py
+++ b/fuchsiapin/tests/test_relay.py
@@ -10,7 +10,7 @@
 from fuchsiapin.relaytree import FANOUT, Contact, Tree, parents_of_balancer
 from fuchsiapin.replicas import Replicas, pack_value
 from fuchsiapin.timers import Timers
-from measure.world import Links, World, WorldOptions
+from measure.world import Links, Node, World, WorldOptions
 
 CONFIG = "config/little-threads"
 
@@ -47,6 +47,19 @@
     return world
 
 
+def skip_pushes(world: World) -> list[Node]:
+    """Return a list of the processes that the store's watch skips from now on."""
+    skipped: list[Node] = []
+    push = world.push
+
+    def push_others(node: Node, key: str) -> None:
+        if node not in skipped:
+            push(node, key)
+
+    world.push = push_others
+    return skipped
+
+
 class SpreadTest(unittest.TestCase):
     """Changes reach all processes from the few that watch."""
 
@@ -86,6 +99,22 @@
         world.run(5_000)
         self.assertEqual(numbers(world), {1})
 
+    def test_watch_that_skips_and_repeats_reverts_and_loses_nothing(self) -> None:
+        for seed in range(8, 11):
+            world = make_zone_world(seed, sides=4, balancers=10)
+            rng = random.Random(seed)
+            skipped = skip_pushes(world)
+            roots = [n for n in world.nodes.values() if n.is_watching]
+            old = messages.ObjectSeen(CONFIG, 1, encode_object(make_config(0)))
+            for number in range(1, 6):
+                skipped[:] = [rng.choice(roots)]
+                accept(world, number)
+                for _ in range(50):
+                    world.run(100)
+                    world.feed(rng.choice(list(world.nodes.values())), old)
+                    self.assertLessEqual(numbers(world), {number - 1, number})
+                self.assertEqual(numbers(world), {number})
+
     def test_store_down_across_a_restart(self) -> None:
         world = make_zone_world(5)
         accept(world, 1)
