Split the relay and the capacity model by job

Options and sums of the roots stand apart from the exchange of objects; model, tables and measuring of the capacity page likewise. No behaviour changes.

--- a/fuchsiapin/acknowledgements.py
+++ b/fuchsiapin/acknowledgements.py
@@ -6,8 +6,10 @@
 
 from fuchsiapin.messages import ConfigAck
 
-__all__ = ["Acknowledgements", "sum_acks"]
+__all__ = ["Acknowledgements", "SharedSums", "sum_acks"]
 
+TELL_MS = 60_000
+"""A root repeats all its sums to the other roots after this time."""
 MAX_LAGGING = 8
 """Names of processes that lag, told upwards."""
 
@@ -128,3 +130,41 @@
 def digest_of(acks: list[ConfigAck]) -> int:
     """Return a hash over acknowledgements."""
     return xxh3_64_intdigest(repr(acks).encode())
+
+
+class SharedSums:
+    """What the roots tell each other of the processes below them.
+
+    Changed sums are told at once. All are told again from time to time, so that
+    a lost message or a new root is made good.
+    """
+
+    def __init__(self) -> None:
+        self.told: dict[str, ConfigAck] = {}
+        self.tell_due = 0
+        self.elsewhere: dict[str, dict[str, tuple[int, ConfigAck]]] = {}
+
+    def changed(self, now: int, total: list[ConfigAck]) -> list[ConfigAck]:
+        """Return the own sums that the other roots have to be told."""
+        if now >= self.tell_due:
+            self.told = {}
+            self.tell_due = now + TELL_MS
+        found = [ack for ack in total if self.told.get(ack.key) != ack]
+        self.told = {ack.key: ack for ack in total}
+        return found
+
+    def hear(self, now: int, root: str, acks: list[ConfigAck]) -> None:
+        """Note what another root tells."""
+        heard = self.elsewhere.setdefault(root, {})
+        heard.update({ack.key: (now, ack) for ack in acks})
+
+    def sums(self, now: int, own: Acknowledgements, roots: set[str]) -> list[ConfigAck]:
+        """Return one sum a configuration over this root and the others."""
+        parts: dict[str, list[ConfigAck]] = {}
+        for ack in own.total():
+            parts.setdefault(ack.key, []).append(ack)
+        for root in roots & self.elsewhere.keys():
+            for heard, ack in self.elsewhere[root].values():
+                if now - heard <= 2 * TELL_MS:
+                    parts.setdefault(ack.key, []).append(ack)
+        return [sum_acks(parts[key], own.known.get(key, 0)) for key in sorted(parts)]
--- a/fuchsiapin/balancing.py
+++ b/fuchsiapin/balancing.py
@@ -15,7 +15,8 @@
 from fuchsiapin.messages import BalancerMember, SendPeer
 from fuchsiapin.objects import ObjectUpdater
 from fuchsiapin.ranking import flow_key
-from fuchsiapin.relay import EVERYTHING, Relay, RelayOptions
+from fuchsiapin.relay import Relay
+from fuchsiapin.relaylinks import EVERYTHING, RelayOptions
 from fuchsiapin.relaytree import Contact
 from fuchsiapin.timers import Timers
 from fuchsiapin.views import ViewHistory
--- a/fuchsiapin/relay.py
+++ b/fuchsiapin/relay.py
@@ -13,22 +13,20 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from fuchsiapin import messages
-from fuchsiapin.acknowledgements import Acknowledgements, sum_acks
+from fuchsiapin.acknowledgements import Acknowledgements, SharedSums
 from fuchsiapin.codec import decode_object
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.messages import ConfigAck, ObjectSeen, ReadObject, SendPeer
+from fuchsiapin.relaylinks import EVERYTHING, Child, RelayOptions
 from fuchsiapin.relaytree import Contact, Tree, parents_of_side
 from fuchsiapin.replicas import Replicas, is_in_scope, unpack_value
 from fuchsiapin.timers import Timers
 
-__all__ = ["EVERYTHING", "Relay", "RelayOptions"]
+__all__ = ["Relay"]
 
-EVERYTHING = ["balancers/", "config/", "members/"]
-"""Topics of a balancer."""
 DIGEST_MS = 1_000
 """Time between two digests to the parent."""
 SOON_MS = 100
@@ -44,8 +42,6 @@
 """Pauses between reads of the store while nobody is subscribed to."""
 COMPARE_MS = 2_000
 """Time between two comparisons of a root with another one."""
-TELL_MS = 60_000
-"""A root repeats its sums to the other roots after this time."""
 MAX_HOPS = 4
 """A root that is so far from the object API counts as cut off."""
 MAX_CHILDREN = 64
@@ -54,41 +50,6 @@
 """Objects sent for one request; the next digest fetches more."""
 
 
-@dataclass(frozen=True)
-class RelayOptions:
-    """What a process takes part in.
-
-    Parameters
-    ----------
-    contact : Contact
-        Name and address of this process.
-    zone : str
-        Its availability zone.
-    topics : list of str
-        Keys that it needs.
-    is_balancer : bool
-        Whether it may pass objects on.
-    seeds : list of Contact
-        Balancers that are asked when the store is silent.
-    """
-
-    contact: Contact
-    zone: str
-    topics: list[str]
-    is_balancer: bool
-    seeds: list[Contact] = field(default_factory=list)
-
-
-@dataclass
-class Child:
-    """A process that subscribed here."""
-
-    contact: Contact
-    topics: list[str]
-    heard: int
-    is_root: bool
-
-
 class Relay:
     """Copies of stored objects at one process, kept up to date through others.
 
@@ -144,9 +105,7 @@
         self.read_pause = READ_MS
         self.read_due = 0
         self.wants_soon = False
-        self.elsewhere: dict[str, dict[str, tuple[int, ConfigAck]]] = {}
-        self.told: dict[str, ConfigAck] = {}
-        self.tell_due = 0
+        self.shared = SharedSums()
         self.compare_due = 0
 
     def start(self, now: int) -> None:
@@ -440,41 +399,21 @@
         child = self.children.get(sender)
         if any(root.id == sender for root in self.tree.roots(self.name)):
             self.acks.forget(sender)
-            heard = self.elsewhere.setdefault(sender, {})
-            heard.update({ack.key: (now, ack) for ack in message.acks})
+            self.shared.hear(now, sender, message.acks)
         elif child is not None:
             self.acks.put(sender, message.acks)
 
     def tell_roots(self, now: int) -> None:
-        """Tell the other roots what changed in force below this one.
-
-        All sums are told again from time to time, so that a lost message or a
-        new root is made good.
-        """
-        sums = {ack.key: ack for ack in self.acks.total()}
-        if now >= self.tell_due:
-            self.told = {}
-            self.tell_due = now + TELL_MS
-        changed = [ack for key, ack in sums.items() if self.told.get(key) != ack]
-        self.told = sums
+        """Tell the other roots what changed in force below this one."""
+        changed = self.shared.changed(now, self.acks.total())
         if changed:
-            message = messages.RelayAcks(changed)
             for root in self.tree.roots(self.name):
-                self.send(root, message)
+                self.send(root, messages.RelayAcks(changed))
 
     def in_force(self, now: int) -> list[ConfigAck]:
         """Return where configurations are in force; complete at a root only."""
         roots = {root.id for root in self.tree.roots(self.name)}
-        parts: dict[str, list[ConfigAck]] = {}
-        for ack in self.acks.total():
-            parts.setdefault(ack.key, []).append(ack)
-        for name in roots & self.elsewhere.keys():
-            for heard, ack in self.elsewhere[name].values():
-                if now - heard <= 2 * TELL_MS:
-                    parts.setdefault(ack.key, []).append(ack)
-        return [
-            sum_acks(parts[key], self.acks.known.get(key, 0)) for key in sorted(parts)
-        ]
+        return self.shared.sums(now, self.acks, roots)
 
     def handlers(self) -> dict[type, Callable[[int, str, Any], None]]:
         """Return what takes each message, called with time, sender, message."""
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -26,7 +26,8 @@
 from fuchsiapin.ownership import Ownership, Standing
 from fuchsiapin.ranking import flow_key
 from fuchsiapin.records import RecordTable
-from fuchsiapin.relay import Relay, RelayOptions
+from fuchsiapin.relay import Relay
+from fuchsiapin.relaylinks import RelayOptions
 from fuchsiapin.relaytree import Contact
 from fuchsiapin.requests import Request
 from fuchsiapin.tenants import Tenants
--- a/fuchsiapin/tests/test_capacity.py
+++ b/fuchsiapin/tests/test_capacity.py
@@ -3,7 +3,9 @@
 import json
 import unittest
 
-from measure.capacity import FLEET, PAGE, REPORT, Model, render_page, tables
+from measure.capacity import PAGE, REPORT
+from measure.capacitymodel import FLEET, Model
+from measure.capacitytables import render_page, tables
 from measure.slopes import SIZES
 
 
--- a/fuchsiapin/tests/test_relay.py
+++ b/fuchsiapin/tests/test_relay.py
@@ -6,7 +6,8 @@
 from fuchsiapin import messages
 from fuchsiapin.acknowledgements import Acknowledgements
 from fuchsiapin.codec import encode_object
-from fuchsiapin.relay import EVERYTHING, Relay, RelayOptions
+from fuchsiapin.relay import Relay
+from fuchsiapin.relaylinks import EVERYTHING, RelayOptions
 from fuchsiapin.relaytree import FANOUT, Contact, Tree, parents_of_balancer
 from fuchsiapin.replicas import Replicas, pack_value
 from fuchsiapin.timers import Timers
--- /dev/null
+++ b/measure/capacitymodel.py
@@ -0,0 +1,258 @@
+"""Load of each role and of the object API at full size, by measured slopes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["FLEET", "REMOVAL_S", "Fleet", "Model"]
+
+DAY_S = 86_400
+TELL_S = 60.0
+"""A root tells the others all its sums once in this time."""
+TURNS = 3
+"""Times that sums change and are sent on while a configuration spreads."""
+REMOVAL_S = 4.0
+"""Time in which the members of a lost zone are removed."""
+RETURN_S = 5.0
+"""Longest pause of an updater, after which it sees that the store is back."""
+WATCH_TURN_S = 0.01
+"""A watch is asked again after each answer, which carries all that came."""
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """The size that the page is worked out for."""
+
+    balancers: int = 5_400
+    sides: int = 38_000
+    services: int = 2_900
+    zones: int = 9
+    flows: int = 190_000_000
+    new_flows_s: int = 310_000
+    changes_day: int = 3_200
+    failures_day: int = 180
+    restarts_day: int = 12_000
+    deployments: int = 100
+    bound_bytes_s: int = 17_000
+    bound_core: float = 0.011
+    bound_memory: int = 128_000_000
+    bound_writes_s: int = 300
+    bound_reads_s: int = 2_000
+    bound_config_s: float = 17.0
+
+    @property
+    def processes(self) -> int:
+        """Processes of the system."""
+        return self.balancers + self.sides
+
+    @property
+    def per_service(self) -> float:
+        """Members of one service."""
+        return self.sides / self.services
+
+    @property
+    def per_zone(self) -> float:
+        """Balancers of one availability zone."""
+        return self.balancers / self.zones
+
+    @property
+    def roots(self) -> int:
+        """Processes that watch the object API."""
+        return 2 * self.zones
+
+
+FLEET = Fleet()
+
+
+class Model:
+    """Rates, bytes, processor time and memory at full size.
+
+    Parameters
+    ----------
+    report : dict
+        What was measured.
+    fleet : Fleet
+        The size.
+    """
+
+    def __init__(self, report: dict[str, Any], fleet: Fleet = FLEET) -> None:
+        self.report = report
+        self.fleet = fleet
+        self.slopes = {slope["name"]: slope for slope in report["slopes"]}
+        self.length = report["message_bytes"]
+
+    def at(self, name: str, size: float) -> float:
+        """Return a cost at a size, by its line."""
+        slope = self.slopes[name]
+        return max(0.0, slope["base"] + slope["slope"] * size)
+
+    def us(self, kind: str) -> float:
+        """Return the time to send or take one small message."""
+        return self.slopes["heartbeat round"]["slope"] / 2
+
+    @property
+    def calls(self) -> dict[str, float]:
+        """Return the store's calls at the largest measured service."""
+        return self.report["calls"][-1]
+
+    @property
+    def restarts_s(self) -> float:
+        """Planned restarts of side processes a second."""
+        share = self.fleet.sides / self.fleet.processes
+        return self.fleet.restarts_day * share / DAY_S
+
+    @property
+    def balancer_restarts_s(self) -> float:
+        """Planned restarts of balancers a second."""
+        share = self.fleet.balancers / self.fleet.processes
+        return self.fleet.restarts_day * share / DAY_S
+
+    @property
+    def membership_changes_s(self) -> float:
+        """Writes of memberships a second, over all services."""
+        calls = self.calls
+        restart = calls["join_writes"] + calls["leave_writes"]
+        failures = self.fleet.failures_day / DAY_S
+        return self.restarts_s * restart + failures * calls["crash_writes"]
+
+    @property
+    def zone_changes_s(self) -> float:
+        """Writes of zones a second."""
+        calls = self.calls
+        restart = calls["balancer_join_writes"] + calls["balancer_leave_writes"]
+        return self.balancer_restarts_s * restart
+
+    @property
+    def config_changes_s(self) -> float:
+        """Accepted configurations a second."""
+        return self.fleet.changes_day / DAY_S
+
+    def pushed(self) -> dict[str, tuple[float, float, float]]:
+        """Return changes a second, bytes a change and us a change, by object."""
+        fleet = self.fleet
+        size = fleet.sides / fleet.deployments
+        return {
+            "members": (
+                self.membership_changes_s,
+                self.at("membership packed", fleet.per_service),
+                self.at("membership taken in", fleet.per_service),
+            ),
+            "balancers": (
+                self.zone_changes_s,
+                self.at("zone packed", fleet.per_zone),
+                self.at("zone taken in", fleet.per_zone),
+            ),
+            "config": (
+                self.config_changes_s,
+                self.at("configuration packed", size),
+                self.at("configuration taken in", size),
+            ),
+        }
+
+    def balancer(self, children: int, sides: float, is_root: bool) -> dict[str, float]:
+        """Return the load of a balancer with so many subscribers."""
+        digest, answer = self.length["RelayDigest"], self.length["RelayAnswer"]
+        beat = self.length["BalancerHeartbeat"]
+        below = children + sides
+        per_digest = self.at("digest answered", self.fleet.services)
+        messages_s, bytes_s, us = below * 2 + 8 * 2, below * answer + 8 * beat, 0.0
+        us += below * per_digest + 16 * self.us("beat")
+        us += self.at("sums in force", self.fleet.deployments)
+        sums = self.length["RelayAcks"] * self.fleet.deployments
+        if is_root:
+            told = (
+                sums / TELL_S + self.config_changes_s * TURNS * self.length["RelayAcks"]
+            )
+            messages_s += 2 * (self.fleet.roots - 1) / TELL_S
+            bytes_s += (self.fleet.roots - 1) * told
+        else:
+            messages_s += 2
+            bytes_s += digest + self.config_changes_s * TURNS * sums
+        for name, (rate, size, taken) in self.pushed().items():
+            receivers = children + (sides if name == "balancers" else 0)
+            share = sides * self.side_share(name)
+            pushes = rate * (receivers + share)
+            messages_s += pushes + rate
+            bytes_s += pushes * size
+            us += rate * taken + pushes * self.at("push to one subscriber", 13)
+        memory = self.report["resident"]["balancer"]
+        memory += self.at("balancer memory", self.fleet.services)
+        memory += self.fleet.zones * self.at("side memory", self.fleet.per_zone)
+        return {
+            "messages_s": messages_s,
+            "bytes_s": bytes_s,
+            "core": us / 1e6,
+            "memory": memory,
+        }
+
+    def side_share(self, name: str) -> float:
+        """Return the share of changes of a kind that one side process needs."""
+        fleet = self.fleet
+        shares = {"members": 1 / fleet.services, "config": 1 / fleet.deployments}
+        return shares.get(name, 0.0)
+
+    def side(self) -> dict[str, float]:
+        """Return the load of a side process."""
+        fleet = self.fleet
+        peers = fleet.per_service - 1
+        beats = 2 * peers
+        flows = fleet.flows / fleet.sides
+        bytes_s = beats * self.length["Heartbeat"] + self.length["RelayDigest"]
+        messages_s = 2 * beats + 2
+        us = 2 * beats * self.us("beat") + 2 * self.us("digest")
+        for name, (rate, _, taken) in self.pushed().items():
+            got = rate * (self.side_share(name) if name != "balancers" else 1)
+            messages_s += got
+            us += got * taken
+        changes = self.membership_changes_s / fleet.services
+        us += changes * self.at("placing flows", flows)
+        memory = self.report["resident"]["side"]
+        memory += fleet.zones * self.at("side memory", fleet.per_zone)
+        memory += self.at("observation memory", flows) * 2
+        return {
+            "messages_s": messages_s,
+            "bytes_s": bytes_s,
+            "core": us / 1e6,
+            "memory": memory,
+        }
+
+    def roles(self) -> dict[str, dict[str, float]]:
+        """Return the load of each role."""
+        sides = self.fleet.sides / self.fleet.balancers
+        return {
+            "balancer (8 balancers, 7 sides below)": self.balancer(8, sides, False),
+            "root balancer": self.balancer(8, sides, True),
+            "busiest balancer (8 and 20)": self.balancer(8, 20, False),
+            "side process": self.side(),
+        }
+
+    def store(self) -> dict[str, tuple[float, float]]:
+        """Return reads (waiting watches counted) and writes a second."""
+        fleet, calls = self.fleet, self.calls
+        changes = (
+            self.membership_changes_s + self.zone_changes_s + self.config_changes_s
+        )
+        reads = fleet.roots * (1 + changes)
+        reads += self.restarts_s * (calls["join_reads"] + calls["leave_reads"])
+        reads += self.balancer_restarts_s * (
+            calls["balancer_join_reads"] + calls["balancer_leave_reads"]
+        )
+        lost = fleet.sides / fleet.zones
+        zone_writes = lost * calls["crash_writes"] / REMOVAL_S
+        zone_reads = lost * calls["crash_reads"] / REMOVAL_S
+        zone_reads += fleet.roots * (1 + min(zone_writes, 1 / WATCH_TURN_S))
+        pending = fleet.restarts_day / 24
+        return {
+            "ordinary day": (reads, changes),
+            "loss of an availability zone, 4 s": (zone_reads, zone_writes),
+            "after an hour's outage, 5 s": (
+                reads + pending * calls["join_reads"] / RETURN_S,
+                changes + pending * calls["join_writes"] / RETURN_S,
+            ),
+        }
+
+    def depth(self) -> int:
+        """Return the hops from a root to the farthest side process."""
+        place, hops = int(self.fleet.per_zone) - 1, 1
+        while place >= 2:
+            place, hops = (place - 2) // 8, hops + 1
+        return hops
