--- a/fuchsiapin/relay.py
+++ b/fuchsiapin/relay.py
@@ -13,22 +13,20 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from fuchsiapin import messages
-from fuchsiapin.acknowledgements import Acknowledgements, sum_acks
+from fuchsiapin.acknowledgements import Acknowledgements, SharedSums
 from fuchsiapin.codec import decode_object
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.messages import ConfigAck, ObjectSeen, ReadObject, SendPeer
+from fuchsiapin.relaylinks import EVERYTHING, Child, RelayOptions
 from fuchsiapin.relaytree import Contact, Tree, parents_of_side
 from fuchsiapin.replicas import Replicas, is_in_scope, unpack_value
 from fuchsiapin.timers import Timers
 
-__all__ = ["EVERYTHING", "Relay", "RelayOptions"]
+__all__ = ["Relay"]
 
-EVERYTHING = ["balancers/", "config/", "members/"]
-"""Topics of a balancer."""
 DIGEST_MS = 1_000
 """Time between two digests to the parent."""
 SOON_MS = 100
@@ -42,8 +40,8 @@
 READ_MS = 250
 MAX_READ_MS = 30_000
 """Pauses between reads of the store while nobody is subscribed to."""
-TELL_MS = 60_000
-"""A root repeats its sums to the other roots after this time."""
+COMPARE_MS = 2_000
+"""Time between two comparisons of a root with another one."""
 MAX_HOPS = 4
 """A root that is so far from the object API counts as cut off."""
 MAX_CHILDREN = 64
@@ -52,41 +50,6 @@
 """Objects sent for one request; the next digest fetches more."""
 
 
-@dataclass(frozen=True)
-class RelayOptions:
-    """What a process takes part in.
-
-    Parameters
-    ----------
-    contact : Contact
-        Name and address of this process.
-    zone : str
-        Its availability zone.
-    topics : list of str
-        Keys that it needs.
-    is_balancer : bool
-        Whether it may pass objects on.
-    seeds : list of Contact
-        Balancers that are asked when the store is silent.
-    """
-
-    contact: Contact
-    zone: str
-    topics: list[str]
-    is_balancer: bool
-    seeds: list[Contact] = field(default_factory=list)
-
-
-@dataclass
-class Child:
-    """A process that subscribed here."""
-
-    contact: Contact
-    topics: list[str]
-    heard: int
-    is_root: bool
-
-
 class Relay:
     """Copies of stored objects at one process, kept up to date through others.
 
@@ -142,9 +105,8 @@
         self.read_pause = READ_MS
         self.read_due = 0
         self.wants_soon = False
-        self.elsewhere: dict[str, dict[str, tuple[int, ConfigAck]]] = {}
-        self.told: dict[str, ConfigAck] = {}
-        self.tell_due = 0
+        self.shared = SharedSums()
+        self.compare_due = 0
 
     def start(self, now: int) -> None:
         """Read what the tree is made of and begin to subscribe."""
@@ -271,12 +233,22 @@
             self.check_parent(now)
             self.read_if_orphaned(now)
             self.send_digest()
+        else:
+            self.compare_with_root(now)
         if self.is_watching:
             self.tell_roots(now)
         pause = SOON_MS if self.wants_soon else DIGEST_MS
         self.wants_soon = False
         self.timers.add(now + self.rng.randint(pause * 3 // 4, pause), self.beat)
 
+    def compare_with_root(self, now: int) -> None:
+        """Ask any other root now and then for what the own watch skipped."""
+        roots = self.tree.roots(self.name)
+        if now >= self.compare_due and roots:
+            self.compare_due = now + COMPARE_MS
+            self.parent = self.rng.choice(roots)
+            self.send_digest()
+
     def check_parent(self, now: int) -> None:
         """Replace a silent parent; return to the wanted one in time.
 
@@ -319,11 +291,14 @@
         if not self.is_parent(sender):
             return
         if not message.is_accepted:
+            if not self.needs_parent():
+                return
             self.choose_parent(now, self.tried + 1)
             return
         self.heard = now
         self.read_pause = READ_MS
-        self.hops = min(message.hops + self.is_watching, MAX_HOPS)
+        if self.needs_parent():
+            self.hops = min(message.hops + self.is_watching, MAX_HOPS)
         if message.wants_acks:
             self.send(self.parent, messages.RelayAcks(self.acks.total()))
         if not message.buckets:
@@ -424,41 +399,21 @@
         child = self.children.get(sender)
         if any(root.id == sender for root in self.tree.roots(self.name)):
             self.acks.forget(sender)
-            heard = self.elsewhere.setdefault(sender, {})
-            heard.update({ack.key: (now, ack) for ack in message.acks})
+            self.shared.hear(now, sender, message.acks)
         elif child is not None:
             self.acks.put(sender, message.acks)
 
     def tell_roots(self, now: int) -> None:
-        """Tell the other roots what changed in force below this one.
-
-        All sums are told again from time to time, so that a lost message or a
-        new root is made good.
-        """
-        sums = {ack.key: ack for ack in self.acks.total()}
-        if now >= self.tell_due:
-            self.told = {}
-            self.tell_due = now + TELL_MS
-        changed = [ack for key, ack in sums.items() if self.told.get(key) != ack]
-        self.told = sums
+        """Tell the other roots what changed in force below this one."""
+        changed = self.shared.changed(now, self.acks.total())
         if changed:
-            message = messages.RelayAcks(changed)
             for root in self.tree.roots(self.name):
-                self.send(root, message)
+                self.send(root, messages.RelayAcks(changed))
 
     def in_force(self, now: int) -> list[ConfigAck]:
         """Return where configurations are in force; complete at a root only."""
         roots = {root.id for root in self.tree.roots(self.name)}
-        parts: dict[str, list[ConfigAck]] = {}
-        for ack in self.acks.total():
-            parts.setdefault(ack.key, []).append(ack)
-        for name in roots & self.elsewhere.keys():
-            for heard, ack in self.elsewhere[name].values():
-                if now - heard <= 2 * TELL_MS:
-                    parts.setdefault(ack.key, []).append(ack)
-        return [
-            sum_acks(parts[key], self.acks.known.get(key, 0)) for key in sorted(parts)
-        ]
+        return self.shared.sums(now, self.acks, roots)
 
     def handlers(self) -> dict[type, Callable[[int, str, Any], None]]:
         """Return what takes each message, called with time, sender, message."""
