Share slots and places in the queue between classes

Cause: one class could fill the queue of every upstream; another that asked for less than its share was refused and served like it. Change: strategies of admission in a registry. 'shares' gives each class its part of the places, and starts the class that was served least for its share (start-time fair queueing); handed requests count for their class too.

--- a/fuchsiapin/admission.py
+++ b/fuchsiapin/admission.py
@@ -1,8 +1,10 @@
 """Slots and the bounded queue of one upstream: who waits, who is refused."""
 
 from collections import deque
+from collections.abc import Iterator
 
 from fuchsiapin.requests import Request
+from fuchsiapin.sharing import InOrder
 
 __all__ = ["Admission"]
 
@@ -24,9 +26,12 @@
         Requests that the upstream serves at the same time.
     queue_limit : int
         Requests that may wait.
+    sharing : InOrder
+        Tells which request is next, and whose may wait.
     """
 
-    def __init__(self, slots: int, queue_limit: int) -> None:
+    def __init__(self, slots: int, queue_limit: int, sharing: InOrder) -> None:
+        self.sharing = sharing
         self.slots = slots
         self.queue_limit = queue_limit
         self.running: dict[bytes, int] = {}
@@ -74,9 +79,9 @@
             return 0
         return int(ahead * self.service_ms / self.slots)
 
-    def accepts(self, now: int, deadline: int) -> bool:
+    def accepts(self, now: int, deadline: int, tenant: str = "") -> bool:
         """Return whether a request can wait here and end by its deadline."""
-        if len(self.queue) >= self.queue_limit:
+        if not self.sharing.may_wait(self.queue, self.queue_limit, tenant):
             return False
         return now + self.wait_ms() + self.service_ms <= deadline
 
@@ -97,9 +102,14 @@
         if request in self.queue:
             self.queue.remove(request)
 
-    def start(self, key: bytes, now: int) -> None:
+    def in_turn(self) -> Iterator[Request]:
+        """Return the waiting requests, the next one first."""
+        return self.sharing.in_turn(self.queue)
+
+    def start(self, key: bytes, now: int, tenant: str = "") -> None:
         """Note that a request takes a slot."""
         self.running[key] = now
+        self.sharing.note_started(tenant)
 
     def release(self, key: bytes) -> None:
         """Note that a request left its slot without being served."""
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -131,7 +131,7 @@
             request
         ):
             return
-        if self.core.admission.accepts(self.core.now, request.deadline):
+        if self.core.admission.accepts(self.core.now, request.deadline, request.tenant):
             self.core.admission.enqueue(request)
         else:
             request.refused = "busy"
@@ -279,7 +279,7 @@
 
     def next_startable(self) -> Request | None:
         """Return the first waiting request that may run now."""
-        for request in self.core.admission.queue:
+        for request in self.core.admission.in_turn():
             if self.may_start(request):
                 return request
         return None
@@ -299,7 +299,7 @@
         """Send a request to the own upstream."""
         request.stage = Stage.RUNNING
         request.started = self.core.now
-        self.core.admission.start(request.key, self.core.now)
+        self.core.admission.start(request.key, self.core.now, request.tenant)
         observe = request.message.opt.observe == 0
         token = self.core.link.request(
             self.core.now,
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -179,6 +179,7 @@
             deadline,
             sender,
         )
+        request.tenant = self.core.tenants.name_of(message.host)
         self.remember_handled(message.key, None)
         is_current = message.view == self.core.ownership.view
         is_live = self.core.membership.me.state == "live"
@@ -187,7 +188,7 @@
             is_current
             and is_live
             and is_open
-            and self.core.admission.accepts(self.core.now, deadline)
+            and self.core.admission.accepts(self.core.now, deadline, request.tenant)
         ):
             self.return_result(request, "not_run", b"")
             return
--- a/fuchsiapin/policy.py
+++ b/fuchsiapin/policy.py
@@ -4,8 +4,10 @@
 
 from fuchsiapin.registry import Registry
 
-__all__ = ["Policy", "movers", "retriers"]
+__all__ = ["Policy", "admitters", "movers", "retriers"]
 
+admitters = Registry("admission")
+"""Which waiting request is next, and whose requests may wait."""
 movers = Registry("move")
 """When a request that has not started moves to a peer."""
 retriers = Registry("retry")
@@ -20,3 +22,5 @@
     """One of `movers`."""
     retry: str = "budget"
     """One of `retriers`."""
+    admit: str = "shares"
+    """One of `admitters`."""
--- a/fuchsiapin/reserving.py
+++ b/fuchsiapin/reserving.py
@@ -98,7 +98,7 @@
         if not self.has_to_wait():
             return None
         asked = self.core.requests.get(key)
-        for request in [asked, *self.core.admission.queue]:
+        for request in [asked, *self.core.admission.in_turn()]:
             if request is not None and self.is_free_to_move(request):
                 waited = self.core.now - request.received
                 return request if waited >= age else None
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -33,7 +33,7 @@
 from fuchsiapin.timers import Timers
 from fuchsiapin.transfers import Transfers
 from fuchsiapin.upstream import UpstreamLink
-from fuchsiapin.variants import Policy, movers, retriers
+from fuchsiapin.variants import Policy, admitters, movers, retriers
 from fuchsiapin.watching import Watcher
 
 __all__ = ["SideCore", "SideOptions", "make_side_core"]
@@ -121,7 +121,9 @@
         self.balancer_versions: dict[str, int] = {}
         self.ended: dict[str, int] = {}
         self.config: messages.Configuration | None = None
-        self.admission = Admission(options.slots, options.queue)
+        self.admission = Admission(
+            options.slots, options.queue, admitters.get(options.policy.admit)()
+        )
         self.tenants = Tenants([])
         self.link = UpstreamLink(
             self.timers, self.out, self.watcher.register_again, rng
@@ -383,6 +385,8 @@
     def apply_service(self, service: messages.ServiceConfig) -> None:
         """Put the limits of the service and of the own upstream in force."""
         self.tenants = Tenants(service.classes)
+        shares = {item.name: item.share for item in service.classes}
+        self.admission.sharing.set_shares(shares)
         self.deadline_ms = service.deadline_ms
         self.admission.queue_limit = service.queue
         for upstream in service.upstreams:
--- a/fuchsiapin/tests/test_measure.py
+++ b/fuchsiapin/tests/test_measure.py
@@ -6,7 +6,7 @@
 from measure.scenarios import Fault, Scenario, scenarios
 from measure.sizes import SIZES
 from measure.systems import MAIN, systems
-from measure.workload import Phase, make_arrivals
+from measure.workload import MODEST, Phase, make_arrivals
 
 SIZE = SIZES["swapdesk"]
 SHORT_S = 12
@@ -47,6 +47,14 @@
         self.assertGreater(found["moved"], 0)
         self.assertEqual((found["ran_twice"], found["unknown"]), (0, 0))
 
+    def test_greedy_class_leaves_the_other_its_share(self) -> None:
+        phases = (Phase(0, SHORT_S, 0.4, MODEST), Phase(0, SHORT_S, 1.6, "bulk"))
+        scenario = Scenario(phases, classes={MODEST: 1, "bulk": 1})
+        arrivals = make_arrivals(SIZE, phases, 5)
+        run = systems.get(MAIN)(SIZE, scenario, arrivals, 5)
+        told = [run.outcomes[i.name].told for i in arrivals if i.class_name == MODEST]
+        self.assertGreater(told.count("done"), 0.95 * len(told))
+
     def test_shed_requests_run_elsewhere_once(self) -> None:
         found = run_short(MAIN, 0.5, Fault(3.0, "shed", 1))
         self.assertGreater(found["retried"], 0)
