--- a/measure/placement.py
+++ b/measure/placement.py
@@ -27,10 +27,9 @@
     """Print the shares and their bounds."""
     for count in SIZES:
         joined, left = moved_share(count)
-        print(
-            f"{count} members: join {joined:.4f} (1/{count + 1} ={1 / (count + 1):.4f}),"
-            f" leave {left:.4f} (1/{count} = {1 / count:.4f})"
-        )
+        bounds = 1 / (count + 1), 1 / count
+        print(f"{count} members: join {joined:.4f}, 1/(n+1) = {bounds[0]:.4f}")
+        print(f"{count} members: leave {left:.4f}, 1/n = {bounds[1]:.4f}")
 
 
 if __name__ == "__main__":
