Let a simulated watch that lost an event read all objects again

Cause: an outage shorter than the watch's check lost the events of that time for good, which no watch of versions does.

Change: a lost event breaks the watch, which then begins anew.

--- a/measure/world.py
+++ b/measure/world.py
@@ -489,6 +489,8 @@
         def see() -> None:
             if self.is_store_reachable(node):
                 self.feed(node, messages.ObjectSeen(key, version, value))
+            else:
+                node.watch_answers = None
 
         self.at(self.now + self.delay(self.store.delay_ms), see)
 
