Don't lose the word of a member that is removed by mistake

Cause: the first member of a service knows nobody, sends heartbeats to nobody, and learns of the others only by the relay. When that took over 2 s it was removed as dead. It returned as a new incarnation, and the others took the earlier one for lost though the process had forgotten nothing: two of its pairs without a word, so claims were "outcome unknown" for 247 s.

Ruled out: a dead relay (it delivered later); longer silence limits, which would slow down every real removal.

Change: a member that is not heard for 750 ms is sent the membership object. A newer incarnation is asked for the earlier one; its answer says whether it is the same process.

The three new tests fail before.

--- a/fuchsiapin/membership.py
+++ b/fuchsiapin/membership.py
@@ -9,9 +9,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from fuchsiapin.codec import encode_object
 from fuchsiapin.messages import (
     Heartbeat,
     Member,
+    ObjectCopy,
     ObjectSeen,
     SendPeer,
     ServiceMembership,
@@ -28,6 +30,8 @@
 HEARTBEAT_MS = 500
 SILENCE_MS = 2_000
 """A member that is silent for so long is suspected."""
+UNHEARD_MS = 750
+"""A member that is silent for so long is sent the membership object."""
 CHECK_MS = 250
 HISTORY_LIMIT = 16
 """Views kept at the most; flows of older ones would be uncertain."""
@@ -281,10 +285,24 @@
             self.heard = dict.fromkeys(self.heard, now)
         self.checked = now
         for member in self.peers():
+            if now - self.heard.get(member.id, now) > UNHEARD_MS:
+                self.send_membership(member.host, member.port)
             if self.is_silent(now, member.id):
                 self.suspect(now, member)
         self.timers.add(now + CHECK_MS, self.check)
 
+    def send_membership(self, host: str, port: int) -> None:
+        """Send the membership object as last seen.
+
+        A member that doesn't know a newer one sends it no heartbeat, and would
+        be taken for dead.
+        """
+        if self.updater.value is not None:
+            copy = ObjectCopy(
+                self.key, self.updater.version, encode_object(self.updater.value)
+            )
+            self.out.append(SendPeer(host, port, copy))
+
     def suspect(self, now: int, member: Member) -> None:
         """Ask the others whether they find a member silent too."""
         others = [
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -326,6 +326,7 @@
     service: str
     view: int
     incarnation: int
+    is_known: bool
     owned: list[Pairing]
     witnessed: list[Pairing]
     records: list[Record]
--- a/fuchsiapin/ownership.py
+++ b/fuchsiapin/ownership.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from enum import Enum
 from typing import Protocol
 
@@ -32,7 +33,7 @@
     Upload,
     View,
 )
-from fuchsiapin.ranking import member_key
+from fuchsiapin.ranking import incarnation_key, member_key
 from fuchsiapin.timers import Timers
 from fuchsiapin.views import Placement, ViewHistory, pair_of
 
@@ -186,18 +187,21 @@
         return True
 
     def find_awaited(self) -> dict[str, Member]:
-        """Return the members whose promise is needed, by member key."""
+        """Return the members whose promise is needed, by member key.
+
+        A newer incarnation is asked for the earlier one: after a false removal
+        it is the same process, which forgot nothing.
+        """
         newest = {member.id: member for member in self.history.members()}
         awaited = {}
         for placement in self.history.earlier():
             for member in placement.view.members:
-                successor = newest.get(member.id)
-                is_replaced = successor is not None and (
-                    successor.incarnation > member.incarnation
+                if member.state != "live" or member.id == self.member:
+                    continue
+                present = newest.get(member.id, member)
+                awaited[member_key(member)] = replace(
+                    member, host=present.host, port=present.port
                 )
-                is_gone = is_replaced or member.id == self.member
-                if member.state == "live" and not is_gone:
-                    awaited[member_key(member)] = member
         return awaited
 
     def send_claims(self, now: int, view: int) -> None:
@@ -241,7 +245,9 @@
         if claim.view < self.view or self.history.newest is None:
             return
         is_known = claim.incarnation in self.incarnations
-        answer = self.answer_for(claimer, claim) if is_known else self.empty_answer()
+        answer = (
+            self.answer_for(claimer, claim) if is_known else self.empty_answer(claim)
+        )
         self.out.append(SendPeer(claimer.host, claimer.port, answer))
 
     def want_view(self, member: Member) -> None:
@@ -249,10 +255,10 @@
         wanted = ObjectWanted(f"members/{self.service}", 0)
         self.out.append(SendPeer(member.host, member.port, wanted))
 
-    def empty_answer(self) -> ClaimAnswer:
-        """Return the answer of a process that knows nothing of the view."""
+    def empty_answer(self, claim: Claim) -> ClaimAnswer:
+        """Return the answer of a process that never was that incarnation."""
         return ClaimAnswer(
-            self.service, self.view, self.incarnation, [], [], [], [], [], []
+            self.service, claim.view, claim.incarnation, False, [], [], [], [], [], []
         )
 
     def answer_for(self, claimer: Member, claim: Claim) -> ClaimAnswer:
@@ -266,6 +272,7 @@
             service=self.service,
             view=claim.view,
             incarnation=claim.incarnation,
+            is_known=True,
             owned=[Pairing(*pair) for pair in sorted(self.owned)],
             witnessed=[Pairing(*pair) for pair in sorted(self.witnessed)],
             records=[item for item in self.state.records() if is_claimed(item)],
@@ -282,14 +289,11 @@
         """Take the answer to a claim."""
         if answer.view != self.view or self.is_settled:
             return
-        keys = [key for key, member in self.awaited.items() if member.id == sender]
-        for key in keys:
-            member = self.awaited[key]
-            if member.incarnation == answer.incarnation:
-                self.answers[key] = answer
-                del self.awaited[key]
-            elif answer.incarnation > member.incarnation:
-                del self.awaited[key]
+        key = incarnation_key(sender, answer.incarnation)
+        if self.awaited.pop(key, None) is None:
+            return
+        if answer.is_known:
+            self.answers[key] = answer
         self.settle_if_complete(now)
 
     def settle_if_complete(self, now: int) -> None:
--- a/fuchsiapin/ranking.py
+++ b/fuchsiapin/ranking.py
@@ -17,7 +17,14 @@
 from fuchsiapin.messages import Member
 from fuchsiapin.registry import Registry
 
-__all__ = ["first_of", "flow_key", "member_key", "rank_members", "rankers"]
+__all__ = [
+    "first_of",
+    "flow_key",
+    "incarnation_key",
+    "member_key",
+    "rank_members",
+    "rankers",
+]
 
 rankers = Registry("ranker")
 
@@ -37,9 +44,20 @@
     return f"{service}|{host}|{port}".encode()
 
 
+def incarnation_key(name: str, incarnation: int) -> str:
+    """Return the name of one incarnation of a member.
+
+    Examples
+    --------
+    >>> incarnation_key("ledger-1", 7)
+    'ledger-1#7'
+    """
+    return f"{name}#{incarnation}"
+
+
 def member_key(member: Member) -> str:
-    """Return the name of one incarnation of a member."""
-    return f"{member.id}#{member.incarnation}"
+    """Return the name of the incarnation that a member is."""
+    return incarnation_key(member.id, member.incarnation)
 
 
 @lru_cache(maxsize=MAX_SEEDS)
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -15,7 +15,7 @@
 
 from fuchsiapin import coap, messages
 from fuchsiapin.admission import Admission
-from fuchsiapin.codec import decode_object, encode_object
+from fuchsiapin.codec import decode_object
 from fuchsiapin.dispatching import Dispatcher
 from fuchsiapin.exceptions import MalformedDatagram, MalformedObject
 from fuchsiapin.flowstate import KeptFlows
@@ -311,16 +311,7 @@
         """Send the membership object to a peer that lacks it."""
         peer = self.membership.peer(sender)
         if peer is not None and message.key == self.membership.key:
-            self.send_membership(peer.host, peer.port)
-
-    def send_membership(self, host: str, port: int) -> None:
-        """Send the membership object as last seen."""
-        updater = self.membership.updater
-        if updater.value is not None:
-            copy = messages.ObjectCopy(
-                updater.key, updater.version, encode_object(updater.value)
-            )
-            self.out.append(SendPeer(host, port, copy))
+            self.membership.send_membership(peer.host, peer.port)
 
     def on_object_copy(self, sender: str, message: messages.ObjectCopy) -> None:
         """Take a stored object from a peer, as from the store."""
@@ -466,7 +457,7 @@
         """Send a balancer the view that it lacks."""
         balancer = self.find_balancer(name)
         if balancer is not None:
-            self.send_membership(balancer.host, balancer.port)
+            self.membership.send_membership(balancer.host, balancer.port)
 
     def pass_on(
         self, owner: Member, host: str, port: int, payload: bytes, balancer: str = ""
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -3,7 +3,13 @@
 import unittest
 from dataclasses import replace
 
-from fuchsiapin.messages import Member, UncertainRange, View
+from fuchsiapin.messages import (
+    Claim,
+    Member,
+    ServiceMembership,
+    UncertainRange,
+    View,
+)
 from fuchsiapin.ownership import Ownership
 from fuchsiapin.ranking import member_key
 from fuchsiapin.timers import Timers
@@ -31,6 +37,52 @@
         self.assertEqual([item.until for item in ownership.uncertain], [9])
 
 
+class ReturnTest(unittest.TestCase):
+    """Members that were removed by mistake, and the ones asked about them."""
+
+    def test_first_member_is_not_removed_while_it_knows_nobody(self) -> None:
+        options = WorldOptions(
+            sides=5, others=(("intake", 3),), balancers=6, service_ms=60.0
+        )
+        world = World(464, options, Links(loss=0.02, duplicate=0.01, reorder=0.01))
+        incarnations = {
+            n: node.core.membership.me.incarnation
+            for n, node in world.nodes.items()
+            if node.service
+        }
+        world.run(12_000)
+        now = {
+            n: node.core.membership.me.incarnation
+            for n, node in world.nodes.items()
+            if node.service
+        }
+        self.assertEqual(now, incarnations)
+
+    def test_newer_incarnation_is_asked_for_the_earlier_one(self) -> None:
+        ownership = make_ownership()
+        earlier = make_member("b")
+        later = replace(earlier, incarnation=2, host="10.0.0.2")
+        views = [View(1, [earlier, make_member("a")]), View(2, [later])]
+        ownership.adopt(0, ServiceMembership("swapdesk", views[1], views[:1], "x"))
+        [asked] = ownership.awaited.values()
+        self.assertEqual((asked.incarnation, asked.host), (1, "10.0.0.2"))
+
+    def test_process_knows_its_earlier_incarnation_only(self) -> None:
+        world = World(1, WorldOptions(sides=2))
+        world.run(6_000)
+        core = world.nodes["swapdesk-1"].core
+        first, peer = core.membership.me.incarnation, core.membership.peers()[0]
+        core.ownership.renew(first + 5)
+        for incarnation, is_known in ((first, True), (first + 5, True), (3, False)):
+            core.out.clear()
+            claim = Claim("swapdesk", core.ownership.view, incarnation)
+            core.ownership.on_claim(int(world.now), peer, claim)
+            answer = core.out[-1].message
+            self.assertEqual(
+                (answer.incarnation, answer.is_known), (incarnation, is_known)
+            )
+
+
 class RecoveryTest(unittest.TestCase):
     """Failures that the fuzzer or a review found, one test each."""
 
