--- a/tools/up.py
+++ b/tools/up.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +30,8 @@
     folder : Path
         Where settings, logs and `addresses.json` go.
     """
+    if deployment and deployment not in DEPLOYMENTS:
+        sys.exit(f"no deployment {deployment!r}; there are {', '.join(DEPLOYMENTS)}")
     names = [deployment] if deployment else list(DEPLOYMENTS)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, interrupt)
