--- a/fuchsiapin/balancing.py
+++ b/fuchsiapin/balancing.py
@@ -11,6 +11,7 @@
 
 from fuchsiapin import messages
 from fuchsiapin.codec import decode_object
+from fuchsiapin.cores import Core
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.messages import BalancerMember, SendPeer
 from fuchsiapin.objects import ObjectUpdater
@@ -18,7 +19,6 @@
 from fuchsiapin.relay import Relay
 from fuchsiapin.relaylinks import EVERYTHING, RelayOptions
 from fuchsiapin.relaytree import Contact
-from fuchsiapin.timers import Timers
 from fuchsiapin.views import ViewHistory
 from fuchsiapin.zonemembership import ZoneMembership
 
@@ -35,7 +35,7 @@
 """A stopping balancer ends after this time whatever comes."""
 
 
-class BalancerCore:
+class BalancerCore(Core):
     """Decisions of one balancer.
 
     Parameters
@@ -54,10 +54,7 @@
         rng: random.Random,
         seeds: list[Contact] | None = None,
     ) -> None:
-        self.rng = rng
-        self.out: list[Any] = []
-        self.timers = Timers()
-        self.now = 0
+        super().__init__(rng)
         self.views: dict[str, ViewHistory] = {}
         self.config: messages.Configuration | None = None
         self.zone = ZoneMembership(me, self.timers, self.out, rng, self.config_number)
@@ -71,38 +68,19 @@
             rng,
             self.see_object,
         )
+        self.event_handlers |= {
+            messages.Start: self.on_start,
+            messages.PeerMessage: self.on_peer_message,
+            messages.CallerDatagram: self.on_caller_datagram,
+            messages.ObjectSeen: self.see_object,
+            messages.WriteFinished: self.on_write_finished,
+            messages.StopRequested: self.on_stop,
+            messages.WatchState: self.on_watch_state,
+        }
         self.last_datagram = 0
         self.stopped_at: int | None = None
         self.is_finished = False
 
-    def handle(self, now: int, event: Any) -> list[Any]:
-        """Take an event; return the effects that it causes.
-
-        Parameters
-        ----------
-        now : int
-            Time in ms.
-        event : dataclass
-            An event of the schema.
-
-        Returns
-        -------
-        list
-            Effects of the schema, in order.
-        """
-        self.now = now
-        self.timers.run(now)
-        handler = EVENT_HANDLERS.get(type(event))
-        if handler is not None:
-            handler(self, event)
-        effects = list(self.out)
-        self.out.clear()
-        return effects
-
-    def next_due(self) -> int | None:
-        """Return when the core wants to be woken, in ms."""
-        return self.timers.next_due()
-
     @property
     def me(self) -> BalancerMember:
         """The process as a member of its availability zone."""
@@ -117,10 +95,6 @@
         """Return the number of the configuration in force."""
         return self.config.number if self.config else 0
 
-    def report(self, number: int, **fields: Any) -> None:
-        """Add a numbered event for log and metrics."""
-        self.out.append(messages.Report(number, fields))
-
     def on_start(self, event: messages.Start) -> None:
         """Announce this balancer and begin to watch the others."""
         self.zone.start(self.now)
@@ -315,16 +289,6 @@
     )
 
 
-EVENT_HANDLERS: dict[type, Callable[[BalancerCore, Any], None]] = {
-    messages.Start: BalancerCore.on_start,
-    messages.PeerMessage: BalancerCore.on_peer_message,
-    messages.CallerDatagram: BalancerCore.on_caller_datagram,
-    messages.ObjectSeen: BalancerCore.see_object,
-    messages.WriteFinished: BalancerCore.on_write_finished,
-    messages.StopRequested: BalancerCore.on_stop,
-    messages.WatchState: BalancerCore.on_watch_state,
-}
-
 MESSAGE_HANDLERS: dict[type, Callable[[BalancerCore, str, Any], None]] = {
     messages.Reply: BalancerCore.on_reply,
     messages.BalancerHeartbeat: BalancerCore.on_heartbeat,
--- a/fuchsiapin/daemons/side.py
+++ b/fuchsiapin/daemons/side.py
@@ -11,8 +11,9 @@
 from fuchsiapin import messages
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.daemons.shell import Shell
-from fuchsiapin.serving import SideOptions, make_side_core
+from fuchsiapin.serving import make_side_core
 from fuchsiapin.settings import Settings, load_settings
+from fuchsiapin.sideoptions import SideOptions
 
 __all__ = ["main", "run_side"]
 
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -16,6 +16,7 @@
 from fuchsiapin import coap, messages
 from fuchsiapin.admission import Admission
 from fuchsiapin.codec import decode_object
+from fuchsiapin.cores import Core
 from fuchsiapin.dispatching import Dispatcher
 from fuchsiapin.exceptions import MalformedDatagram, MalformedObject
 from fuchsiapin.flowstate import KeptFlows
@@ -30,11 +31,11 @@
 from fuchsiapin.relaylinks import RelayOptions
 from fuchsiapin.relaytree import Contact
 from fuchsiapin.requests import Request
+from fuchsiapin.sideoptions import SideOptions
 from fuchsiapin.tenants import Tenants
-from fuchsiapin.timers import Timers
 from fuchsiapin.transfers import Transfers
 from fuchsiapin.upstream import UpstreamLink
-from fuchsiapin.variants import Policy, admitters, movers, retriers
+from fuchsiapin.variants import admitters, movers, retriers
 from fuchsiapin.watching import Watcher
 
 __all__ = ["SideCore", "SideOptions", "make_side_core"]
@@ -43,51 +44,10 @@
 """Flows whose latest balancer is remembered."""
 MAX_EARLY = 1_024
 """Datagrams that wait for a view not yet known."""
-DEFAULT_DEADLINE_MS = 20_000
 CLEAN_INTERVAL_MS = 1_000
 
 
-class SideOptions:
-    """Limits of one side process.
-
-    Parameters
-    ----------
-    slots : int
-        Requests that the upstream serves at the same time.
-    queue : int
-        Requests that may wait for a slot.
-    records : int
-        Records kept at the most.
-    deadline_ms : int
-        Time that a request may take.
-    policy : Policy, optional
-        Variants to follow.
-    deployment : str
-        Deployment whose configuration is followed; empty for any.
-    seeds : list of Contact, optional
-        Balancers that are asked when the store is silent.
-    """
-
-    def __init__(
-        self,
-        slots: int = 2,
-        queue: int = 64,
-        records: int = 100_000,
-        deadline_ms: int = DEFAULT_DEADLINE_MS,
-        policy: Policy | None = None,
-        deployment: str = "",
-        seeds: list[Contact] | None = None,
-    ) -> None:
-        self.slots = slots
-        self.queue = queue
-        self.records = records
-        self.deadline_ms = deadline_ms
-        self.policy = policy or Policy()
-        self.deployment = deployment
-        self.seeds = seeds or []
-
-
-class SideCore:
+class SideCore(Core):
     """Decisions of one side process.
 
     Parameters
@@ -105,12 +65,9 @@
     def __init__(
         self, service: str, me: Member, rng: random.Random, options: SideOptions
     ) -> None:
+        super().__init__(rng)
         self.service = service
-        self.rng = rng
         self.deadline_ms = options.deadline_ms
-        self.out: list[Any] = []
-        self.timers = Timers()
-        self.now = 0
         self.requests: dict[bytes, Request] = {}
         self.dispatcher = Dispatcher(self)
         self.mover = Mover(self, movers.get(options.policy.move))
@@ -183,6 +140,15 @@
             messages.ObjectCopy: self.on_object_copy,
             messages.BalancerLeaving: self.on_balancer_leaving,
         }
+        self.event_handlers |= {
+            messages.Start: self.on_start,
+            messages.Wake: self.on_wake,
+            messages.PeerMessage: self.on_peer_message,
+            messages.ObjectSeen: self.see_object,
+            messages.WriteFinished: self.on_write_finished,
+            messages.StopRequested: self.on_stop,
+            messages.UpstreamDatagram: self.on_upstream_datagram,
+        }
         self.is_stopping = False
         self.is_finished = False
         self.next_mid = rng.randrange(65536)
@@ -196,36 +162,6 @@
         )
         return Relay(relay_options, self.timers, self.out, self.rng, self.see_object)
 
-    # Entry
-
-    def handle(self, now: int, event: Any) -> list[Any]:
-        """Take an event; return the effects that it causes.
-
-        Parameters
-        ----------
-        now : int
-            Time in ms.
-        event : dataclass
-            An event of the schema.
-
-        Returns
-        -------
-        list
-            Effects of the schema, in order.
-        """
-        self.now = now
-        self.timers.run(now)
-        handler = EVENT_HANDLERS.get(type(event))
-        if handler is not None:
-            handler(self, event)
-        effects = list(self.out)
-        self.out.clear()
-        return effects
-
-    def next_due(self) -> int | None:
-        """Return when the core wants to be woken, in ms."""
-        return self.timers.next_due()
-
     def on_start(self, event: messages.Start) -> None:
         """Begin to serve."""
         self.membership.start(self.now)
@@ -236,6 +172,10 @@
     def on_wake(self, event: messages.Wake) -> None:
         """Nothing more: due timers ran already."""
 
+    def on_upstream_datagram(self, event: messages.UpstreamDatagram) -> None:
+        """Take a datagram of the own upstream."""
+        self.link.receive(self.now, event.payload)
+
     def clean(self, now: int) -> None:
         """Forget what expired and look after the upstream, and again later."""
         self.flows.expire(now)
@@ -253,10 +193,6 @@
         else:
             self.membership.set_state(now, "live")
 
-    def report(self, number: int, **fields: Any) -> None:
-        """Add a numbered event for log and metrics."""
-        self.out.append(messages.Report(number, fields))
-
     # Messages of peers
 
     def on_peer_message(self, event: messages.PeerMessage) -> None:
@@ -576,19 +512,6 @@
         )
 
 
-EVENT_HANDLERS: dict[type, Callable[[SideCore, Any], None]] = {
-    messages.Start: SideCore.on_start,
-    messages.Wake: SideCore.on_wake,
-    messages.PeerMessage: SideCore.on_peer_message,
-    messages.ObjectSeen: SideCore.see_object,
-    messages.WriteFinished: SideCore.on_write_finished,
-    messages.StopRequested: SideCore.on_stop,
-    messages.UpstreamDatagram: lambda core, event: core.link.receive(
-        core.now, event.payload
-    ),
-}
-
-
 def make_side_core(
     service: str, me: Member, seed: int, options: SideOptions | None = None
 ) -> SideCore:
--- a/measure/world.py
+++ b/measure/world.py
@@ -16,7 +16,8 @@
 from fuchsiapin.codec import pack_message, unpack_message
 from fuchsiapin.policy import Policy
 from fuchsiapin.relaytree import Contact
-from fuchsiapin.serving import SideOptions, make_side_core
+from fuchsiapin.serving import make_side_core
+from fuchsiapin.sideoptions import SideOptions
 from fuchsiapin.tests.standins.caller import Caller, Tally
 from fuchsiapin.tests.standins.upstream import Upstream, UpstreamOptions
 
