Have the witness answer for the copy of an observation

Cause: the copy that an owner puts at its witness, and the word that an observation ended, went out once. One lost datagram and a crash of the owner lost a board, or left a closed one behind.

Ruled out: leaving it to the next view. What an owner installs leaves out the flows that the same witness held in the view before, so that a copy lost just before a view change stayed lost as well.

Change: ObservationAck answers ObservationPut and names view, sequence number and whether it is open; the owner repeats every 200 ms, by the newest view, until it is answered or owns the flow no more.

--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -49,6 +49,7 @@
     messages.OfferDeclined,
     messages.RecordAsk,
     messages.Withdrawal,
+    messages.ObservationAck,
 ]
 """Types that travel; the place in the list is the number on the wire."""
 
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -396,6 +396,19 @@
     open: bool
 
 
+@dataclass(frozen=True)
+class ObservationAck:
+    """
+    The witness's word on an ObservationPut.
+    """
+
+    service: str
+    view: int
+    key: bytes
+    sequence: int
+    open: bool
+
+
 @dataclass(frozen=True)
 class BacklogAsk:
     """
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -127,6 +127,7 @@
             messages.RecordPut: self.dispatcher.on_record_put,
             messages.RecordAck: self.dispatcher.on_record_ack,
             messages.ObservationPut: self.watcher.on_observation_put,
+            messages.ObservationAck: self.watcher.on_observation_ack,
             messages.BacklogAsk: self.mover.on_backlog_ask,
             messages.BacklogTell: self.mover.on_backlog_tell,
             messages.OfferDeclined: self.mover.on_offer_declined,
--- a/fuchsiapin/watching.py
+++ b/fuchsiapin/watching.py
@@ -21,6 +21,9 @@
 
 __all__ = ["Watcher"]
 
+RESEND_MS = 200
+"""An observation is put at the witness again after this time."""
+
 
 class Watcher:
     """The observations of one side process and its upstream.
@@ -33,6 +36,7 @@
 
     def __init__(self, core: "SideCore") -> None:
         self.core = core
+        self.unanswered: dict[bytes, messages.ObservationPut] = {}
 
     def open_observation(self, request: Request, token: bytes) -> int:
         """Begin an observation; return its first sequence number."""
@@ -54,28 +58,64 @@
         return sequence
 
     def put_observation(self, observation: messages.Observation, is_open: bool) -> None:
-        """Have the witness keep or drop an observation."""
+        """Have the witness keep or drop an observation, until it answers.
+
+        A newer wish for the same observation takes the place of this one. The
+        wish outlives a view change: what an owner installs leaves out the flows
+        that the same witness held before.
+        """
         flow = self.core.flows.flow_of(observation)
-        _, witness = self.core.ownership.pair(flow)
-        if witness is None or self.core.ownership.is_self(witness):
+        key = coap.request_digest(flow, observation.token)
+        self.unanswered.pop(key, None)
+        owner, witness = self.core.ownership.pair(flow)
+        if witness is None or not self.core.ownership.is_self(owner):
             return
+        view = self.core.ownership.view
         put = messages.ObservationPut(
-            self.core.service,
-            self.core.ownership.view,
-            coap.request_digest(flow, observation.token),
-            observation,
-            is_open,
+            self.core.service, view, key, observation, is_open
         )
+        self.unanswered[key] = put
         self.core.out.append(SendPeer(witness.host, witness.port, put))
 
+        def resend(now: int) -> None:
+            if self.unanswered.get(key) is put:
+                self.put_observation(observation, is_open)
+
+        self.core.timers.add(self.core.now + RESEND_MS, resend)
+
     def on_observation_put(self, sender: str, message: messages.ObservationPut) -> None:
-        """Keep or drop an observation as the witness."""
-        if not self.core.ownership.is_witness_for(message.view, sender):
+        """Keep or drop an observation as the witness, and say so."""
+        owner = self.core.membership.peer(sender)
+        is_witness = self.core.ownership.is_witness_for(message.view, sender)
+        if owner is None or not is_witness:
             return
+        observation = message.observation
         if message.open:
-            self.core.observations.keep(message.observation)
+            self.core.observations.keep(observation)
         else:
-            self.core.observations.drop(observation_key(message.observation))
+            self.core.observations.drop(observation_key(observation))
+        answer = messages.ObservationAck(
+            self.core.service,
+            message.view,
+            message.key,
+            observation.sequence,
+            message.open,
+        )
+        self.core.out.append(SendPeer(owner.host, owner.port, answer))
+
+    def on_observation_ack(self, sender: str, message: messages.ObservationAck) -> None:
+        """Take the witness's word on an observation."""
+        put = self.unanswered.get(message.key)
+        if put is None or put.view != message.view:
+            return
+        flow = self.core.flows.flow_of(put.observation)
+        _, witness = self.core.ownership.pair(flow)
+        is_of_witness = witness is not None and witness.id == sender
+        if is_of_witness and (put.observation.sequence, put.open) == (
+            message.sequence,
+            message.open,
+        ):
+            del self.unanswered[message.key]
 
     def take_over_observations(self) -> None:
         """Register the observations of newly owned flows at the own upstream."""
--- a/measure/cluster.py
+++ b/measure/cluster.py
@@ -40,6 +40,7 @@
     messages.RecordPut,
     messages.RecordAck,
     messages.ObservationPut,
+    messages.ObservationAck,
     messages.BacklogAsk,
     messages.BacklogTell,
     messages.OfferDeclined,
