Keep one notification a caller unacknowledged, and its count

Cause: each new state began the count of retransmissions anew, so that a caller that was gone was never dropped while its board changed faster than the first timeout, and several notifications to it were outstanding. A state that ended an observation went out once and was forgotten.

Ruled out: to drop new states while one is unacknowledged (the last one could be missed); to take an acknowledgement of a replaced notification for nothing (a caller whose round trip is longer than the timeout would be given up).

Change: RFC 7641, 4.5.2. The newest state waits for the acknowledgement, or goes in place of the next retransmission, with count and timeout kept. An acknowledgement of a replaced notification only begins the count anew. An observation whose end was told stays with owner and witness until the caller acknowledged it; an answer without Observe is such an end too.

--- a/fuchsiapin/observing.py
+++ b/fuchsiapin/observing.py
@@ -82,9 +82,16 @@
     def __init__(self, observation: Observation) -> None:
         self.observation = observation
         self.upstream_token = b""
-        self.mid = -1
         self.pending = b""
+        self.mids: list[int] = []
+        self.queued: Message | None = None
         self.attempt = 0
+        self.turn = 0
+        self.is_last = False
+
+    def forget_mids(self, mid: int) -> None:
+        """Forget a message ID and those before it."""
+        self.mids = self.mids[self.mids.index(mid) + 1 :]
 
 
 class Observations:
@@ -172,42 +179,79 @@
         return sequence
 
     def notify(self, now: int, key: ObservationKey, answer: Message) -> None:
-        """Send a new state; it replaces one that is still unacknowledged."""
+        """Send a new state, or keep it until the one before is acknowledged."""
         watched = self.watched[key]
-        is_open = answer.code.is_successful()
+        watched.queued = answer
+        if not watched.pending:
+            watched.attempt = 0
+            self.transmit(now, key, watched)
+
+    def transmit(self, now: int, key: ObservationKey, watched: Watched) -> None:
+        """Send the newest state, and again later.
+
+        A newer state takes the place of a retransmission, whose count and
+        timeout it goes on with [1]_.
+        """
+        if watched.queued is not None:
+            self.take_queued(now, key, watched, watched.queued)
+        self.send(watched.observation, watched.pending)
+        due = now + (ACK_TIMEOUT_MS << watched.attempt)
+        watched.attempt += 1
+        watched.turn += 1
+        turn = watched.turn
+        self.timers.add(due, lambda later: self.repeat(later, key, watched, turn))
+
+    def take_queued(
+        self, now: int, key: ObservationKey, watched: Watched, answer: Message
+    ) -> None:
+        """Make the newest state the one that waits for its acknowledgement."""
+        is_open = answer.code.is_successful() and answer.opt.observe is not None
         sequence = self.advance(key, now) if is_open else None
         self.next_mid = (self.next_mid + 1) % (1 << 16)
-        watched.mid = self.next_mid
+        watched.mids.append(self.next_mid)
         watched.pending = notification(
-            answer, watched.observation.token, watched.mid, sequence
+            answer, watched.observation.token, self.next_mid, sequence
         )
-        watched.attempt = 0
-        self.transmit(now, key, watched, watched.mid)
+        watched.queued = None
+        watched.is_last = not is_open
 
-    def transmit(
-        self, now: int, key: ObservationKey, watched: Watched, mid: int
+    def repeat(
+        self, now: int, key: ObservationKey, watched: Watched, turn: int
     ) -> None:
-        """Send the pending notification until it is acknowledged."""
-        if self.watched.get(key) is not watched or watched.mid != mid:
+        """Send again what is not acknowledged, or give the caller up."""
+        if self.watched.get(key) is not watched or watched.turn != turn:
             return
         if not watched.pending:
             return
         if watched.attempt > MAX_RETRANSMIT:
             self.on_lost(now, key)
-            return
-        self.send(watched.observation, watched.pending)
-        due = now + (ACK_TIMEOUT_MS << watched.attempt)
-        watched.attempt += 1
-        self.timers.add(due, lambda later: self.transmit(later, key, watched, mid))
+        else:
+            self.transmit(now, key, watched)
 
-    def acknowledge(self, host: str, port: int, mid: int) -> ObservationKey | None:
-        """Note the acknowledgement of a notification; return which it was of."""
+    def find(self, host: str, port: int, mid: int) -> ObservationKey | None:
+        """Return the observation that a notification was of."""
         for key, watched in self.watched.items():
-            if key[:2] == (host, port) and watched.mid == mid:
-                watched.pending = b""
+            if key[:2] == (host, port) and mid in watched.mids:
                 return key
         return None
 
+    def acknowledge(self, now: int, key: ObservationKey, mid: int) -> bool:
+        """Note an acknowledgement; return whether it was of the last state.
+
+        That of a notification which a newer state has replaced only tells that
+        the caller is there: the newer one is still repeated.
+        """
+        watched = self.watched[key]
+        watched.forget_mids(mid)
+        watched.attempt = 0
+        if watched.mids:
+            return False
+        watched.pending = b""
+        if watched.queued is not None:
+            self.transmit(now, key, watched)
+            return False
+        return watched.is_last
+
 
 def observation_key(observation: Observation) -> ObservationKey:
     """Return the key of an observation."""
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from aiocoap import Message
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.types import Type
 
@@ -427,18 +426,12 @@
             self.report(4104, flow=flow.decode())
             return
         if message.mtype in (Type.ACK, Type.RST):
-            self.receive_acknowledgement(host, port, message)
+            self.watcher.on_acknowledgement(host, port, message)
         elif message.code is Code.EMPTY:
             self.send_to_caller(host, port, coap.reset(message.mid))
         elif message.code.is_request():
             self.dispatcher.receive_request(flow, host, port, message, datagram)
 
-    def receive_acknowledgement(self, host: str, port: int, message: Message) -> None:
-        """Take the word of a caller on a notification."""
-        key = self.observations.acknowledge(host, port, message.mid)
-        if key is not None and message.mtype is Type.RST:
-            self.watcher.close_observation(key)
-
     def progress(self, now: int) -> None:
         """Go on with requests and observations after a step of ownership."""
         for request in list(self.requests.values()):
--- a/fuchsiapin/tests/test_observing.py
+++ b/fuchsiapin/tests/test_observing.py
@@ -2,10 +2,21 @@
 
 import unittest
 
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+
+from fuchsiapin.coap import parse_datagram
+from fuchsiapin.messages import Observation
+from fuchsiapin.observing import Observations, observation_key
+from fuchsiapin.timers import Timers
 from measure.world import Links, World, WorldOptions
 
 BOARDS = 12
 CUT_MS = 100
+LOST_CALLER = 3106
+GONE_MS = 70_000
+"""All retransmissions to a caller that is gone, and some time more."""
 
 
 def make_world(boards: int = 0, loss: float = 0.0, board_ms: float = 1e3) -> World:
@@ -92,5 +103,135 @@
             self.assertEqual(world.nodes[name].core.watcher.unanswered, {})
 
 
+class Notifier:
+    """Observations of one caller, with what they send and whom they lose."""
+
+    def __init__(self) -> None:
+        self.timers = Timers()
+        self.sent: list[Message] = []
+        self.lost: list[int] = []
+        self.kept = Observations(
+            self.timers, self.send, lambda now, key: self.lose(now)
+        )
+        observation = Observation("10.9.0.1", 4000, b"t", b"", 1, "")
+        self.key = observation_key(observation)
+        self.kept.watch(observation)
+
+    def send(self, observation: Observation, datagram: bytes) -> None:
+        """Note a notification."""
+        self.sent.append(parse_datagram(datagram))
+
+    def lose(self, now: int) -> None:
+        """Forget the caller that is gone."""
+        self.lost.append(now)
+        self.kept.drop(self.key)
+
+    def notify(self, now: int, state: str, code: Code = Code.CONTENT) -> None:
+        """Take a new state from the upstream."""
+        answer = Message(code=code, payload=state.encode())
+        answer.opt.observe = now if code.is_successful() else None
+        self.kept.notify(now, self.key, answer)
+
+    def acknowledge(self, now: int, place: int) -> bool:
+        """Acknowledge one of the notifications; return whether it was the end."""
+        mid = self.sent[place].mid
+        key = self.kept.find(*self.key[:2], mid)
+        return key is not None and self.kept.acknowledge(now, key, mid)
+
+    @property
+    def states(self) -> list[str]:
+        """The states sent so far."""
+        return [message.payload.decode() for message in self.sent]
+
+
+class NotificationTest(unittest.TestCase):
+    """One unacknowledged notification a caller, and nobody misses the last."""
+
+    def setUp(self) -> None:
+        self.notifier = Notifier()
+
+    def run_until(self, end: int) -> None:
+        """Let timers fall due, second by second, and the board change."""
+        for now in range(1_000, end, 1_000):
+            self.notifier.timers.run(now)
+            if not self.notifier.lost:
+                self.notifier.notify(now, f"s{now}")
+
+    def test_caller_that_is_gone_is_dropped_while_its_board_changes(self) -> None:
+        self.notifier.notify(0, "s0")
+        self.run_until(GONE_MS)
+        self.assertEqual(self.notifier.lost, [62_000])
+        states = ["s0", "s1000", "s5000", "s13000", "s29000"]
+        self.assertEqual(self.notifier.states, states)
+
+    def test_newest_state_is_sent_at_once_after_the_acknowledgement(self) -> None:
+        for now, state in ((0, "a"), (100, "b"), (200, "c")):
+            self.notifier.notify(now, state)
+        self.assertEqual(self.notifier.states, ["a"])
+        self.notifier.acknowledge(300, 0)
+        self.assertEqual(self.notifier.states, ["a", "c"])
+        self.notifier.acknowledge(400, 1)
+        self.notifier.timers.run(90_000)
+        self.assertEqual(self.notifier.states, ["a", "c"])
+        first, second = (message.opt.observe for message in self.notifier.sent)
+        self.assertLess(first, second)
+
+    def test_last_state_is_repeated_until_it_is_acknowledged(self) -> None:
+        self.notifier.notify(0, "a")
+        self.notifier.notify(100, "b")
+        for now in (2_000, 6_000):
+            self.notifier.timers.run(now)
+        self.assertEqual(self.notifier.states, ["a", "b", "b"])
+        self.assertEqual(len({message.mid for message in self.notifier.sent}), 2)
+
+    def test_acknowledgement_that_is_always_late_keeps_a_caller(self) -> None:
+        self.notifier.notify(0, "s0")
+        for now in range(1_000, 300_000, 1_000):
+            self.notifier.timers.run(now)
+            self.notifier.notify(now, f"s{now}")
+            if len(self.notifier.sent) > 1:
+                self.notifier.acknowledge(now, -2)
+        self.assertEqual(self.notifier.lost, [])
+
+    def test_end_that_comes_behind_a_state_reaches_the_caller(self) -> None:
+        self.notifier.notify(0, "a")
+        self.notifier.notify(100, "gone", Code.NOT_FOUND)
+        self.assertFalse(self.notifier.acknowledge(200, 0))
+        self.assertEqual(self.notifier.states, ["a", "gone"])
+        self.assertIsNone(self.notifier.sent[1].opt.observe)
+        self.assertTrue(self.notifier.acknowledge(300, 1))
+
+    def test_callers_that_are_gone_leave_the_side_processes(self) -> None:
+        world = make_world(5)
+        world.callers.clear()
+        world.run(GONE_MS)
+        cores = [world.nodes[name].core for name in side_names(world)]
+        self.assertEqual(sum(len(core.observations.watched) for core in cores), 0)
+        reports = [r.number for n in side_names(world) for r in world.nodes[n].reports]
+        self.assertEqual(reports.count(LOST_CALLER), 5)
+        self.assertEqual(copies(world), 0)
+        self.assertEqual(sum(len(u.observers) for u in world.upstreams), 0)
+
+    def test_end_told_by_an_upstream_survives_a_lost_datagram(self) -> None:
+        world = make_world(BOARDS)
+        cores = [world.nodes[name].core for name in side_names(world)]
+        closed = list(world.callers.values())
+        for caller in closed:
+            caller.open_board = lambda: None
+        names = [name for name in world.nodes if name not in side_names(world)]
+        world.links.cuts = {(name, "caller") for name in names}
+        for core in cores:
+            for token in list(core.observations.by_token):
+                answer = Message(
+                    code=Code.NOT_FOUND, _mtype=Type.NON, _mid=7, _token=token
+                )
+                core.link.receive(core.now, answer.encode())
+        world.run(100)
+        world.links.cuts = set()
+        world.run(10_000)
+        self.assertFalse(any(caller.is_open for caller in closed))
+        self.assertEqual(copies(world), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fuchsiapin/watching.py
+++ b/fuchsiapin/watching.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from aiocoap import Message
+from aiocoap.numbers.types import Type
 
 from fuchsiapin import coap, messages
 from fuchsiapin.messages import SendPeer
@@ -155,10 +156,17 @@
     def on_notification(self, token: bytes, answer: Message) -> None:
         """Send a new state to the caller that observes it."""
         key = self.core.observations.by_token.get(token)
+        if key is not None:
+            self.core.observations.notify(self.core.now, key, answer)
+
+    def on_acknowledgement(self, host: str, port: int, message: Message) -> None:
+        """Take the word of a caller on a notification."""
+        observations = self.core.observations
+        key = observations.find(host, port, message.mid)
         if key is None:
             return
-        self.core.observations.notify(self.core.now, key, answer)
-        if not answer.code.is_successful():
+        is_reset = message.mtype is Type.RST
+        if is_reset or observations.acknowledge(self.core.now, key, message.mid):
             self.close_observation(key)
 
     def send_notification(
