Find notifications by their message ID

Cause: each acknowledgement went through all observations of a side process.

Change: an index by the caller's host and port and the message ID, for all notifications of an observation since its last acknowledgement.

Tests: test_observing, IndexTest. test_acknowledgement_looks_at_one_observation_only failed before ("all observations are gone through"). The index is empty after boards with late acknowledgements were closed. No figure of time was taken.

--- a/fuchsiapin/observing.py
+++ b/fuchsiapin/observing.py
@@ -33,6 +33,9 @@
 ObservationKey = tuple[str, int, bytes]
 """Host and port of the caller, and its token."""
 
+NotificationKey = tuple[str, int, int]
+"""Host and port of the caller, and the message ID."""
+
 SEQUENCE_TICK_MS = 8
 """A sequence number stands for so many ms; they wrap after 37 hours."""
 
@@ -89,10 +92,6 @@
         self.turn = 0
         self.is_last = False
 
-    def forget_mids(self, mid: int) -> None:
-        """Forget a message ID and those before it."""
-        self.mids = self.mids[self.mids.index(mid) + 1 :]
-
 
 class Observations:
     """Observations served here, and those kept for others.
@@ -123,6 +122,7 @@
         self.kept: dict[ObservationKey, Observation] = {}
         self.watched: dict[ObservationKey, Watched] = {}
         self.by_token: dict[bytes, ObservationKey] = {}
+        self.by_mid: dict[NotificationKey, ObservationKey] = {}
         self.next_mid = first_mid
 
     def all(self) -> Iterable[Observation]:
@@ -148,8 +148,17 @@
         watched = self.watched.pop(key, None)
         if watched is not None:
             self.by_token.pop(watched.upstream_token, None)
+            self.forget_mids(key, watched, len(watched.mids))
         return watched
 
+    def forget_mids(self, key: ObservationKey, watched: Watched, count: int) -> None:
+        """Forget the oldest message IDs, save those that another one uses now."""
+        for mid in watched.mids[:count]:
+            name = (key[0], key[1], mid)
+            if self.by_mid.get(name) == key:
+                del self.by_mid[name]
+        del watched.mids[:count]
+
     def watch(self, observation: Observation) -> Watched:
         """Begin to serve an observation."""
         key = observation_key(observation)
@@ -209,6 +218,7 @@
         sequence = self.advance(key, now) if is_open else None
         self.next_mid = (self.next_mid + 1) % (1 << 16)
         watched.mids.append(self.next_mid)
+        self.by_mid[(key[0], key[1], self.next_mid)] = key
         watched.pending = notification(
             answer, watched.observation.token, self.next_mid, sequence
         )
@@ -230,10 +240,7 @@
 
     def find(self, host: str, port: int, mid: int) -> ObservationKey | None:
         """Return the observation that a notification was of."""
-        for key, watched in self.watched.items():
-            if key[:2] == (host, port) and mid in watched.mids:
-                return key
-        return None
+        return self.by_mid.get((host, port, mid))
 
     def acknowledge(self, now: int, key: ObservationKey, mid: int) -> bool:
         """Note an acknowledgement; return whether it was of the last state.
@@ -242,7 +249,7 @@
         the caller is there: the newer one is still repeated.
         """
         watched = self.watched[key]
-        watched.forget_mids(mid)
+        self.forget_mids(key, watched, watched.mids.index(mid) + 1)
         watched.attempt = 0
         if watched.mids:
             return False
--- a/fuchsiapin/tests/test_observing.py
+++ b/fuchsiapin/tests/test_observing.py
@@ -1,6 +1,7 @@
 """Open observations: their copies at the witness, their callers, their ends."""
 
 import unittest
+from typing import NoReturn
 
 from aiocoap import Message
 from aiocoap.numbers.codes import Code
@@ -144,6 +145,51 @@
         return [message.payload.decode() for message in self.sent]
 
 
+class Unscanned(dict):
+    """A map that may be looked up, but not gone through."""
+
+    def __iter__(self) -> NoReturn:
+        raise AssertionError("all observations are gone through")
+
+    items = keys = values = __iter__
+
+
+class IndexTest(unittest.TestCase):
+    """Notifications are found by their message ID."""
+
+    def test_acknowledgement_looks_at_one_observation_only(self) -> None:
+        notifier = Notifier()
+        notifier.notify(0, "a")
+        notifier.kept.watched = Unscanned(notifier.kept.watched)
+        notifier.acknowledge(100, 0)
+        notifier.timers.run(90_000)
+        self.assertEqual((notifier.states, notifier.lost), (["a"], []))
+
+    def test_index_forgets_what_is_acknowledged_replaced_or_dropped(self) -> None:
+        world = make_world(BOARDS)
+        world.links.caller_ms = 1_500.0
+        world.run(20_000)
+        for caller in world.callers.values():
+            caller.close_board()
+        world.stop(side_names(world)[0])
+        world.run(20_000)
+        for name in side_names(world):
+            observations = world.nodes[name].core.observations
+            self.assertEqual((observations.watched, observations.by_mid), ({}, {}))
+
+    def test_message_id_that_is_used_anew_names_the_later_notification(self) -> None:
+        notifier = Notifier()
+        other = Observation("10.9.0.1", 4000, b"u", b"", 1, "")
+        notifier.kept.watch(other)
+        notifier.notify(0, "a")
+        notifier.kept.next_mid -= 1
+        answer = Message(code=Code.CONTENT, payload=b"b")
+        notifier.kept.notify(0, observation_key(other), answer)
+        notifier.kept.drop(notifier.key)
+        found = notifier.kept.find("10.9.0.1", 4000, notifier.sent[0].mid)
+        self.assertEqual(found, observation_key(other))
+
+
 class NotificationTest(unittest.TestCase):
     """One unacknowledged notification a caller, and nobody misses the last."""
 
