End registrations at the upstream that nobody watches

Cause: a registration answered after its deadline, and those of a side process that died beside a living upstream, stayed at the upstream for good. They took connections, and the late one freed a slot again with each notification.

Ruled out: registrations that are repeated, sent again under a new message ID or crossing, and cancellations, also repeated or after a change of owner. They left one registration and none; their tests passed before the change.

Change: a notification under a token not known here is answered by a reset, as RFC 7641, 3.6 has it. An answer to a request that has ended has its token forgotten; this line is in dispatching, the rest in upstream.

The upstream stand-in took a reset of a notification for one of a request with the same message ID as well, and would have cut an unrelated request; a reset of a notification now ends the observation only. No test changed for that.

Tests: test_observing, RegistrationTest.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -357,6 +357,7 @@
         else:
             self.core.admission.finish(request.key, self.core.now)
         if request.key not in self.core.requests:
+            self.core.link.forget(token)
             return
         if not self.core.retrier.on_answer(request, answer):
             self.complete(request, token, answer)
--- a/fuchsiapin/tests/standins/upstream.py
+++ b/fuchsiapin/tests/standins/upstream.py
@@ -160,7 +160,9 @@
 
     def cancel(self, mid: int, address: tuple[str, int]) -> None:
         """Stop what a reset names: a request, or an observation by its notice."""
-        self.observers.pop(self.noted.pop((address, mid), None), None)
+        if (address, mid) in self.noted:
+            self.observers.pop(self.noted.pop((address, mid)), None)
+            return
         for jobs in (self.queue, self.running):
             for job in list(jobs):
                 if (job.address, job.request.mid) == (address, mid):
--- a/fuchsiapin/tests/test_observing.py
+++ b/fuchsiapin/tests/test_observing.py
@@ -1,6 +1,7 @@
 """Open observations: their copies at the witness, their callers, their ends."""
 
 import unittest
+from collections.abc import Callable
 from typing import NoReturn
 
 from aiocoap import Message
@@ -10,11 +11,14 @@
 from fuchsiapin.coap import parse_datagram
 from fuchsiapin.messages import Observation
 from fuchsiapin.observing import Observations, observation_key
+from fuchsiapin.tests.standins.upstream import Upstream
 from fuchsiapin.timers import Timers
 from measure.world import Links, World, WorldOptions
 
 BOARDS = 12
 CUT_MS = 100
+DEADLINE_MS = 2_000
+LATE_MS = 3_000
 LOST_CALLER = 3106
 GONE_MS = 70_000
 """All retransmissions to a caller that is gone, and some time more."""
@@ -279,5 +283,120 @@
         self.assertEqual(copies(world), 0)
 
 
+class RegistrationTest(unittest.TestCase):
+    """One registration at the upstream for each board of a caller."""
+
+    def setUp(self) -> None:
+        self.world = make_world()
+        self.caller = self.world.add_caller()
+        self.registration = self.caller.request(Code.GET, "board")
+        self.registration.opt.observe = 0
+        self.caller.board_token = self.registration.token
+        self.send(self.registration)
+
+    def send(self, message: Message) -> None:
+        """Send a datagram of the caller, and let it take effect."""
+        self.caller.spray(message.encode())
+        self.world.run(100)
+
+    def observers(self) -> int:
+        """Return the registrations at all upstreams."""
+        return sum(len(upstream.observers) for upstream in self.world.upstreams)
+
+    def check_open(self, copies_of: int = 2) -> None:
+        """Check that one registration is left and that it is of use."""
+        self.assertEqual((self.observers(), copies(self.world)), (1, copies_of))
+        heard = self.world.tally.notifications
+        self.world.run(5_000)
+        self.assertEqual(self.world.tally.notifications, heard + 5)
+        self.assertEqual(self.world.tally.stale, 0)
+
+    def test_repeated_registration_leaves_one_at_the_upstream(self) -> None:
+        for _ in range(3):
+            self.send(self.registration)
+        self.check_open()
+
+    def test_new_registration_under_the_same_token_replaces_the_first(self) -> None:
+        for _ in range(3):
+            self.registration.mid = self.caller.next_mid()
+            self.send(self.registration)
+        self.check_open()
+
+    def test_registrations_that_cross_leave_one_at_the_upstream(self) -> None:
+        for _ in range(3):
+            self.registration.mid = self.caller.next_mid()
+            self.caller.spray(self.registration.encode())
+        self.world.run(100)
+        self.check_open()
+
+    def cancel(self) -> Message:
+        """Return a cancellation."""
+        message = self.caller.request(Code.GET, "board")
+        message.token = self.registration.token
+        message.opt.observe = 1
+        return message
+
+    def check_closed(self) -> None:
+        """Check that nothing is left anywhere."""
+        self.world.run(2_000)
+        self.assertEqual((self.observers(), copies(self.world)), (0, 0))
+        self.assertFalse(self.caller.is_open)
+
+    def test_cancellation_is_answered_and_frees_the_upstream(self) -> None:
+        heard = self.world.tally.notifications
+        self.send(self.cancel())
+        self.assertEqual(self.world.tally.notifications, heard + 1)
+        self.check_closed()
+
+    def test_repeated_cancellation_is_answered_each_time(self) -> None:
+        message, heard = self.cancel(), self.world.tally.notifications
+        for _ in range(3):
+            self.send(message)
+        self.assertEqual(self.world.tally.notifications, heard + 3)
+        self.check_closed()
+
+    def test_cancellation_after_a_change_of_owner_frees_the_new_upstream(self) -> None:
+        [owner] = [
+            name
+            for name in side_names(self.world)
+            if self.world.nodes[name].core.observations.watched
+        ]
+        self.world.stop(owner)
+        self.world.run(10_000)
+        self.check_open()
+        self.send(self.cancel())
+        self.check_closed()
+
+    def test_registration_answered_after_its_deadline_frees_the_upstream(self) -> None:
+        self.send(self.cancel())
+        self.caller.open_board = lambda: None
+        for name in side_names(self.world):
+            node = self.world.nodes[name]
+            node.core.deadline_ms = DEADLINE_MS
+            node.upstream.answer_board = self.delayed(node.upstream)
+        self.registration.mid = self.caller.next_mid()
+        self.send(self.registration)
+        self.world.run(LATE_MS)
+        self.assertFalse(self.caller.is_open)
+        self.assertEqual(self.observers(), 1)
+        self.check_closed()
+
+    def test_restarted_side_process_frees_the_registrations_of_the_one_before(
+        self,
+    ) -> None:
+        for _ in range(BOARDS):
+            self.world.add_caller().open_board()
+        self.world.run(1_000)
+        for name in side_names(self.world)[:3]:
+            self.world.restart_side(name)
+            self.world.run(12_000)
+        self.assertEqual(self.observers(), BOARDS + 1)
+
+    def delayed(self, upstream: Upstream) -> Callable[..., None]:
+        """Return the answer of an upstream to a board, after the deadline."""
+        answer = upstream.answer_board
+        return lambda *args: self.world.clock.callLater(LATE_MS / 1000, answer, *args)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fuchsiapin/upstream.py
+++ b/fuchsiapin/upstream.py
@@ -7,7 +7,13 @@
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.types import Type
 
-from fuchsiapin.coap import acknowledgement, parse_datagram, ping, request_for_upstream
+from fuchsiapin.coap import (
+    acknowledgement,
+    parse_datagram,
+    ping,
+    request_for_upstream,
+    reset,
+)
 from fuchsiapin.exceptions import MalformedDatagram
 from fuchsiapin.messages import SendUpstream
 from fuchsiapin.timers import Timers
@@ -167,10 +173,23 @@
             self.acknowledge(message)
         if message.code is Code.EMPTY:
             return True
-        if message.mtype is Type.CON:
+        if self.is_unwanted(message):
+            self.out.append(SendUpstream(reset(message.mid)))
+        elif message.mtype is Type.CON:
             self.out.append(SendUpstream(acknowledgement(message.mid)))
         return self.answer(now, message)
 
+    def is_unwanted(self, message: Message) -> bool:
+        """Return whether a notification is of an observation not known here.
+
+        It was registered for a caller that was given up since, or by the side
+        process before this one; a reset ends it at the upstream.
+        """
+        is_notification = message.mtype is not Type.ACK and (
+            message.opt.observe is not None
+        )
+        return is_notification and message.token not in self.exchanges
+
     def acknowledge(self, message: Message) -> None:
         """Note that the upstream has a request."""
         exchange = self.mids.pop(message.mid, None)
