--- /dev/null
+++ b/fuchsiapin/tests/test_observing.py
@@ -0,0 +1,402 @@
+"""Open observations: their copies at the witness, their callers, their ends."""
+
+import unittest
+from collections.abc import Callable
+from typing import NoReturn
+
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+
+from fuchsiapin.coap import parse_datagram
+from fuchsiapin.messages import Observation
+from fuchsiapin.observing import Observations, observation_key
+from fuchsiapin.tests.standins.upstream import Upstream
+from fuchsiapin.timers import Timers
+from measure.world import Links, World, WorldOptions
+
+BOARDS = 12
+CUT_MS = 100
+DEADLINE_MS = 2_000
+LATE_MS = 3_000
+LOST_CALLER = 3106
+GONE_MS = 70_000
+"""All retransmissions to a caller that is gone, and some time more."""
+
+
+def make_world(boards: int = 0, loss: float = 0.0, board_ms: float = 1e3) -> World:
+    """Return a settled world with open boards."""
+    world = World(1, WorldOptions(board_ms=board_ms), Links(loss=loss))
+    world.run(8_000)
+    for _ in range(boards):
+        world.add_caller().open_board()
+    world.run(1_000 if boards else 0)
+    return world
+
+
+def side_names(world: World) -> list[str]:
+    """Return the names of the side processes."""
+    return [name for name, node in world.nodes.items() if node.service]
+
+
+def cut_sides(world: World) -> None:
+    """Lose all that side processes send each other for a short while."""
+    names = side_names(world)
+    world.links.cuts = {(one, two) for one in names for two in names}
+    world.run(CUT_MS)
+    world.links.cuts = set()
+
+
+def copies(world: World) -> int:
+    """Return how many owners and witnesses keep an observation of a flow."""
+    count = 0
+    for name in side_names(world):
+        core = world.nodes[name].core
+        for observation in core.observations.kept.values():
+            pair = core.ownership.pair(core.flows.flow_of(observation))
+            count += name in [member.id for member in pair if member]
+    return count
+
+
+class WitnessTest(unittest.TestCase):
+    """The copy of an observation at the witness of its flow."""
+
+    def test_board_whose_copy_was_lost_once_survives_the_kill_of_its_owner(
+        self,
+    ) -> None:
+        world = make_world()
+        callers = [world.add_caller() for _ in range(BOARDS)]
+        for caller in callers:
+            caller.open_board()
+        cut_sides(world)
+        self.assertTrue(all(caller.is_open for caller in callers))
+        world.run(1_000)
+        for name in side_names(world)[:2]:
+            world.kill(name)
+            world.run(15_000)
+        now = world.clock.seconds()
+        self.assertLess(max(now - caller.last_heard for caller in callers), 5)
+
+    def test_end_of_a_board_that_was_lost_once_reaches_the_witness(self) -> None:
+        world = make_world(BOARDS)
+        self.assertEqual(copies(world), 2 * BOARDS)
+        for caller in world.callers.values():
+            caller.close_board()
+        cut_sides(world)
+        world.run(1_000)
+        self.assertEqual(copies(world), 0)
+
+    def test_copy_that_was_lost_before_a_view_change_is_sent_by_the_new_view(
+        self,
+    ) -> None:
+        world = make_world()
+        names = side_names(world)
+        world.links.cuts = {(one, two) for one in names for two in names}
+        for _ in range(BOARDS):
+            world.add_caller().open_board()
+        world.run(50)
+        world.stop(names[-1])
+        world.run(50)
+        world.links.cuts = set()
+        world.run(5_000)
+        self.assertEqual(copies(world), 2 * BOARDS)
+
+    def test_witness_is_asked_no_more_once_it_answered(self) -> None:
+        world = make_world(BOARDS, loss=0.1)
+        world.run(3_000)
+        for name in side_names(world):
+            self.assertEqual(world.nodes[name].core.watcher.unanswered, {})
+
+
+class Notifier:
+    """Observations of one caller, with what they send and whom they lose."""
+
+    def __init__(self) -> None:
+        self.timers = Timers()
+        self.sent: list[Message] = []
+        self.lost: list[int] = []
+        self.kept = Observations(
+            self.timers, self.send, lambda now, key: self.lose(now)
+        )
+        observation = Observation("10.9.0.1", 4000, b"t", b"", 1, "")
+        self.key = observation_key(observation)
+        self.kept.watch(observation)
+
+    def send(self, observation: Observation, datagram: bytes) -> None:
+        """Note a notification."""
+        self.sent.append(parse_datagram(datagram))
+
+    def lose(self, now: int) -> None:
+        """Forget the caller that is gone."""
+        self.lost.append(now)
+        self.kept.drop(self.key)
+
+    def notify(self, now: int, state: str, code: Code = Code.CONTENT) -> None:
+        """Take a new state from the upstream."""
+        answer = Message(code=code, payload=state.encode())
+        answer.opt.observe = now if code.is_successful() else None
+        self.kept.notify(now, self.key, answer)
+
+    def acknowledge(self, now: int, place: int) -> bool:
+        """Acknowledge one of the notifications; return whether it was the end."""
+        mid = self.sent[place].mid
+        key = self.kept.find(*self.key[:2], mid)
+        return key is not None and self.kept.acknowledge(now, key, mid)
+
+    @property
+    def states(self) -> list[str]:
+        """The states sent so far."""
+        return [message.payload.decode() for message in self.sent]
+
+
+class Unscanned(dict):
+    """A map that may be looked up, but not gone through."""
+
+    def __iter__(self) -> NoReturn:
+        raise AssertionError("all observations are gone through")
+
+    items = keys = values = __iter__
+
+
+class IndexTest(unittest.TestCase):
+    """Notifications are found by their message ID."""
+
+    def test_acknowledgement_looks_at_one_observation_only(self) -> None:
+        notifier = Notifier()
+        notifier.notify(0, "a")
+        notifier.kept.watched = Unscanned(notifier.kept.watched)
+        notifier.acknowledge(100, 0)
+        notifier.timers.run(90_000)
+        self.assertEqual((notifier.states, notifier.lost), (["a"], []))
+
+    def test_index_forgets_what_is_acknowledged_replaced_or_dropped(self) -> None:
+        world = make_world(BOARDS)
+        world.links.caller_ms = 1_500.0
+        world.run(20_000)
+        for caller in world.callers.values():
+            caller.close_board()
+        world.stop(side_names(world)[0])
+        world.run(20_000)
+        for name in side_names(world):
+            observations = world.nodes[name].core.observations
+            self.assertEqual((observations.watched, observations.by_mid), ({}, {}))
+
+    def test_message_id_that_is_used_anew_names_the_later_notification(self) -> None:
+        notifier = Notifier()
+        other = Observation("10.9.0.1", 4000, b"u", b"", 1, "")
+        notifier.kept.watch(other)
+        notifier.notify(0, "a")
+        notifier.kept.next_mid -= 1
+        answer = Message(code=Code.CONTENT, payload=b"b")
+        notifier.kept.notify(0, observation_key(other), answer)
+        notifier.kept.drop(notifier.key)
+        found = notifier.kept.find("10.9.0.1", 4000, notifier.sent[0].mid)
+        self.assertEqual(found, observation_key(other))
+
+
+class NotificationTest(unittest.TestCase):
+    """One unacknowledged notification a caller, and nobody misses the last."""
+
+    def setUp(self) -> None:
+        self.notifier = Notifier()
+
+    def run_until(self, end: int) -> None:
+        """Let timers fall due, second by second, and the board change."""
+        for now in range(1_000, end, 1_000):
+            self.notifier.timers.run(now)
+            if not self.notifier.lost:
+                self.notifier.notify(now, f"s{now}")
+
+    def test_caller_that_is_gone_is_dropped_while_its_board_changes(self) -> None:
+        self.notifier.notify(0, "s0")
+        self.run_until(GONE_MS)
+        self.assertEqual(self.notifier.lost, [62_000])
+        states = ["s0", "s1000", "s5000", "s13000", "s29000"]
+        self.assertEqual(self.notifier.states, states)
+
+    def test_newest_state_is_sent_at_once_after_the_acknowledgement(self) -> None:
+        for now, state in ((0, "a"), (100, "b"), (200, "c")):
+            self.notifier.notify(now, state)
+        self.assertEqual(self.notifier.states, ["a"])
+        self.notifier.acknowledge(300, 0)
+        self.assertEqual(self.notifier.states, ["a", "c"])
+        self.notifier.acknowledge(400, 1)
+        self.notifier.timers.run(90_000)
+        self.assertEqual(self.notifier.states, ["a", "c"])
+        first, second = (message.opt.observe for message in self.notifier.sent)
+        self.assertLess(first, second)
+
+    def test_last_state_is_repeated_until_it_is_acknowledged(self) -> None:
+        self.notifier.notify(0, "a")
+        self.notifier.notify(100, "b")
+        for now in (2_000, 6_000):
+            self.notifier.timers.run(now)
+        self.assertEqual(self.notifier.states, ["a", "b", "b"])
+        self.assertEqual(len({message.mid for message in self.notifier.sent}), 2)
+
+    def test_acknowledgement_that_is_always_late_keeps_a_caller(self) -> None:
+        self.notifier.notify(0, "s0")
+        for now in range(1_000, 300_000, 1_000):
+            self.notifier.timers.run(now)
+            self.notifier.notify(now, f"s{now}")
+            if len(self.notifier.sent) > 1:
+                self.notifier.acknowledge(now, -2)
+        self.assertEqual(self.notifier.lost, [])
+
+    def test_end_that_comes_behind_a_state_reaches_the_caller(self) -> None:
+        self.notifier.notify(0, "a")
+        self.notifier.notify(100, "gone", Code.NOT_FOUND)
+        self.assertFalse(self.notifier.acknowledge(200, 0))
+        self.assertEqual(self.notifier.states, ["a", "gone"])
+        self.assertIsNone(self.notifier.sent[1].opt.observe)
+        self.assertTrue(self.notifier.acknowledge(300, 1))
+
+    def test_callers_that_are_gone_leave_the_side_processes(self) -> None:
+        world = make_world(5)
+        world.callers.clear()
+        world.run(GONE_MS)
+        cores = [world.nodes[name].core for name in side_names(world)]
+        self.assertEqual(sum(len(core.observations.watched) for core in cores), 0)
+        reports = [r.number for n in side_names(world) for r in world.nodes[n].reports]
+        self.assertEqual(reports.count(LOST_CALLER), 5)
+        self.assertEqual(copies(world), 0)
+        self.assertEqual(sum(len(u.observers) for u in world.upstreams), 0)
+
+    def test_end_told_by_an_upstream_survives_a_lost_datagram(self) -> None:
+        world = make_world(BOARDS)
+        cores = [world.nodes[name].core for name in side_names(world)]
+        closed = list(world.callers.values())
+        for caller in closed:
+            caller.open_board = lambda: None
+        names = [name for name in world.nodes if name not in side_names(world)]
+        world.links.cuts = {(name, "caller") for name in names}
+        for core in cores:
+            for token in list(core.observations.by_token):
+                answer = Message(
+                    code=Code.NOT_FOUND, _mtype=Type.NON, _mid=7, _token=token
+                )
+                core.link.receive(core.now, answer.encode())
+        world.run(100)
+        world.links.cuts = set()
+        world.run(10_000)
+        self.assertFalse(any(caller.is_open for caller in closed))
+        self.assertEqual(copies(world), 0)
+
+
+class RegistrationTest(unittest.TestCase):
+    """One registration at the upstream for each board of a caller."""
+
+    def setUp(self) -> None:
+        self.world = make_world()
+        self.caller = self.world.add_caller()
+        self.registration = self.caller.request(Code.GET, "board")
+        self.registration.opt.observe = 0
+        self.caller.board_token = self.registration.token
+        self.send(self.registration)
+
+    def send(self, message: Message) -> None:
+        """Send a datagram of the caller, and let it take effect."""
+        self.caller.spray(message.encode())
+        self.world.run(100)
+
+    def observers(self) -> int:
+        """Return the registrations at all upstreams."""
+        return sum(len(upstream.observers) for upstream in self.world.upstreams)
+
+    def check_open(self, copies_of: int = 2) -> None:
+        """Check that one registration is left and that it is of use."""
+        self.assertEqual((self.observers(), copies(self.world)), (1, copies_of))
+        heard = self.world.tally.notifications
+        self.world.run(5_000)
+        self.assertEqual(self.world.tally.notifications, heard + 5)
+        self.assertEqual(self.world.tally.stale, 0)
+
+    def test_repeated_registration_leaves_one_at_the_upstream(self) -> None:
+        for _ in range(3):
+            self.send(self.registration)
+        self.check_open()
+
+    def test_new_registration_under_the_same_token_replaces_the_first(self) -> None:
+        for _ in range(3):
+            self.registration.mid = self.caller.next_mid()
+            self.send(self.registration)
+        self.check_open()
+
+    def test_registrations_that_cross_leave_one_at_the_upstream(self) -> None:
+        for _ in range(3):
+            self.registration.mid = self.caller.next_mid()
+            self.caller.spray(self.registration.encode())
+        self.world.run(100)
+        self.check_open()
+
+    def cancel(self) -> Message:
+        """Return a cancellation."""
+        message = self.caller.request(Code.GET, "board")
+        message.token = self.registration.token
+        message.opt.observe = 1
+        return message
+
+    def check_closed(self) -> None:
+        """Check that nothing is left anywhere."""
+        self.world.run(2_000)
+        self.assertEqual((self.observers(), copies(self.world)), (0, 0))
+        self.assertFalse(self.caller.is_open)
+
+    def test_cancellation_is_answered_and_frees_the_upstream(self) -> None:
+        heard = self.world.tally.notifications
+        self.send(self.cancel())
+        self.assertEqual(self.world.tally.notifications, heard + 1)
+        self.check_closed()
+
+    def test_repeated_cancellation_is_answered_each_time(self) -> None:
+        message, heard = self.cancel(), self.world.tally.notifications
+        for _ in range(3):
+            self.send(message)
+        self.assertEqual(self.world.tally.notifications, heard + 3)
+        self.check_closed()
+
+    def test_cancellation_after_a_change_of_owner_frees_the_new_upstream(self) -> None:
+        [owner] = [
+            name
+            for name in side_names(self.world)
+            if self.world.nodes[name].core.observations.watched
+        ]
+        self.world.stop(owner)
+        self.world.run(10_000)
+        self.check_open()
+        self.send(self.cancel())
+        self.check_closed()
+
+    def test_registration_answered_after_its_deadline_frees_the_upstream(self) -> None:
+        self.send(self.cancel())
+        self.caller.open_board = lambda: None
+        for name in side_names(self.world):
+            node = self.world.nodes[name]
+            node.core.deadline_ms = DEADLINE_MS
+            node.upstream.answer_board = self.delayed(node.upstream)
+        self.registration.mid = self.caller.next_mid()
+        self.send(self.registration)
+        self.world.run(LATE_MS)
+        self.assertFalse(self.caller.is_open)
+        self.assertEqual(self.observers(), 1)
+        self.check_closed()
+
+    def test_restarted_side_process_frees_the_registrations_of_the_one_before(
+        self,
+    ) -> None:
+        for _ in range(BOARDS):
+            self.world.add_caller().open_board()
+        self.world.run(1_000)
+        for name in side_names(self.world)[:3]:
+            self.world.restart_side(name)
+            self.world.run(12_000)
+        self.assertEqual(self.observers(), BOARDS + 1)
+
+    def delayed(self, upstream: Upstream) -> Callable[..., None]:
+        """Return the answer of an upstream to a board, after the deadline."""
+        answer = upstream.answer_board
+        return lambda *args: self.world.clock.callLater(LATE_MS / 1000, answer, *args)
+
+
+if __name__ == "__main__":
+    unittest.main()
