--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -26,6 +26,11 @@
 """A record is sent to the witness again after this time."""
 REFUSAL_PATIENCE_MS = 3_000
 """A refusal that no witness takes down for so long ends as unknown."""
+WITNESS_PATIENCE_MS = 6_000
+"""A request that may not run by the newest view waits for so long at the most.
+
+A silent member is removed and its flows are taken over sooner.
+"""
 MAX_REQUESTS = 4_096
 """Requests under way at one side process."""
 MAX_SLOT_MS = 120_000
@@ -56,19 +61,36 @@
         if record is not None:
             self.answer_again(record)
             return
-        if len(self.core.requests) >= MAX_REQUESTS:
-            self.core.report(4105, flow=flow.decode())
-            return
         deadline = self.core.now + self.core.deadline_ms
         request = Request(key, flow, host, port, message, datagram, deadline)
         request.received = self.core.now
         request.tenant = self.core.tenants.name_of(host)
-        self.core.requests[key] = request
-        self.core.timers.add(deadline, lambda now: self.expire_request(request))
         if message.opt.observe == 1:
             self.core.watcher.close_observation((host, port, message.token))
+        if len(self.core.requests) >= MAX_REQUESTS:
+            self.turn_away(request)
+            return
+        self.core.requests[key] = request
+        self.core.timers.add(deadline, lambda now: self.expire_request(request))
         self.admit(request)
 
+    def turn_away(self, request: Request) -> None:
+        """Give the final answer at once to a request that is one too many.
+
+        Only a safe one was surely not run. Of the others a record is kept here,
+        unless such records would take the place of those of requests that run.
+        """
+        self.core.report(4105, flow=request.flow.decode())
+        if coap.is_safe(request.message):
+            request.refused = "crowded"
+            request.refused_at = self.core.now
+            self.refuse(request)
+            return
+        answer = self.unknown_answer(request)
+        if len(self.core.table) < self.core.table.limit // 2:
+            self.core.table.put(self.new_record(request, "unknown", answer))
+        self.core.send_to_caller(request.host, request.port, answer)
+
     def answer_again(self, record: Record) -> None:
         """Answer a retransmission from its record."""
         if record.response:
@@ -76,7 +98,7 @@
             return
         executor = self.find_incarnation(record.executor)
         if executor is None:
-            self.tell_unknown(record)
+            self.tell_fate(record)
         elif not self.core.ownership.is_self(executor):
             ask = messages.RecordAsk(self.core.service, record.key, record.executor)
             self.core.out.append(SendPeer(executor.host, executor.port, ask))
@@ -277,15 +299,35 @@
         if not self.core.ownership.is_settled:
             return
         for record in list(self.core.table):
-            is_open = record.state == "intent" and record.key not in self.core.requests
-            flow = self.core.flows.flow_of(record)
-            if not is_open or self.core.ownership.standing(flow, self.core.now) in (
-                Standing.FOREIGN,
-                Standing.SETTLING,
-            ):
-                continue
-            if self.find_incarnation(record.executor) is None:
-                self.tell_unknown(record)
+            if record.state == "intent":
+                self.settle_intent(record.key)
+
+    def settle_intent(self, key: bytes) -> None:
+        """Tell a caller what became of a request whose earlier owner is gone."""
+        record = self.core.table.get(key)
+        if record is None or record.state != "intent" or key in self.core.requests:
+            return
+        flow = self.core.flows.flow_of(record)
+        standing = self.core.ownership.standing(flow, self.core.now)
+        if standing in (Standing.FOREIGN, Standing.SETTLING):
+            return
+        if self.find_incarnation(record.executor) is None:
+            self.tell_fate(record)
+
+    def tell_fate(self, record: Record) -> None:
+        """Tell a caller what is known of a request whose earlier owner is gone."""
+        payload = self.core.mover.payload_of(record.key)
+        if not payload:
+            self.tell_unknown(record)
+            return
+        message = coap.parse_datagram(record.head)
+        answer = coap.answer_for_caller(
+            coap.parse_datagram(payload), message, self.core.take_mid()
+        )
+        done = replace(record, state="done", response=answer)
+        self.core.table.put(done)
+        self.share_outcome(self.core.flows.flow_of(record), done)
+        self.core.send_to_caller(record.host, record.port, answer)
 
     def pump(self) -> None:
         """Start waiting requests while the upstream has free slots."""
@@ -392,7 +434,7 @@
             return
         record = self.new_record(request, state, datagram)
         self.core.table.put(record)
-        self.share_outcome(request, record)
+        self.share_outcome(request.flow, record)
 
     def report_end(self, request: Request, state: str) -> None:
         """Report how a request ended and how long it took."""
@@ -405,10 +447,10 @@
             latency_ms=now - request.received,
         )
 
-    def share_outcome(self, request: Request, record: Record) -> None:
+    def share_outcome(self, flow: bytes, record: Record) -> None:
         """Tell the witness, and the owner where the flow has moved."""
         put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
-        for member in self.core.ownership.pair(request.flow):
+        for member in self.core.ownership.pair(flow):
             if member is not None and not self.core.ownership.is_self(member):
                 self.core.out.append(SendPeer(member.host, member.port, put))
 
@@ -437,15 +479,37 @@
 
     def give_up(self, request: Request) -> None:
         """Tell the caller that it can't be known whether its request ran."""
+        self.finish(request, "unknown", self.unknown_answer(request))
+
+    def unknown_answer(self, request: Request) -> bytes:
+        """Return the answer that it can't be known whether a request ran."""
         self.core.report(3102, host=request.host, port=request.port)
-        answer = coap.refusal(
+        return coap.refusal(
             request.message,
             Code.GATEWAY_TIMEOUT,
             self.core.take_mid(),
             self.retry_after_s(),
             "outcome unknown",
         )
-        self.finish(request, "unknown", answer)
+
+    def end_blocked(self) -> None:
+        """Give the final answer to requests that may not run for too long."""
+        for request in list(self.core.requests.values()):
+            if request.has_started or self.may_start(request):
+                request.blocked_since = 0
+            elif not request.blocked_since:
+                request.blocked_since = self.core.now
+            elif self.core.now - request.blocked_since >= WITNESS_PATIENCE_MS:
+                self.end_unsettled(request)
+
+    def end_unsettled(self, request: Request) -> None:
+        """Give the final answer to a request that the newest view holds back."""
+        if coap.is_safe(request.message) and not request.may_have_run:
+            request.refused = "unsettled"
+            request.refused_at = self.core.now
+            self.refuse(request)
+        else:
+            self.give_up(request)
 
     def expire_request(self, request: Request) -> None:
         """Give the final answer at the deadline."""
--- /dev/null
+++ b/fuchsiapin/tests/test_limits.py
@@ -0,0 +1,182 @@
+"""Bounds on how long a request waits and on how many do."""
+
+import unittest
+from unittest.mock import patch
+
+from fuchsiapin import coap
+from fuchsiapin.codec import decode_object
+from fuchsiapin.membership import LONE_SILENCE_MS
+from fuchsiapin.messages import RecordAck, ServiceMembership
+from fuchsiapin.requests import Stage
+from fuchsiapin.serving import SideCore
+from measure.world import Oracle, World, WorldOptions
+
+
+def cut_all(world: World, names: list[str]) -> None:
+    """Cut all links between some processes."""
+    world.links.cuts |= {(one, two) for one in names for two in names if one != two}
+
+
+def side_cores(world: World) -> list[SideCore]:
+    """Return the cores of the side processes that live."""
+    return [node.core for node in world.nodes.values() if node.service]
+
+
+class SilentWitnessTest(unittest.TestCase):
+    """Claims whose witness says nothing while no other view comes."""
+
+    def test_claim_without_witness_is_given_up_and_never_runs(self) -> None:
+        world = World(2, WorldOptions(sides=2, balancers=2))
+        world.run(6_000)
+        cut_all(world, ["swapdesk-1", "swapdesk-2"])
+        world.set_store(True)
+        caller = world.add_caller()
+        caller.post("claims", "claim")
+        [start] = [item.started for item in caller.pending.values()]
+        world.run(8_000)
+        self.assertEqual(world.tally.told, {"claim": "unknown"})
+        self.assertGreater(world.clock.seconds() - start, 6)
+        [owner] = [core for core in side_cores(world) if len(core.table)]
+        [record] = owner.table
+        self.assertEqual(record.state, "unknown")
+        self.assertGreater(coap.parse_datagram(record.response).opt.max_age, 0)
+        view, [witness] = owner.ownership.view, owner.membership.peers()
+        late = RecordAck("swapdesk", view, record.key, "intent", True)
+        owner.dispatcher.on_record_ack(witness.id, late)
+        world.links.cuts.clear()
+        world.set_store(False)
+        world.run(30_000)
+        self.assertEqual((Oracle(world).runs(), Oracle(world).faults()), ({}, []))
+
+    def test_flow_that_stays_settling_ends_its_requests(self) -> None:
+        world = World(3, WorldOptions(sides=3))
+        world.run(6_000)
+        for core in side_cores(world):
+            core.ownership.is_settled = False
+        caller = world.add_caller()
+        caller.post("claims", "claim")
+        caller.get_long("long", "long")
+        world.run(8_000)
+        told = {"claim": "unknown", "long": "refused"}
+        self.assertEqual(world.tally.told, told)
+
+
+class LoneMemberTest(unittest.TestCase):
+    """One member that hears none of several others."""
+
+    def members(self, world: World) -> set[str]:
+        """Return the names in the stored view."""
+        _, value = world.store.objects["members/swapdesk"]
+        view = decode_object(ServiceMembership, value).view
+        return {member.id for member in view.members}
+
+    def test_sole_survivor_of_three_serves_again(self) -> None:
+        world = World(4, WorldOptions(sides=3))
+        world.run(6_000)
+        world.kill("swapdesk-1")
+        world.kill("swapdesk-2")
+        world.run(10_000)
+        self.assertEqual(self.members(world), {"swapdesk-3"})
+        for number in range(30):
+            world.add_caller().post("claims", f"claim-{number}")
+        world.run(5_000)
+        told = list(world.tally.told.values())
+        self.assertEqual((len(told), set(told)), (30, {"done", "unknown"}))
+        self.assertEqual(Oracle(world).faults(), [])
+
+    def test_member_cut_off_alone_removes_nobody(self) -> None:
+        world = World(5, WorldOptions(sides=3))
+        world.run(6_000)
+        first = dict(world.nodes)["swapdesk-1"].core.membership.me.incarnation
+        for name in ("swapdesk-2", "swapdesk-3"):
+            cut_all(world, ["swapdesk-1", name])
+        for _ in range(60):
+            world.run(500)
+            self.assertLessEqual({"swapdesk-2", "swapdesk-3"}, self.members(world))
+        world.links.cuts.clear()
+        world.run(10_000)
+        self.assertEqual(len(self.members(world)), 3)
+        self.assertGreater(
+            world.nodes["swapdesk-1"].core.membership.me.incarnation, first
+        )
+
+    def test_lone_member_takes_its_time(self) -> None:
+        world = World(6, WorldOptions(sides=3))
+        world.run(6_000)
+        for name in ("swapdesk-2", "swapdesk-3"):
+            cut_all(world, ["swapdesk-1", name])
+            world.store.unreachable.add(name)
+        world.run(LONE_SILENCE_MS - 500)
+        self.assertEqual(len(self.members(world)), 3)
+        world.run(1_500)
+        self.assertEqual(self.members(world), {"swapdesk-1"})
+
+    def test_members_that_all_hear_nobody_write_little(self) -> None:
+        for sides in (2, 4):
+            world = World(7, WorldOptions(sides=sides))
+            world.run(6_000)
+            cut_all(world, [f"swapdesk-{number + 1}" for number in range(sides)])
+            before = world.store.writes
+            world.run(30_000)
+            self.assertLess(world.store.writes - before, 80)
+            world.links.cuts.clear()
+            world.run(15_000)
+            self.assertEqual(len(self.members(world)), sides)
+
+
+class LostOriginTest(unittest.TestCase):
+    """Requests whose owner died while a peer ran them."""
+
+    def test_peer_that_becomes_the_owner_answers_what_it_runs(self) -> None:
+        world = World(9, WorldOptions(sides=3, service_ms=5_000.0, slots=8))
+        world.run(6_000)
+        lost = world.nodes["swapdesk-1"].core
+        lost.admission.running = {bytes([place]): 0 for place in range(8)}
+        for number in range(24):
+            world.add_caller().post("claims", f"claim-{number}")
+        world.run(150)
+        handed = list(lost.requests.values())
+        for request in handed:
+            lost.mover.hand_off(request, lost.ownership.pair(request.flow)[1])
+        world.run(250)
+        world.kill("swapdesk-1")
+        world.run(20_000)
+        told = world.tally.told
+        names = [
+            request.message.payload.decode()
+            for request in handed
+            if request.stage is Stage.HANDED
+        ]
+        self.assertGreater(len(names), 3)
+        self.assertEqual({told.get(name) for name in names}, {"done"})
+        self.assertEqual(len(told), 24)
+        self.assertEqual(Oracle(world).faults(), [])
+
+
+class CrowdedTest(unittest.TestCase):
+    """More requests than one side process takes."""
+
+    def test_one_request_too_many_is_answered_at_once_and_never_runs(self) -> None:
+        world = World(10, WorldOptions(sides=1))
+        world.run(6_000)
+        [core] = side_cores(world)
+        caller = world.add_caller()
+        with patch("fuchsiapin.dispatching.MAX_REQUESTS", 0):
+            caller.post("claims", "claim")
+            caller.get_long("long", "long")
+            [datagram, _] = [item.datagram for item in caller.pending.values()]
+            world.run(100)
+        told = {"claim": "unknown", "long": "refused"}
+        self.assertEqual(world.tally.told, told)
+        caller.spray(datagram)
+        world.run(1_000)
+        self.assertEqual((Oracle(world).runs(), len(core.table)), ({}, 1))
+        core.table.limit = 2
+        with patch("fuchsiapin.dispatching.MAX_REQUESTS", 0):
+            caller.post("claims", "other")
+            world.run(100)
+        self.assertEqual((world.tally.told["other"], len(core.table)), ("unknown", 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
