Take flows of views left out of the history as uncertain

Cause: the history in the membership object is bounded to 16 views.

Ruled out: a lost record (the earlier owner still held it as done, but was asked by no view that named it); an unbounded history, which a storm could grow past what the store holds.

Change: the object says that it is cut; then the walk through the views ends in "can't be known" and all flows count as uncertain for EXCHANGE_LIFETIME, until a view was active everywhere.

--- a/fuchsiapin/membership.py
+++ b/fuchsiapin/membership.py
@@ -39,7 +39,7 @@
 """Views kept at the most; flows of older ones would be uncertain."""
 
 
-def base_view(views: list[View], actives: dict[str, set[int]]) -> int:
+def base_view(views: list[View], actives: dict[str, set[int]]) -> int | None:
     """Return the newest view that all its live members were active in.
 
     Parameters
@@ -51,14 +51,14 @@
 
     Returns
     -------
-    int
-        Its number, or that of the oldest view when there is none.
+    int or None
+        Its number, None when there is none.
     """
     for view in reversed(views):
         live = [member for member in view.members if member.state == "live"]
         if all(view.number in actives.get(member.id, ()) for member in live):
             return view.number
-    return views[0].number if views else 0
+    return None
 
 
 def next_membership(
@@ -71,15 +71,19 @@
     """Return the membership object that follows the stored one.
 
     The history keeps the views that may still be claimed from: from the
-    newest one that was active everywhere.
+    newest one that was active everywhere. Where that one is not known and the
+    history is at its bound, it says that it is cut: flows of the views left out
+    may have run anything.
     """
     if stored is None:
         return ServiceMembership(service, View(1, members), [], change_id)
     views = [*stored.history, stored.view]
     base = base_view(views, actives)
-    history = [view for view in views if view.number >= base][-HISTORY_LIMIT:]
+    wanted = [view for view in views if base is None or view.number >= base]
+    is_cut = len(wanted) > HISTORY_LIMIT or (base is None and stored.is_cut)
     view = View(stored.view.number + 1, members)
-    return ServiceMembership(service, view, history, change_id)
+    history = wanted[-HISTORY_LIMIT:]
+    return ServiceMembership(service, view, history, change_id, is_cut)
 
 
 class Membership:
--- a/fuchsiapin/messages.py
+++ b/fuchsiapin/messages.py
@@ -49,6 +49,7 @@
     view: View
     history: list[View]
     change_id: str
+    is_cut: bool = False
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/ownership.py
+++ b/fuchsiapin/ownership.py
@@ -329,7 +329,7 @@
                     return member_key(witness)
             else:
                 return None
-        return ""
+        return None if self.history.is_cut else ""
 
     def has_word(self, member: Member) -> bool:
         """Return whether a member answered, or is this process."""
@@ -404,6 +404,14 @@
                 self.add_uncertain([UncertainRange(view, lost, until)])
             if self.was_active_for_all(placement.number, live):
                 return
+        if self.history.is_cut:
+            self.note_all_uncertain(until)
+
+    def note_all_uncertain(self, until: int) -> None:
+        """Keep a range that holds every flow: views were left out."""
+        live = [member for member in self.history.members() if member.state == "live"]
+        lost = [member.id for member in live]
+        self.add_uncertain([UncertainRange(View(self.view, live), lost, until)])
 
     def was_active_for_all(self, view: int, live: list[Member]) -> bool:
         """Return whether every pair of a view is known to have been active."""
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from fuchsiapin.membership import HISTORY_LIMIT, next_membership
 from fuchsiapin.messages import (
     Claim,
     Member,
@@ -83,6 +84,42 @@
             )
 
 
+class CutHistoryTest(unittest.TestCase):
+    """Histories at their bound, of which nothing is known to be active."""
+
+    def grow(self, count: int, actives: dict[str, set[int]]) -> ServiceMembership:
+        """Return the membership after some changes."""
+        members = [make_member("a"), make_member("b", "arada")]
+        stored = None
+        for _ in range(count):
+            stored = next_membership("swapdesk", stored, members, "x", actives)
+        return stored
+
+    def test_history_tells_that_views_were_left_out(self) -> None:
+        self.assertFalse(self.grow(HISTORY_LIMIT + 1, {}).is_cut)
+        self.assertTrue(self.grow(HISTORY_LIMIT + 2, {}).is_cut)
+        self.assertTrue(self.grow(HISTORY_LIMIT + 9, {}).is_cut)
+
+    def test_view_active_everywhere_ends_a_cut(self) -> None:
+        number = HISTORY_LIMIT + 5
+        actives = {"a": {number}, "b": {number}}
+        self.assertTrue(self.grow(number, actives).is_cut)
+        self.assertFalse(self.grow(number + 1, actives).is_cut)
+
+    def test_flows_of_views_left_out_are_uncertain(self) -> None:
+        flow = b"swapdesk|10.0.0.9|4000"
+        for count, word in ((HISTORY_LIMIT, ""), (HISTORY_LIMIT + 5, None)):
+            ownership = make_ownership()
+            membership = self.grow(count, {})
+            ownership.adopt(0, membership)
+            for key in ownership.awaited:
+                answer = ownership.empty_answer(Claim("swapdesk", count, 1))
+                ownership.answers[key] = replace(answer, is_known=True)
+            self.assertEqual(ownership.authority(flow), word)
+            ownership.note_uncertain(0)
+            self.assertEqual(ownership.is_uncertain(flow, 1), word is None)
+
+
 class RecoveryTest(unittest.TestCase):
     """Failures that the fuzzer or a review found, one test each."""
 
--- a/fuchsiapin/views.py
+++ b/fuchsiapin/views.py
@@ -71,10 +71,13 @@
     ----------
     placements : list of Placement
         Oldest first; the last is the newest view.
+    is_cut : bool
+        Whether views that may have to be claimed from were left out.
     """
 
     def __init__(self) -> None:
         self.placements: list[Placement] = []
+        self.is_cut = False
 
     @property
     def number(self) -> int:
@@ -102,6 +105,7 @@
         if membership.view.number <= self.number:
             return False
         views = [*membership.history, membership.view]
+        self.is_cut = membership.is_cut
         known = {placement.number: placement for placement in self.placements}
         self.placements = [known.get(view.number) or Placement(view) for view in views]
         return True
