Compare two whole sessions with golden files as text

Cause: no test showed a whole session, so a change in order, wording or time of what callers see passed unnoticed.

--- /dev/null
+++ b/fuchsiapin/tests/test_golden.py
@@ -0,0 +1,25 @@
+"""Whole sessions compared as text with the golden files."""
+
+import unittest
+
+from tools.golden import FOLDER, render, sessions
+
+
+class GoldenTest(unittest.TestCase):
+    """Each session goes as its file says; `python -m tools.golden` writes them."""
+
+    maxDiff = None
+
+    def test_sessions_go_as_their_files_say(self) -> None:
+        for name in sessions.variants:
+            with self.subTest(name):
+                expected = (FOLDER / f"{name}.txt").read_text()
+                self.assertMultiLineEqual(render(name), expected)
+
+    def test_every_file_has_its_session(self) -> None:
+        files = {path.stem for path in FOLDER.glob("*.txt")}
+        self.assertEqual(files, set(sessions.variants))
+
+
+if __name__ == "__main__":
+    unittest.main()
