Show each promise kept, and its check finding a deliberate fault

Cause: the bounded fuzz run passed with faults patched in on purpose (a start without the witness's record, no fence, an unrecorded "not run", older views, wrong service), so that the promises weren't proved by it.

Change: twelve small scenarios in fourteen tests, without jitter, played twice.

Shown failing: each scenario with each of its eighteen faults, in every run of the test.

Ruled out: a witness without its fence does no harm to a removed owner, since it answers nobody outside of its newest view; the test has a member join instead.

--- /dev/null
+++ b/fuchsiapin/tests/deliberate.py
@@ -0,0 +1,126 @@
+"""Deliberate faults of the cores, to show that a scenario finds them."""
+
+from dataclasses import replace
+from typing import Any
+
+from fuchsiapin.balancing import BalancerCore
+from fuchsiapin.dispatching import Dispatcher
+from fuchsiapin.membership import Membership
+from fuchsiapin.messages import (
+    CallerDatagram,
+    Member,
+    PeerMessage,
+    SendPeer,
+)
+from fuchsiapin.ownership import Ownership, Standing
+from fuchsiapin.replicas import Replica, Replicas, pack_value
+from fuchsiapin.serving import SideCore
+from fuchsiapin.upstream import UpstreamLink
+from fuchsiapin.views import Placement, ViewHistory
+
+__all__ = [
+    "adopt_any",
+    "answer_any_claim",
+    "find_any_side",
+    "forward_elsewhere",
+    "put_any",
+    "refuse_unrecorded",
+    "see_any_config",
+    "see_any_members",
+    "see_any_object",
+    "start_unrecorded",
+    "stay_live",
+    "take_any_service",
+    "use_equal_tokens",
+]
+
+
+def start_unrecorded(self: Dispatcher, request: Any) -> bool:
+    """Start a request without the witness's word."""
+    standing = self.core.ownership.standing(request.flow, self.core.now)
+    return standing is Standing.READY
+
+
+def answer_any_claim(self: Ownership, now: int, claimer: Member, claim: Any) -> None:
+    """Answer a claim by a view that this process doesn't follow."""
+    answer = self.answer_for(claimer, claim)
+    self.out.append(SendPeer(claimer.host, claimer.port, answer))
+
+
+def refuse_unrecorded(self: Dispatcher, request: Any) -> None:
+    """Tell "not run" without the witness's word."""
+    if request.refused:
+        self.refuse(request)
+    else:
+        RECORD_INTENT(self, request)
+
+
+def adopt_any(self: ViewHistory, membership: Any) -> bool:
+    """Follow any view, also an older one."""
+    views = [*membership.history, membership.view]
+    self.placements = [Placement(view) for view in views]
+    return True
+
+
+def see_any_members(self: BalancerCore, event: Any) -> None:
+    """Follow any view at a balancer."""
+    for service in list(self.views):
+        if event.key == f"members/{service}":
+            del self.views[service]
+    SEE_MEMBERS(self, event)
+
+
+def see_any_config(self: SideCore, config: Any) -> None:
+    """Put any configuration in force at a side process."""
+    self.config = None
+    SEE_CONFIG(self, config)
+
+
+def see_any_object(self: BalancerCore, event: Any) -> None:
+    """Put any configuration in force at a balancer."""
+    if event.key.startswith("config/"):
+        self.config = None
+    SEE_OBJECT(self, event)
+
+
+def put_any(self: Replicas, key: str, version: int, value: bytes) -> bool:
+    """Keep any version of an object."""
+    self.replicas[key] = Replica(version, pack_value(value), version)
+    return True
+
+
+def take_any_service(self: SideCore, event: PeerMessage) -> None:
+    """Take messages of any service."""
+    handler = self.message_handlers.get(type(event.message))
+    if not self.relay.receive(self.now, event.sender, event.message) and handler:
+        handler(event.sender, event.message)
+
+
+def forward_elsewhere(self: BalancerCore, event: CallerDatagram) -> None:
+    """Forward the datagrams of one service to another."""
+    FORWARD(self, replace(event, service="intake"))
+
+
+def find_any_side(self: BalancerCore, service: str, name: str) -> Member | None:
+    """Take a process for a member of whatever service it names."""
+    found = (FIND_SIDE(self, known, name) for known in self.views)
+    return next((member for member in found if member), None)
+
+
+def use_equal_tokens(self: UpstreamLink, *args: Any) -> None:
+    """Begin with the same tokens as the process before."""
+    MAKE_LINK(self, *args)
+    self.token_prefix = bytes(4)
+
+
+def stay_live(self: Membership, now: int, state: str) -> None:
+    """Never leave the ranking."""
+
+
+FIND_SIDE = BalancerCore.find_side
+RECORD_INTENT = Dispatcher.record_intent
+SEE_MEMBERS = BalancerCore.see_members
+SEE_CONFIG = SideCore.see_config
+SEE_OBJECT = BalancerCore.see_known_object
+FORWARD = BalancerCore.on_caller_datagram
+MAKE_LINK = UpstreamLink.__init__
--- /dev/null
+++ b/fuchsiapin/tests/test_promises.py
@@ -0,0 +1,167 @@
+"""One small scenario per promise, each shown to find its deliberate fault.
+
+A scenario has to find no broken promise, and at least one once a fault is patched
+into the cores.
+"""
+
+import unittest
+from typing import Any
+from unittest.mock import patch
+
+from fuchsiapin import coap
+from fuchsiapin.balancing import BalancerCore
+from fuchsiapin.dispatching import Dispatcher
+from fuchsiapin.membership import Membership
+from fuchsiapin.ownership import Ownership
+from fuchsiapin.relay import Relay
+from fuchsiapin.replicas import Replicas
+from fuchsiapin.serving import SideCore
+from fuchsiapin.tests.deliberate import (
+    adopt_any,
+    answer_any_claim,
+    find_any_side,
+    forward_elsewhere,
+    put_any,
+    refuse_unrecorded,
+    see_any_config,
+    see_any_members,
+    see_any_object,
+    start_unrecorded,
+    stay_live,
+    take_any_service,
+    use_equal_tokens,
+)
+from fuchsiapin.tests.scenarios import (
+    Scenario,
+    accept_seen_by_one_zone,
+    answer_from_another_service,
+    claim_before_the_view_is_known,
+    hear_older_versions,
+    kill_owner_before_its_witness_hears,
+    kill_owner_that_refused,
+    restart_all_while_answers_are_due,
+    reuse_address_for_another_service,
+    see_older_numbers,
+    stop_owner_of_boards,
+    stop_owner_of_transfers,
+    wake_owner_that_lost_its_flows,
+)
+from fuchsiapin.upstream import UpstreamLink
+from fuchsiapin.views import ViewHistory
+from fuchsiapin.watching import Watcher
+
+
+class PromiseTest(unittest.TestCase):
+    """Each scenario keeps its promise, and finds the fault that breaks it."""
+
+    def check(
+        self, scenario: Scenario, promise: str, *faults: tuple[Any, str, Any]
+    ) -> None:
+        """Check that nothing is found, but the promise's breach with each fault."""
+        self.assertEqual(scenario(), [])
+        for owner, name, fault in faults:
+            with self.subTest(fault=name), patch.object(owner, name, fault):
+                found = scenario()
+                self.assertTrue(any(promise in item for item in found), found)
+
+    def test_no_claim_runs_without_its_witness(self) -> None:
+        self.check(
+            kill_owner_before_its_witness_hears,
+            "at most once",
+            (Dispatcher, "may_start", start_unrecorded),
+        )
+
+    def test_owner_that_wakes_runs_nothing_by_its_old_view(self) -> None:
+        self.check(
+            wake_owner_that_lost_its_flows,
+            "at most once",
+            (Ownership, "is_witness_for", lambda self, view, owner: True),
+        )
+
+    def test_claim_binds_to_its_view(self) -> None:
+        self.check(
+            claim_before_the_view_is_known,
+            "at most once",
+            (Ownership, "on_claim", answer_any_claim),
+        )
+
+    def test_refused_claim_never_runs_later(self) -> None:
+        self.check(
+            kill_owner_that_refused,
+            "not run is true",
+            (Dispatcher, "record_intent", refuse_unrecorded),
+        )
+
+    def test_boards_outlive_the_stop_of_their_owner(self) -> None:
+        self.check(
+            stop_owner_of_boards,
+            "open boards survive",
+            (Watcher, "take_over_observations", lambda self: None),
+        )
+
+    def test_planned_stop_ends_what_runs(self) -> None:
+        self.check(
+            stop_owner_of_boards,
+            "planned stop cuts nothing",
+            (SideCore, "is_quiet", lambda self: True),
+        )
+
+    def test_leaving_upstream_gets_nothing_new(self) -> None:
+        self.check(
+            stop_owner_of_boards,
+            "leaving is quiet",
+            (Membership, "set_state", stay_live),
+        )
+
+    def test_answers_reach_their_own_caller(self) -> None:
+        self.check(
+            restart_all_while_answers_are_due,
+            "own whole answer",
+            (UpstreamLink, "__init__", use_equal_tokens),
+        )
+
+    def test_reused_address_serves_its_own_service_alone(self) -> None:
+        self.check(
+            reuse_address_for_another_service,
+            "right service",
+            (SideCore, "on_peer_message", take_any_service),
+            (BalancerCore, "on_caller_datagram", forward_elsewhere),
+        )
+
+    def test_answer_of_another_service_is_dropped(self) -> None:
+        self.check(
+            answer_from_another_service,
+            "own whole answer",
+            (BalancerCore, "find_side", find_any_side),
+        )
+
+    def test_bodies_stay_whole_when_their_owner_stops(self) -> None:
+        self.check(
+            stop_owner_of_transfers,
+            "own whole answer",
+            (coap, "transfer_digest", lambda flow, message: b"same"),
+        )
+
+    def test_configuration_reaches_zones_without_the_store(self) -> None:
+        self.check(
+            accept_seen_by_one_zone,
+            "in force everywhere",
+            (Relay, "on_copy", lambda self, now, sender, message: None),
+        )
+
+    def test_lower_numbers_are_never_in_force(self) -> None:
+        self.check(
+            see_older_numbers,
+            "never reverts",
+            (ViewHistory, "adopt", adopt_any),
+            (BalancerCore, "see_members", see_any_members),
+            (SideCore, "see_config", see_any_config),
+            (BalancerCore, "see_known_object", see_any_object),
+        )
+
+    def test_lower_versions_are_never_kept(self) -> None:
+        self.check(hear_older_versions, "fell at", (Replicas, "put", put_any))
+
+
+if __name__ == "__main__":
+    unittest.main()
