Bound the wait of requests that the newest view does not let run

Cause: a claim whose witness is silent, or whose flow is never settled, waited for its deadline of 20 s when no other view came. Ruled out: a timer at the arrival of each request; it would also end one that waited for a slot and had to be recorded anew just before. Change: the side process looks once a second; what is blocked for 6 s without a break gets its final answer with Max-Age: safe requests "not run", others "outcome unknown". The record is kept, and a late word of the witness finds no request to start.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -26,6 +26,11 @@
 """A record is sent to the witness again after this time."""
 REFUSAL_PATIENCE_MS = 3_000
 """A refusal that no witness takes down for so long ends as unknown."""
+WITNESS_PATIENCE_MS = 6_000
+"""A request that may not run by the newest view waits for so long at the most.
+
+A silent member is removed and its flows are taken over sooner.
+"""
 MAX_REQUESTS = 4_096
 """Requests under way at one side process."""
 MAX_SLOT_MS = 120_000
@@ -446,6 +451,25 @@
         )
         self.finish(request, "unknown", answer)
 
+    def end_blocked(self) -> None:
+        """Give the final answer to requests that may not run for too long."""
+        for request in list(self.core.requests.values()):
+            if request.has_started or self.may_start(request):
+                request.blocked_since = 0
+            elif not request.blocked_since:
+                request.blocked_since = self.core.now
+            elif self.core.now - request.blocked_since >= WITNESS_PATIENCE_MS:
+                self.end_unsettled(request)
+
+    def end_unsettled(self, request: Request) -> None:
+        """Give the final answer to a request that the newest view holds back."""
+        if coap.is_safe(request.message) and not request.may_have_run:
+            request.refused = "unsettled"
+            request.refused_at = self.core.now
+            self.refuse(request)
+        else:
+            self.give_up(request)
+
     def expire_request(self, request: Request) -> None:
         """Give the final answer at the deadline."""
         if request.key not in self.core.requests:
--- a/fuchsiapin/requests.py
+++ b/fuchsiapin/requests.py
@@ -45,6 +45,8 @@
     received, started : int
         When it came and when it left for an upstream, ms since the epoch; 0
         for not yet.
+    blocked_since : int
+        When it was first seen that its flow lets it not run, 0 for it does.
     tenant : str
         Class of the caller; empty where callers have none.
     """
@@ -79,6 +81,7 @@
         self.offers: dict[str, int] = {}
         self.received = 0
         self.started = 0
+        self.blocked_since = 0
         self.tenant = ""
 
     @property
--- a/fuchsiapin/served.py
+++ b/fuchsiapin/served.py
@@ -31,6 +31,7 @@
 refusal_reasons = {
     "busy": "the upstreams had as much work as they can finish in time",
     "deadline": "no upstream became free before the request's time was over",
+    "unsettled": "the processes that had their flows before did not answer",
 }
 """Reasons of refusals in plain words."""
 
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -180,6 +180,7 @@
         """Forget what expired and look after the upstream, and again later."""
         self.flows.expire(now)
         self.watch_upstream(now)
+        self.dispatcher.end_blocked()
         self.finish_if_quiet(now)
         self.timers.add(now + CLEAN_INTERVAL_MS, self.clean)
 
