Answer from a peer's run when the owner of a request is gone

Cause: a peer that ran a request for an owner that died told the result to nobody, and answered "outcome unknown" from the record, though it owned the flow by then. Change: what settles a dead owner's record looks for the remembered result first, keeps it as the record and shares it with the witness. Still unknown where a third member owns the flow.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -81,7 +81,7 @@
             return
         executor = self.find_incarnation(record.executor)
         if executor is None:
-            self.tell_unknown(record)
+            self.tell_fate(record)
         elif not self.core.ownership.is_self(executor):
             ask = messages.RecordAsk(self.core.service, record.key, record.executor)
             self.core.out.append(SendPeer(executor.host, executor.port, ask))
@@ -282,15 +282,35 @@
         if not self.core.ownership.is_settled:
             return
         for record in list(self.core.table):
-            is_open = record.state == "intent" and record.key not in self.core.requests
-            flow = self.core.flows.flow_of(record)
-            if not is_open or self.core.ownership.standing(flow, self.core.now) in (
-                Standing.FOREIGN,
-                Standing.SETTLING,
-            ):
-                continue
-            if self.find_incarnation(record.executor) is None:
-                self.tell_unknown(record)
+            if record.state == "intent":
+                self.settle_intent(record.key)
+
+    def settle_intent(self, key: bytes) -> None:
+        """Tell a caller what became of a request whose earlier owner is gone."""
+        record = self.core.table.get(key)
+        if record is None or record.state != "intent" or key in self.core.requests:
+            return
+        flow = self.core.flows.flow_of(record)
+        standing = self.core.ownership.standing(flow, self.core.now)
+        if standing in (Standing.FOREIGN, Standing.SETTLING):
+            return
+        if self.find_incarnation(record.executor) is None:
+            self.tell_fate(record)
+
+    def tell_fate(self, record: Record) -> None:
+        """Tell a caller what is known of a request whose earlier owner is gone."""
+        payload = self.core.mover.payload_of(record.key)
+        if not payload:
+            self.tell_unknown(record)
+            return
+        message = coap.parse_datagram(record.head)
+        answer = coap.answer_for_caller(
+            coap.parse_datagram(payload), message, self.core.take_mid()
+        )
+        done = replace(record, state="done", response=answer)
+        self.core.table.put(done)
+        self.share_outcome(self.core.flows.flow_of(record), done)
+        self.core.send_to_caller(record.host, record.port, answer)
 
     def pump(self) -> None:
         """Start waiting requests while the upstream has free slots."""
@@ -396,7 +416,7 @@
             return
         record = self.new_record(request, state, datagram)
         self.core.table.put(record)
-        self.share_outcome(request, record)
+        self.share_outcome(request.flow, record)
 
     def report_end(self, request: Request, state: str) -> None:
         """Report how a request ended and how long it took."""
@@ -409,10 +429,10 @@
             latency_ms=now - request.received,
         )
 
-    def share_outcome(self, request: Request, record: Record) -> None:
+    def share_outcome(self, flow: bytes, record: Record) -> None:
         """Tell the witness, and the owner where the flow has moved."""
         put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
-        for member in self.core.ownership.pair(request.flow):
+        for member in self.core.ownership.pair(flow):
             if member is not None and not self.core.ownership.is_self(member):
                 self.core.out.append(SendPeer(member.host, member.port, put))
 
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -223,6 +223,12 @@
         peer = self.core.membership.peer(request.origin)
         if peer is not None:
             self.core.out.append(SendPeer(peer.host, peer.port, result))
+        self.core.dispatcher.settle_intent(request.key)
+
+    def payload_of(self, key: bytes) -> bytes:
+        """Return the upstream's answer to a peer's request, empty for none."""
+        result = self.handled.get(key)
+        return result.payload if result and result.outcome == "done" else b""
 
     def on_handoff_result(self, sender: str, message: messages.HandoffResult) -> None:
         """Take what became of a request that was handed to a peer."""
--- a/fuchsiapin/tests/test_limits.py
+++ b/fuchsiapin/tests/test_limits.py
@@ -6,6 +6,7 @@
 from fuchsiapin.codec import decode_object
 from fuchsiapin.membership import LONE_SILENCE_MS
 from fuchsiapin.messages import RecordAck, ServiceMembership
+from fuchsiapin.requests import Stage
 from fuchsiapin.serving import SideCore
 from measure.world import Oracle, World, WorldOptions
 
@@ -122,5 +123,34 @@
             self.assertEqual(len(self.members(world)), sides)
 
 
+class LostOriginTest(unittest.TestCase):
+    """Requests whose owner died while a peer ran them."""
+
+    def test_peer_that_becomes_the_owner_answers_what_it_runs(self) -> None:
+        world = World(9, WorldOptions(sides=3, service_ms=5_000.0, slots=8))
+        world.run(6_000)
+        lost = world.nodes["swapdesk-1"].core
+        lost.admission.running = {bytes([place]): 0 for place in range(8)}
+        for number in range(24):
+            world.add_caller().post("claims", f"claim-{number}")
+        world.run(150)
+        handed = list(lost.requests.values())
+        for request in handed:
+            lost.mover.hand_off(request, lost.ownership.pair(request.flow)[1])
+        world.run(250)
+        world.kill("swapdesk-1")
+        world.run(20_000)
+        told = world.tally.told
+        names = [
+            request.message.payload.decode()
+            for request in handed
+            if request.stage is Stage.HANDED
+        ]
+        self.assertGreater(len(names), 3)
+        self.assertEqual({told.get(name) for name in names}, {"done"})
+        self.assertEqual(len(told), 24)
+        self.assertEqual(Oracle(world).faults(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
