Remove all silent members in one view when one member alone removes them

Cause: one view each pushed the oldest views out of the history of 16, so that the lost ranges of a service of 18 or more could be taken for flows nobody had. A member that came back as a new incarnation could also remove the others at once. Change: one change names all of them, any heartbeat cancels it, and a member that returned gives all others the whole time again.

--- a/fuchsiapin/membership.py
+++ b/fuchsiapin/membership.py
@@ -182,18 +182,17 @@
         self.is_departing = True
         self.updater.cancel("announce")
         self.updater.request(
-            now, "depart", lambda stored: self.without(stored, self.me)
+            now, "depart", lambda stored: self.without(stored, [self.me])
         )
 
     def without(
-        self, stored: ServiceMembership | None, gone: Member
+        self, stored: ServiceMembership | None, gone: list[Member]
     ) -> ServiceMembership | None:
-        """Return the membership without one incarnation of a member."""
+        """Return the membership without one incarnation of each of some members."""
         members = stored.view.members if stored else []
+        left = {(member.id, member.incarnation) for member in gone}
         rest = [
-            member
-            for member in members
-            if (member.id, member.incarnation) != (gone.id, gone.incarnation)
+            member for member in members if (member.id, member.incarnation) not in left
         ]
         return self.follow(stored, rest) if len(rest) < len(members) else None
 
@@ -209,7 +208,15 @@
         return True
 
     def note_incarnations(self, now: int, view: View) -> None:
-        """Give each new member or incarnation the whole time to be heard."""
+        """Give each new member or incarnation the whole time to be heard.
+
+        One that returned itself heard nobody because of what removed it; it gives
+        all others the whole time.
+        """
+        if any(self.is_me(member) for member in view.members) and (
+            self.known.get(self.me.id) != self.me.incarnation
+        ):
+            self.heard = dict.fromkeys(self.heard, now)
         for member in view.members:
             if self.known.get(member.id) != member.incarnation:
                 self.known[member.id] = member.incarnation
@@ -269,6 +276,7 @@
         self.heard[sender] = now
         self.backlogs[sender] = beat.backlog_ms
         self.updater.cancel(f"remove {sender}")
+        self.updater.cancel("remove all")
         self.note_active(sender, beat.active)
         member = self.peer(sender)
         if beat.view > self.ownership.view and member is not None:
@@ -325,7 +333,7 @@
         ]
         if not others:
             if len(self.peers()) == 1 or self.is_alone(now):
-                self.remove(now, member)
+                self.remove(now, "all", self.peers())
             return
         message = Suspect(self.service, member.id, member.incarnation)
         for other in others:
@@ -353,17 +361,21 @@
         if member is None or not answer.silent or sender == answer.member:
             return
         if member.incarnation == answer.incarnation and self.is_silent(now, member.id):
-            self.remove(now, member)
+            self.remove(now, member.id, [member])
+
+    def remove(self, now: int, name: str, gone: list[Member]) -> None:
+        """Take silent members out of the view, unless this one is out itself.
 
-    def remove(self, now: int, member: Member) -> None:
-        """Take a silent member out of the view, unless this one is out itself."""
+        It is one view for all of them: one each would push older views, which
+        tell whose flows they had, out of the history.
+        """
 
         def change(stored: ServiceMembership | None) -> ServiceMembership | None:
             members = stored.view.members if stored else []
             is_in = any(self.is_me(member) for member in members)
-            return self.without(stored, member) if is_in else None
+            return self.without(stored, gone) if is_in else None
 
-        self.updater.request(now, f"remove {member.id}", change)
+        self.updater.request(now, f"remove {name}", change)
 
     def is_me(self, member: Member) -> bool:
         """Return whether a member is this process as it is now."""
--- a/fuchsiapin/tests/test_limits.py
+++ b/fuchsiapin/tests/test_limits.py
@@ -84,6 +84,19 @@
         self.assertEqual((len(told), set(told)), (30, {"done", "unknown"}))
         self.assertEqual(Oracle(world).faults(), [])
 
+    def test_sole_survivor_of_many_removes_them_in_one_view(self) -> None:
+        world = World(8, WorldOptions(sides=20))
+        world.run(8_000)
+        core = world.nodes["swapdesk-20"].core
+        for number in range(1, 20):
+            world.kill(f"swapdesk-{number}")
+        view = core.ownership.view
+        world.run(10_000)
+        self.assertEqual(self.members(world), {"swapdesk-20"})
+        self.assertEqual(core.ownership.view, view + 1)
+        [item] = core.ownership.uncertain
+        self.assertEqual(len(item.lost), 19)
+
     def test_member_cut_off_alone_removes_nobody(self) -> None:
         world = World(5, WorldOptions(sides=3))
         world.run(6_000)
