--- a/fuchsiapin/tests/scenarios.py
+++ b/fuchsiapin/tests/scenarios.py
@@ -217,9 +217,8 @@
 
 def restart_all_while_answers_are_due() -> list[str]:
     """Restart all side processes while their upstreams still work for them."""
-    trial = Trial(1, WorldOptions(sides=3, service_ms=2_000.0))
+    trial = Trial(1, WorldOptions(sides=3, service_ms=8_000.0))
     for caller in trial.callers:
-        caller.open_board()
         trial.post(caller)
     trial.world.run(200)
     for node in trial.faults.sides("swapdesk"):
