Keep a board fresh where only acknowledgements are lost

Cause: with one notification unacknowledged at a time, the next state waited for the next retransmission, up to 32 s.

Ruled out: a shorter or capped timeout, which RFC 7252 doesn't allow, and to send every state as confirmable again.

Change: a state that waits is also sent once without asking for an acknowledgement, 3 s after the last message at the earliest (RFC 7641, 4.5.1). Count, timeout and the waiting state stay as they were.

Tests: test_states_go_on_where_acknowledgements_are_lost; the tests of the same file now tell confirmable notifications apart.

--- a/fuchsiapin/coap.py
+++ b/fuchsiapin/coap.py
@@ -161,13 +161,17 @@
 
 
 def notification(
-    answer: Message, token: bytes, mid: int, sequence: int | None
+    answer: Message,
+    token: bytes,
+    mid: int,
+    sequence: int | None,
+    confirmable: bool = True,
 ) -> bytes:
     """Return a notification of an open observation."""
     copy = Message(
         code=answer.code,
         payload=answer.payload,
-        _mtype=Type.CON,
+        _mtype=Type.CON if confirmable else Type.NON,
         _mid=mid,
         _token=token,
     )
--- a/fuchsiapin/observing.py
+++ b/fuchsiapin/observing.py
@@ -39,6 +39,9 @@
 SEQUENCE_TICK_MS = 8
 """A sequence number stands for so many ms; they wrap after 37 hours."""
 
+PROBE_INTERVAL_MS = 3_000
+"""Least time between messages to a caller that acknowledges none [1]_."""
+
 SendToCaller = Callable[[Observation, bytes], None]
 
 
@@ -89,6 +92,7 @@
         self.mids: list[int] = []
         self.queued: Message | None = None
         self.attempt = 0
+        self.sent = 0
         self.turn = 0
         self.is_last = False
 
@@ -194,6 +198,28 @@
         if not watched.pending:
             watched.attempt = 0
             self.transmit(now, key, watched)
+        elif now - watched.sent >= PROBE_INTERVAL_MS:
+            self.probe(now, key, watched, answer)
+
+    def probe(
+        self, now: int, key: ObservationKey, watched: Watched, answer: Message
+    ) -> None:
+        """Send a state that waits beside the unacknowledged one, once.
+
+        Where only acknowledgements are lost the caller stays up to date. The
+        state still waits, and nothing of the retransmissions changes.
+        """
+        sequence = self.next_number(now, key, answer)
+        self.next_mid = (self.next_mid + 1) % (1 << 16)
+        token = watched.observation.token
+        datagram = notification(answer, token, self.next_mid, sequence, False)
+        watched.sent = now
+        self.send(watched.observation, datagram)
+
+    def next_number(self, now: int, key: ObservationKey, answer: Message) -> int | None:
+        """Return the sequence number of a state, None for one that is the end."""
+        is_open = answer.code.is_successful() and answer.opt.observe is not None
+        return self.advance(key, now) if is_open else None
 
     def transmit(self, now: int, key: ObservationKey, watched: Watched) -> None:
         """Send the newest state, and again later.
@@ -203,6 +229,7 @@
         """
         if watched.queued is not None:
             self.take_queued(now, key, watched, watched.queued)
+        watched.sent = now
         self.send(watched.observation, watched.pending)
         due = now + (ACK_TIMEOUT_MS << watched.attempt)
         watched.attempt += 1
@@ -214,8 +241,7 @@
         self, now: int, key: ObservationKey, watched: Watched, answer: Message
     ) -> None:
         """Make the newest state the one that waits for its acknowledgement."""
-        is_open = answer.code.is_successful() and answer.opt.observe is not None
-        sequence = self.advance(key, now) if is_open else None
+        sequence = self.next_number(now, key, answer)
         self.next_mid = (self.next_mid + 1) % (1 << 16)
         watched.mids.append(self.next_mid)
         self.by_mid[(key[0], key[1], self.next_mid)] = key
@@ -223,7 +249,7 @@
             answer, watched.observation.token, self.next_mid, sequence
         )
         watched.queued = None
-        watched.is_last = not is_open
+        watched.is_last = sequence is None
 
     def repeat(
         self, now: int, key: ObservationKey, watched: Watched, turn: int
--- a/fuchsiapin/tests/test_observing.py
+++ b/fuchsiapin/tests/test_observing.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Callable
+from itertools import pairwise
 from typing import NoReturn
 
 from aiocoap import Message
@@ -10,7 +11,7 @@
 
 from fuchsiapin.coap import parse_datagram
 from fuchsiapin.messages import Observation
-from fuchsiapin.observing import Observations, observation_key
+from fuchsiapin.observing import SEQUENCE_TICK_MS, Observations, observation_key
 from fuchsiapin.tests.standins.upstream import Upstream
 from fuchsiapin.timers import Timers
 from measure.world import Links, World, WorldOptions
@@ -139,14 +140,19 @@
 
     def acknowledge(self, now: int, place: int) -> bool:
         """Acknowledge one of the notifications; return whether it was the end."""
-        mid = self.sent[place].mid
+        mid = self.confirmable[place].mid
         key = self.kept.find(*self.key[:2], mid)
         return key is not None and self.kept.acknowledge(now, key, mid)
 
     @property
     def states(self) -> list[str]:
-        """The states sent so far."""
-        return [message.payload.decode() for message in self.sent]
+        """The states sent so far that ask for an acknowledgement."""
+        return [message.payload.decode() for message in self.confirmable]
+
+    @property
+    def confirmable(self) -> list[Message]:
+        """The notifications that ask for an acknowledgement."""
+        return [message for message in self.sent if message.mtype is Type.CON]
 
 
 class Unscanned(dict):
@@ -214,6 +220,15 @@
         states = ["s0", "s1000", "s5000", "s13000", "s29000"]
         self.assertEqual(self.notifier.states, states)
 
+    def test_states_go_on_where_acknowledgements_are_lost(self) -> None:
+        self.notifier.notify(0, "s0")
+        self.run_until(62_000)
+        numbers = [message.opt.observe for message in self.notifier.sent]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        gaps = [after - before for before, after in pairwise(numbers)]
+        self.assertLessEqual(max(gaps) * SEQUENCE_TICK_MS, 4_000)
+        self.assertLessEqual(len(numbers), 25)
+
     def test_newest_state_is_sent_at_once_after_the_acknowledgement(self) -> None:
         for now, state in ((0, "a"), (100, "b"), (200, "c")):
             self.notifier.notify(now, state)
@@ -239,7 +254,7 @@
         for now in range(1_000, 300_000, 1_000):
             self.notifier.timers.run(now)
             self.notifier.notify(now, f"s{now}")
-            if len(self.notifier.sent) > 1:
+            if len(self.notifier.confirmable) > 1:
                 self.notifier.acknowledge(now, -2)
         self.assertEqual(self.notifier.lost, [])
 
