--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -4,16 +4,13 @@
 and "not run" is told only after the witness holds that it was refused.
 """
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from aiocoap import Message
 from aiocoap.numbers.codes import Code
 
-from fuchsiapin import coap, messages
-from fuchsiapin.messages import Member, Record, SendPeer
+from fuchsiapin import coap
 from fuchsiapin.ownership import Standing
-from fuchsiapin.ranking import member_key
 from fuchsiapin.requests import Request, Stage
 from fuchsiapin.transfers import goes_on
 
@@ -22,8 +19,6 @@
 
 __all__ = ["Dispatcher"]
 
-RESEND_MS = 200
-"""A record is sent to the witness again after this time."""
 REFUSAL_PATIENCE_MS = 3_000
 """A refusal that no witness takes down for so long ends as unknown."""
 WITNESS_PATIENCE_MS = 6_000
@@ -59,7 +54,7 @@
             return
         record = self.core.table.get(key)
         if record is not None:
-            self.answer_again(record)
+            self.core.recorder.answer_again(record)
             return
         deadline = self.core.now + self.core.deadline_ms
         request = Request(key, flow, host, port, message, datagram, deadline)
@@ -88,66 +83,11 @@
             return
         answer = self.unknown_answer(request)
         if len(self.core.table) < self.core.table.limit // 2:
-            self.core.table.put(self.new_record(request, "unknown", answer))
+            self.core.table.put(
+                self.core.recorder.new_record(request, "unknown", answer)
+            )
         self.core.send_to_caller(request.host, request.port, answer)
 
-    def answer_again(self, record: Record) -> None:
-        """Answer a retransmission from its record."""
-        if record.response:
-            self.core.send_to_caller(record.host, record.port, record.response)
-            return
-        executor = self.find_incarnation(record.executor)
-        if executor is None:
-            self.tell_fate(record)
-        elif not self.core.ownership.is_self(executor):
-            ask = messages.RecordAsk(self.core.service, record.key, record.executor)
-            self.core.out.append(SendPeer(executor.host, executor.port, ask))
-
-    def find_incarnation(self, executor: str) -> Member | None:
-        """Return one incarnation of a member, if it is in the newest view."""
-        for member in self.core.ownership.history.members():
-            if member_key(member) == executor:
-                return member
-        return None
-
-    def on_record_ask(self, sender: str, message: messages.RecordAsk) -> None:
-        """Tell the new owner of a flow what became of a request here."""
-        owner = self.core.membership.peer(sender)
-        if owner is None or message.key in self.core.requests:
-            return
-        record = self.core.table.get(message.key)
-        if record is not None and record.response:
-            view = self.core.ownership.view
-            put = messages.RecordPut(self.core.service, view, record)
-            self.core.out.append(SendPeer(owner.host, owner.port, put))
-        elif message.executor == member_key(self.core.membership.me):
-            self.withdraw(message.key, owner)
-
-    def withdraw(self, key: bytes, owner: Member) -> None:
-        """Give the owner of a flow the word that a request never ran here."""
-        executor = member_key(self.core.membership.me)
-        withdrawal = messages.Withdrawal(self.core.service, key, executor)
-        self.core.out.append(SendPeer(owner.host, owner.port, withdrawal))
-
-    def on_withdrawal(self, sender: str, message: messages.Withdrawal) -> None:
-        """Let a request run after all that an earlier owner never ran."""
-        record = self.core.table.get(message.key)
-        if record is None or record.state != "intent":
-            return
-        is_of_sender = message.executor.rpartition("#")[0] == sender
-        if is_of_sender and record.executor == message.executor:
-            self.core.table.drop(message.key)
-
-    def tell_unknown(self, record: Record) -> None:
-        """Tell a caller that it can't be known whether its request ran."""
-        message = coap.parse_datagram(record.head)
-        answer = coap.refusal(
-            message, Code.GATEWAY_TIMEOUT, self.core.take_mid(), 5, "outcome unknown"
-        )
-        self.core.table.put(replace(record, state="unknown", response=answer))
-        self.core.report(3104, host=record.host, port=record.port)
-        self.core.send_to_caller(record.host, record.port, answer)
-
     def admit(self, request: Request) -> None:
         """Let a request wait for its turn, or refuse it at once."""
         if coap.is_blockwise(request.message) and self.core.transfers.follow_upload(
@@ -176,40 +116,26 @@
                 self.refuse(request)
             else:
                 self.core.mover.consider_move(request)
-        elif standing is not Standing.SETTLING and self.take_known(request):
+        else:
+            self.advance_recorded(request, standing)
+
+    def advance_recorded(self, request: Request, standing: Standing) -> None:
+        """Take the next step for a request that needs a record."""
+        if standing is not Standing.SETTLING and self.core.recorder.take_known(request):
             return
-        elif standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
+        if standing is Standing.UNCERTAIN and not coap.is_idempotent(request.message):
             self.give_up(request)
         elif standing in (Standing.READY, Standing.UNCERTAIN):
             self.record_intent(request)
 
-    def take_known(self, request: Request) -> bool:
-        """Drop a request that an earlier owner has a copy of; return whether so.
-
-        It came while the earlier owners were still asked. Its record, which they
-        handed over since then, counts: the copy may have run.
-        """
-        record = self.core.table.get(request.key)
-        if record is None or self.is_own(record.executor):
-            return False
-        self.forget_request(request)
-        self.answer_again(record)
-        return True
-
-    def is_own(self, executor: str) -> bool:
-        """Return whether an incarnation is of this process."""
-        name, _, incarnation = executor.rpartition("#")
-        is_mine = int(incarnation) in self.core.ownership.incarnations
-        return is_mine and name == self.core.membership.me.id
-
     def record_intent(self, request: Request) -> None:
         """Have the witness keep what will become of a request."""
         if request.recorded_in == self.core.ownership.view:
             return
         state = "refused" if request.refused else "intent"
-        record = self.new_record(request, state, b"")
+        record = self.core.recorder.new_record(request, state, b"")
         self.core.table.put(record)
-        self.put_at_witness(request, record)
+        self.core.recorder.put_at_witness(request, record)
         if request.refused:
             due = self.core.now + REFUSAL_PATIENCE_MS
             self.core.timers.add(due, lambda now: self.end_refusal(request))
@@ -223,66 +149,6 @@
         if is_open and request.refused and not request.has_started:
             self.give_up(request)
 
-    def new_record(self, request: Request, state: str, response: bytes) -> Record:
-        """Return a record of a request."""
-        return Record(
-            key=request.key,
-            host=request.host,
-            port=request.port,
-            head=coap.request_head(request.datagram),
-            state=state,
-            executor=member_key(self.core.membership.me),
-            response=response,
-            expires=self.core.now + coap.EXCHANGE_LIFETIME_MS,
-        )
-
-    def put_at_witness(self, request: Request, record: Record) -> None:
-        """Send a record to the witness until it has it."""
-        _, witness = self.core.ownership.pair(request.flow)
-        if witness is None:
-            self.note_recorded(request, record.state)
-            return
-        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
-        self.core.out.append(SendPeer(witness.host, witness.port, put))
-        view = self.core.ownership.view
-
-        def resend(now: int) -> None:
-            is_open = request.key in self.core.requests and not request.has_started
-            if is_open and request.recorded_in != view == self.core.ownership.view:
-                self.put_at_witness(request, record)
-
-        self.core.timers.add(self.core.now + RESEND_MS, resend)
-
-    def on_record_put(self, sender: str, message: messages.RecordPut) -> None:
-        """Keep a record as the witness, unless a newer view is known."""
-        owner = self.core.membership.peer(sender)
-        if owner is None:
-            return
-        record = message.record
-        ok = self.core.ownership.is_witness_for(message.view, sender)
-        ok = ok and not (
-            self.core.table.is_full and self.core.table.get(record.key) is None
-        )
-        if ok or record.response:
-            self.core.table.put(record)
-        answer = messages.RecordAck(
-            self.core.service, message.view, record.key, record.state, ok
-        )
-        self.core.out.append(SendPeer(owner.host, owner.port, answer))
-
-    def on_record_ack(self, sender: str, message: messages.RecordAck) -> None:
-        """Take the witness's word on a record."""
-        request = self.core.requests.get(message.key)
-        if (
-            request is None
-            or message.view != self.core.ownership.view
-            or not message.ok
-        ):
-            return
-        _, witness = self.core.ownership.pair(request.flow)
-        if witness is not None and witness.id == sender:
-            self.note_recorded(request, message.state)
-
     def note_recorded(self, request: Request, state: str) -> None:
         """Note that the witness holds what will become of a request."""
         if request.has_started or state != ("refused" if request.refused else "intent"):
@@ -294,41 +160,6 @@
             self.pump()
             self.core.mover.consider_move(request)
 
-    def settle_intents(self) -> None:
-        """Tell callers at once when an earlier owner died with their request."""
-        if not self.core.ownership.is_settled:
-            return
-        for record in list(self.core.table):
-            if record.state == "intent":
-                self.settle_intent(record.key)
-
-    def settle_intent(self, key: bytes) -> None:
-        """Tell a caller what became of a request whose earlier owner is gone."""
-        record = self.core.table.get(key)
-        if record is None or record.state != "intent" or key in self.core.requests:
-            return
-        flow = self.core.flows.flow_of(record)
-        standing = self.core.ownership.standing(flow, self.core.now)
-        if standing in (Standing.FOREIGN, Standing.SETTLING):
-            return
-        if self.find_incarnation(record.executor) is None:
-            self.tell_fate(record)
-
-    def tell_fate(self, record: Record) -> None:
-        """Tell a caller what is known of a request whose earlier owner is gone."""
-        payload = self.core.mover.payload_of(record.key)
-        if not payload:
-            self.tell_unknown(record)
-            return
-        message = coap.parse_datagram(record.head)
-        answer = coap.answer_for_caller(
-            coap.parse_datagram(payload), message, self.core.take_mid()
-        )
-        done = replace(record, state="done", response=answer)
-        self.core.table.put(done)
-        self.share_outcome(self.core.flows.flow_of(record), done)
-        self.core.send_to_caller(record.host, record.port, answer)
-
     def pump(self) -> None:
         """Start waiting requests while the upstream has free slots."""
         while self.core.admission.has_free_slot and not self.core.link.is_silent(
@@ -432,9 +263,9 @@
         self.core.send_to_caller(request.host, request.port, datagram)
         if coap.is_safe(request.message) and not is_part:
             return
-        record = self.new_record(request, state, datagram)
+        record = self.core.recorder.new_record(request, state, datagram)
         self.core.table.put(record)
-        self.share_outcome(request.flow, record)
+        self.core.recorder.share_outcome(request.flow, record)
 
     def report_end(self, request: Request, state: str) -> None:
         """Report how a request ended and how long it took."""
@@ -447,13 +278,6 @@
             latency_ms=now - request.received,
         )
 
-    def share_outcome(self, flow: bytes, record: Record) -> None:
-        """Tell the witness, and the owner where the flow has moved."""
-        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
-        for member in self.core.ownership.pair(flow):
-            if member is not None and not self.core.ownership.is_self(member):
-                self.core.out.append(SendPeer(member.host, member.port, put))
-
     def refuse(self, request: Request) -> None:
         """Tell the caller that its request was not run, and when to come back."""
         self.core.report(
@@ -543,7 +367,7 @@
         self.core.table.drop(request.key)
         owner, _ = self.core.ownership.pair(request.flow)
         if owner is not None:
-            self.withdraw(request.key, owner)
+            self.core.recorder.withdraw(request.key, owner)
             self.core.pass_on(owner, request.host, request.port, request.datagram)
 
     def is_withdrawn(self, key: bytes) -> bool:
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -223,7 +223,7 @@
         peer = self.core.membership.peer(request.origin)
         if peer is not None:
             self.core.out.append(SendPeer(peer.host, peer.port, result))
-        self.core.dispatcher.settle_intent(request.key)
+        self.core.recorder.settle_intent(request.key)
 
     def payload_of(self, key: bytes) -> bytes:
         """Return the upstream's answer to a peer's request, empty for none."""
--- /dev/null
+++ b/fuchsiapin/recording.py
@@ -0,0 +1,215 @@
+"""Records of requests: at the witness, from earlier owners, for the callers.
+
+What an earlier owner or its peer may have run is asked there, told to the
+caller, or freed by a withdrawal; it is never run here.
+"""
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from aiocoap.numbers.codes import Code
+
+from fuchsiapin import coap, messages
+from fuchsiapin.messages import Member, Record, SendPeer
+from fuchsiapin.ownership import Standing
+from fuchsiapin.ranking import member_key
+from fuchsiapin.requests import Request
+
+if TYPE_CHECKING:
+    from fuchsiapin.serving import SideCore
+
+__all__ = ["Recorder"]
+
+RESEND_MS = 200
+"""A record is sent to the witness again after this time."""
+
+
+class Recorder:
+    """The records of one side process, as owner and as witness.
+
+    Parameters
+    ----------
+    core : SideCore
+        The core that this is a part of.
+    """
+
+    def __init__(self, core: "SideCore") -> None:
+        self.core = core
+
+    def answer_again(self, record: Record) -> None:
+        """Answer a retransmission from its record."""
+        if record.response:
+            self.core.send_to_caller(record.host, record.port, record.response)
+            return
+        executor = self.find_incarnation(record.executor)
+        if executor is None:
+            self.tell_fate(record)
+        elif not self.core.ownership.is_self(executor):
+            ask = messages.RecordAsk(self.core.service, record.key, record.executor)
+            self.core.out.append(SendPeer(executor.host, executor.port, ask))
+
+    def find_incarnation(self, executor: str) -> Member | None:
+        """Return one incarnation of a member, if it is in the newest view."""
+        for member in self.core.ownership.history.members():
+            if member_key(member) == executor:
+                return member
+        return None
+
+    def on_record_ask(self, sender: str, message: messages.RecordAsk) -> None:
+        """Tell the new owner of a flow what became of a request here."""
+        owner = self.core.membership.peer(sender)
+        if owner is None or message.key in self.core.requests:
+            return
+        record = self.core.table.get(message.key)
+        if record is not None and record.response:
+            view = self.core.ownership.view
+            put = messages.RecordPut(self.core.service, view, record)
+            self.core.out.append(SendPeer(owner.host, owner.port, put))
+        elif message.executor == member_key(self.core.membership.me):
+            self.withdraw(message.key, owner)
+
+    def withdraw(self, key: bytes, owner: Member) -> None:
+        """Give the owner of a flow the word that a request never ran here."""
+        executor = member_key(self.core.membership.me)
+        withdrawal = messages.Withdrawal(self.core.service, key, executor)
+        self.core.out.append(SendPeer(owner.host, owner.port, withdrawal))
+
+    def on_withdrawal(self, sender: str, message: messages.Withdrawal) -> None:
+        """Let a request run after all that an earlier owner never ran."""
+        record = self.core.table.get(message.key)
+        if record is None or record.state != "intent":
+            return
+        is_of_sender = message.executor.rpartition("#")[0] == sender
+        if is_of_sender and record.executor == message.executor:
+            self.core.table.drop(message.key)
+
+    def tell_unknown(self, record: Record) -> None:
+        """Tell a caller that it can't be known whether its request ran."""
+        message = coap.parse_datagram(record.head)
+        answer = coap.refusal(
+            message, Code.GATEWAY_TIMEOUT, self.core.take_mid(), 5, "outcome unknown"
+        )
+        self.core.table.put(replace(record, state="unknown", response=answer))
+        self.core.report(3104, host=record.host, port=record.port)
+        self.core.send_to_caller(record.host, record.port, answer)
+
+    def take_known(self, request: Request) -> bool:
+        """Drop a request that an earlier owner has a copy of; return whether so.
+
+        It came while the earlier owners were still asked. Its record, which they
+        handed over since then, counts: the copy may have run.
+        """
+        record = self.core.table.get(request.key)
+        if record is None or self.is_own(record.executor):
+            return False
+        self.core.dispatcher.forget_request(request)
+        self.answer_again(record)
+        return True
+
+    def is_own(self, executor: str) -> bool:
+        """Return whether an incarnation is of this process."""
+        name, _, incarnation = executor.rpartition("#")
+        is_mine = int(incarnation) in self.core.ownership.incarnations
+        return is_mine and name == self.core.membership.me.id
+
+    def new_record(self, request: Request, state: str, response: bytes) -> Record:
+        """Return a record of a request."""
+        return Record(
+            key=request.key,
+            host=request.host,
+            port=request.port,
+            head=coap.request_head(request.datagram),
+            state=state,
+            executor=member_key(self.core.membership.me),
+            response=response,
+            expires=self.core.now + coap.EXCHANGE_LIFETIME_MS,
+        )
+
+    def put_at_witness(self, request: Request, record: Record) -> None:
+        """Send a record to the witness until it has it."""
+        _, witness = self.core.ownership.pair(request.flow)
+        if witness is None:
+            self.core.dispatcher.note_recorded(request, record.state)
+            return
+        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
+        self.core.out.append(SendPeer(witness.host, witness.port, put))
+        view = self.core.ownership.view
+
+        def resend(now: int) -> None:
+            is_open = request.key in self.core.requests and not request.has_started
+            if is_open and request.recorded_in != view == self.core.ownership.view:
+                self.put_at_witness(request, record)
+
+        self.core.timers.add(self.core.now + RESEND_MS, resend)
+
+    def on_record_put(self, sender: str, message: messages.RecordPut) -> None:
+        """Keep a record as the witness, unless a newer view is known."""
+        owner = self.core.membership.peer(sender)
+        if owner is None:
+            return
+        record = message.record
+        ok = self.core.ownership.is_witness_for(message.view, sender)
+        ok = ok and not (
+            self.core.table.is_full and self.core.table.get(record.key) is None
+        )
+        if ok or record.response:
+            self.core.table.put(record)
+        answer = messages.RecordAck(
+            self.core.service, message.view, record.key, record.state, ok
+        )
+        self.core.out.append(SendPeer(owner.host, owner.port, answer))
+
+    def on_record_ack(self, sender: str, message: messages.RecordAck) -> None:
+        """Take the witness's word on a record."""
+        request = self.core.requests.get(message.key)
+        if (
+            request is None
+            or message.view != self.core.ownership.view
+            or not message.ok
+        ):
+            return
+        _, witness = self.core.ownership.pair(request.flow)
+        if witness is not None and witness.id == sender:
+            self.core.dispatcher.note_recorded(request, message.state)
+
+    def settle_intents(self) -> None:
+        """Tell callers at once when an earlier owner died with their request."""
+        if not self.core.ownership.is_settled:
+            return
+        for record in list(self.core.table):
+            if record.state == "intent":
+                self.settle_intent(record.key)
+
+    def settle_intent(self, key: bytes) -> None:
+        """Tell a caller what became of a request whose earlier owner is gone."""
+        record = self.core.table.get(key)
+        if record is None or record.state != "intent" or key in self.core.requests:
+            return
+        flow = self.core.flows.flow_of(record)
+        standing = self.core.ownership.standing(flow, self.core.now)
+        if standing in (Standing.FOREIGN, Standing.SETTLING):
+            return
+        if self.find_incarnation(record.executor) is None:
+            self.tell_fate(record)
+
+    def tell_fate(self, record: Record) -> None:
+        """Tell a caller what is known of a request whose earlier owner is gone."""
+        payload = self.core.mover.payload_of(record.key)
+        if not payload:
+            self.tell_unknown(record)
+            return
+        message = coap.parse_datagram(record.head)
+        answer = coap.answer_for_caller(
+            coap.parse_datagram(payload), message, self.core.take_mid()
+        )
+        done = replace(record, state="done", response=answer)
+        self.core.table.put(done)
+        self.share_outcome(self.core.flows.flow_of(record), done)
+        self.core.send_to_caller(record.host, record.port, answer)
+
+    def share_outcome(self, flow: bytes, record: Record) -> None:
+        """Tell the witness, and the owner where the flow has moved."""
+        put = messages.RecordPut(self.core.service, self.core.ownership.view, record)
+        for member in self.core.ownership.pair(flow):
+            if member is not None and not self.core.ownership.is_self(member):
+                self.core.out.append(SendPeer(member.host, member.port, put))
--- a/fuchsiapin/serving.py
+++ b/fuchsiapin/serving.py
@@ -25,6 +25,7 @@
 from fuchsiapin.observing import Observations
 from fuchsiapin.ownership import Ownership, Standing
 from fuchsiapin.ranking import flow_key
+from fuchsiapin.recording import Recorder
 from fuchsiapin.records import RecordTable
 from fuchsiapin.relay import Relay
 from fuchsiapin.relaylinks import RelayOptions
@@ -69,6 +70,7 @@
         self.deadline_ms = options.deadline_ms
         self.requests: dict[bytes, Request] = {}
         self.dispatcher = Dispatcher(self)
+        self.recorder = Recorder(self)
         self.mover = Mover(self, movers.get(options.policy.move))
         self.retrier = retriers.get(options.policy.retry)(self)
         self.transfers = Transfers(self)
@@ -123,16 +125,16 @@
             messages.ClaimAnswer: self.on_claim_answer,
             messages.Install: self.on_install,
             messages.Installed: self.on_installed,
-            messages.RecordPut: self.dispatcher.on_record_put,
-            messages.RecordAck: self.dispatcher.on_record_ack,
+            messages.RecordPut: self.recorder.on_record_put,
+            messages.RecordAck: self.recorder.on_record_ack,
             messages.ObservationPut: self.watcher.on_observation_put,
             messages.ObservationAck: self.watcher.on_observation_ack,
             messages.BacklogAsk: self.mover.on_backlog_ask,
             messages.BacklogTell: self.mover.on_backlog_tell,
             messages.OfferDeclined: self.mover.on_offer_declined,
             messages.Handoff: self.mover.on_handoff,
-            messages.RecordAsk: self.dispatcher.on_record_ask,
-            messages.Withdrawal: self.dispatcher.on_withdrawal,
+            messages.RecordAsk: self.recorder.on_record_ask,
+            messages.Withdrawal: self.recorder.on_withdrawal,
             messages.HandoffResult: self.mover.on_handoff_result,
             messages.Suspect: self.on_suspect,
             messages.SuspectAnswer: self.on_suspect_answer,
@@ -438,7 +440,7 @@
         for request in list(self.requests.values()):
             self.dispatcher.advance(request)
         self.watcher.take_over_observations()
-        self.dispatcher.settle_intents()
+        self.recorder.settle_intents()
         self.dispatcher.pump()
 
     # Answers to callers
--- a/fuchsiapin/tests/test_limits.py
+++ b/fuchsiapin/tests/test_limits.py
@@ -42,7 +42,7 @@
         self.assertGreater(coap.parse_datagram(record.response).opt.max_age, 0)
         view, [witness] = owner.ownership.view, owner.membership.peers()
         late = RecordAck("swapdesk", view, record.key, "intent", True)
-        owner.dispatcher.on_record_ack(witness.id, late)
+        owner.recorder.on_record_ack(witness.id, late)
         world.links.cuts.clear()
         world.set_store(False)
         world.run(30_000)
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -150,7 +150,7 @@
         [owner] = [core for core in cores if core.requests]
         [request] = owner.requests.values()
         other = next(core for core in cores if core is not owner)
-        record = owner.dispatcher.new_record(request, "intent", b"")
+        record = owner.recorder.new_record(request, "intent", b"")
         executor = member_key(other.membership.me)
         owner.table.put(replace(record, executor=executor))
         owner.ownership.is_settled = True
