Send a block after its transfer also when it came before the claim answer

Cause: a block of a long answer that reached a new owner while it still asked the earlier one was taken before the transfer's member was known, and read from the own upstream, which held an older body under the same name: the caller got blocks of two runs.

Ruled out: a second run of the first block (its record was found).

Change: whether a block goes elsewhere is looked at once the flow has settled, and again before it starts here.

--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -90,9 +90,8 @@
 
     def admit(self, request: Request) -> None:
         """Let a request wait for its turn, or refuse it at once."""
-        if coap.is_blockwise(request.message) and self.core.transfers.follow_upload(
-            request
-        ):
+        standing = self.core.ownership.standing(request.flow, self.core.now)
+        if standing is not Standing.SETTLING and self.goes_elsewhere(request):
             return
         if self.core.admission.accepts(self.core.now, request.deadline, request.tenant):
             self.core.admission.enqueue(request)
@@ -169,9 +168,23 @@
             if request is None:
                 break
             self.core.admission.remove(request)
-            self.start_request(request)
+            if not self.goes_elsewhere(request):
+                self.start_request(request)
         self.core.mover.strategy.on_pumped()
 
+    def goes_elsewhere(self, request: Request) -> bool:
+        """Send a block to the member where its transfer began, if elsewhere.
+
+        What an earlier owner knew of the transfer comes with its claim answer,
+        so that a block that waited for that is looked at again.
+        """
+        is_own_block = not request.origin and coap.is_blockwise(request.message)
+        return (
+            is_own_block
+            and request.tries == 0
+            and self.core.transfers.follow_upload(request)
+        )
+
     def next_startable(self) -> Request | None:
         """Return the first waiting request that may run now."""
         for request in self.core.admission.in_turn():
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -3,16 +3,27 @@
 import unittest
 from dataclasses import replace
 
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+from aiocoap.optiontypes import BlockOption
+
+from fuchsiapin.coap import parse_datagram, transfer_digest
 from fuchsiapin.membership import HISTORY_LIMIT, next_membership
 from fuchsiapin.messages import (
     Claim,
+    Handoff,
     Member,
+    SendPeer,
+    SendUpstream,
     ServiceMembership,
     UncertainRange,
+    Upload,
     View,
 )
 from fuchsiapin.ownership import Ownership
-from fuchsiapin.ranking import member_key
+from fuchsiapin.ranking import flow_key, member_key
+from fuchsiapin.tests.standins.caller import Caller
 from fuchsiapin.timers import Timers
 from measure.world import Links, World, WorldOptions
 
@@ -27,6 +38,16 @@
     return Ownership("swapdesk", "a", 1, None, Timers(), [], lambda now: None)
 
 
+def address_of(world: World, caller: Caller) -> tuple[str, int]:
+    """Return the address of a caller."""
+    return next(key for key, item in world.callers.items() if item is caller)
+
+
+def flow_of(world: World, caller: Caller) -> bytes:
+    """Return the flow key of a caller."""
+    return flow_key("swapdesk", *address_of(world, caller))
+
+
 class UncertainTest(unittest.TestCase):
     """Ranges of which owner and witness were both silent."""
 
@@ -170,6 +191,34 @@
         self.assertEqual(world.tally.wrong, 0)
         self.assertGreater(world.tally.done, 0)
 
+    def test_block_that_came_before_the_claim_answer_follows_its_transfer(self) -> None:
+        world = World(1, WorldOptions(sides=3))
+        world.run(6_000)
+        core = world.nodes["swapdesk-1"].core
+        caller = next(
+            item
+            for item in [world.add_caller() for _ in range(20)]
+            if core.ownership.is_self(core.ownership.pair(flow_of(world, item))[0])
+        )
+        message = Message(
+            code=Code.GET, _mtype=Type.CON, _mid=9, _token=b"t", uri_path=("long",)
+        )
+        message.opt.block2 = BlockOption.BlockwiseTuple(1, False, 6)
+        datagram = message.encode()
+        host, port = address_of(world, caller)
+        flow = flow_of(world, caller)
+        core.ownership.is_settled = False
+        core.receive(flow, host, port, datagram)
+        tag = transfer_digest(flow, parse_datagram(datagram))
+        upload = Upload(host, port, tag, "swapdesk-2", core.now + 60_000)
+        core.flows.put_upload(upload)
+        core.ownership.is_settled = True
+        core.out.clear()
+        core.progress(core.now)
+        sent = [type(e.message) for e in core.out if isinstance(e, SendPeer)]
+        self.assertIn(Handoff, sent)
+        self.assertFalse(any(isinstance(e, SendUpstream) for e in core.out))
+
     def test_refusal_without_witness_is_answered(self) -> None:
         world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
         world.run(6_000)
