Have a transfer begin anew when its member declines to go on

Cause: when the member that holds a transfer declines a later block (its view differs, or it leaves), the owner read the block from its own upstream. That one may hold an older body under the same name: blocks of two runs reached the caller.

Ruled out: asking the member again until it accepts (a leaving one never does).

Change: a later block that was declined is answered by 4.08, which tells the caller to begin anew.

--- a/fuchsiapin/coap.py
+++ b/fuchsiapin/coap.py
@@ -102,6 +102,12 @@
     )
 
 
+def is_later_block(message: Message) -> bool:
+    """Return whether the request goes on with a transfer that began before."""
+    blocks = (message.opt.block1, message.opt.block2)
+    return any(block is not None and block.block_number > 0 for block in blocks)
+
+
 def transfer_digest(flow: bytes, message: Message) -> bytes:
     """Return the name of the block-wise transfer that a request belongs to."""
     path = "/".join(message.opt.uri_path)
--- a/fuchsiapin/dispatching.py
+++ b/fuchsiapin/dispatching.py
@@ -280,6 +280,20 @@
         self.core.table.put(record)
         self.core.recorder.share_outcome(request.flow, record)
 
+    def end_transfer(self, request: Request) -> None:
+        """Have the caller begin a transfer anew whose member declines to go on.
+
+        The own upstream may hold an older body under the same name; a block of
+        that one would be mixed with those the caller has.
+        """
+        answer = Message(code=Code.REQUEST_ENTITY_INCOMPLETE)
+        mid = self.core.take_mid()
+        datagram = coap.answer_for_caller(answer, request.message, mid)
+        self.core.flows.transfers.pop(
+            coap.transfer_digest(request.flow, request.message), None
+        )
+        self.finish(request, "done", datagram, True)
+
     def report_end(self, request: Request, state: str) -> None:
         """Report how a request ended and how long it took."""
         now = self.core.now
--- a/fuchsiapin/moving.py
+++ b/fuchsiapin/moving.py
@@ -242,6 +242,8 @@
             )
             self.core.transfers.note_upload(request, answer, sender)
             self.core.dispatcher.finish(request, "done", datagram, goes_on(answer))
+        elif message.outcome == "not_run" and coap.is_later_block(request.message):
+            self.core.dispatcher.end_transfer(request)
         elif message.outcome == "not_run" and self.is_bound_here(request):
             self.core.dispatcher.start_request(request)
         elif message.outcome == "not_run":
--- a/fuchsiapin/tests/scenarios.py
+++ b/fuchsiapin/tests/scenarios.py
@@ -269,7 +269,7 @@
 
 def stop_owner_of_transfers() -> list[str]:
     """Stop an owner between the blocks of uploads and of long answers."""
-    trial = Trial(9, WorldOptions(sides=3, service_ms=20.0), flows=6)
+    trial = Trial(9, WorldOptions(sides=3, service_ms=20.0), flows=12)
     trial.observer.is_planned_only = True
     for number, caller in enumerate(trial.callers):
         caller.upload("photos", f"swapdesk:{number}", 6_000)
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -13,6 +13,7 @@
 from fuchsiapin.messages import (
     Claim,
     Handoff,
+    HandoffResult,
     Member,
     SendPeer,
     SendUpstream,
@@ -218,6 +219,14 @@
         sent = [type(e.message) for e in core.out if isinstance(e, SendPeer)]
         self.assertIn(Handoff, sent)
         self.assertFalse(any(isinstance(e, SendUpstream) for e in core.out))
+        [request] = core.requests.values()
+        core.out.clear()
+        declined = HandoffResult("swapdesk", request.key, "not_run", b"")
+        core.mover.on_handoff_result("swapdesk-2", declined)
+        self.assertFalse(any(isinstance(e, SendUpstream) for e in core.out))
+        record = core.table.get(request.key)
+        answer = parse_datagram(record.response)
+        self.assertIs(answer.code, Code.REQUEST_ENTITY_INCOMPLETE)
 
     def test_refusal_without_witness_is_answered(self) -> None:
         world = World(2, WorldOptions(sides=2, balancers=2, queue=0))
