Log on what a reset rests and when a flow's holder is silent

Whether its holder was silent alone or with many others, and who had confirmed the decision, couldn't be read.

Change: event 6103 carries the address that last had the flow, the members that denied it and the balancers that confirmed that; event 6107 is reported when a packet arrives for a flow whose holder has left pings unanswered, with the numbers of silent and of known members. No decision changes.

Ruled out: one text field with all figures, which metrics and tests can't compare.

--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -53,10 +53,20 @@
         "flow reset",
         "warning",
         "A caller's flow was reset because it can't be served. `opens` tells whether "
-        "the flow was new; nothing has run for a new flow.",
+        "the flow was new; nothing has run for a new flow. The other fields tell what "
+        "the decision rests on: the address of the process that last had the flow, if "
+        "known, the members that denied it, and the balancers that confirmed that.",
         "Act on the reason: no route, no member, queueing past the deadline, or an "
         "upstream that is gone.",
-        (FLOW, REASON, Field("opens", "boolean"), CONFIGURATION),
+        (
+            FLOW,
+            REASON,
+            Field("opens", "boolean"),
+            HOST,
+            Field("denials", "integer"),
+            Field("confirmations", "integer"),
+            CONFIGURATION,
+        ),
         is_rate_limited=True,
     ),
     Event(
@@ -90,6 +100,25 @@
         (MEMBER, HOST, Field("silent_ms", "integer")),
         is_rate_limited=True,
     ),
+    Event(
+        6107,
+        "holder silent",
+        "warning",
+        "A packet arrived for a flow whose holder has left pings of this balancer "
+        "unanswered. The last two fields give how many of all known members have.",
+        "If many members are silent, this balancer or its links are late; otherwise "
+        "check whether the VM of the member runs and is reachable.",
+        (
+            FLOW,
+            MEMBER,
+            HOST,
+            Field("unanswered_ms", "integer"),
+            Field("unanswered_pings", "integer"),
+            Field("silent_members", "integer"),
+            Field("members", "integer"),
+        ),
+        is_rate_limited=True,
+    ),
     Event(
         6201,
         "upstream changed",
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -26,7 +26,7 @@
     Status,
 )
 from fuchsiapin.flows.opening import FlowOpener
-from fuchsiapin.flows.packets import Packet, PacketFormat
+from fuchsiapin.flows.packets import Packet, PacketFormat, flow_name
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import HolderSearch
 from fuchsiapin.flows.sending import PacketSender
@@ -179,16 +179,18 @@
         """Send a packet of an open flow to its holder, or search for the holder."""
         host = self.holders.get(packet.flow, now)
         if host is not None and self.table.has_left(host):
-            self.search.note_holder_left(now, packet.flow)
+            self.search.note_holder_left(now, packet.flow, host)
             host = None
         if host is None:
             self.search.start(now, packet, route)
             return
         view = self.table.by_host(host)
-        if view is not None and self.should_reset_silent(now, view, route):
-            self.holders.remove(packet.flow)
-            self.sender.reset(packet, "holder silent")
-            return
+        if view is not None and is_silent(now, view):
+            self.report_silent(now, packet, view)
+            if self.should_reset_silent(now, view, route):
+                self.holders.remove(packet.flow)
+                self.sender.reset(packet, "holder silent", host=host)
+                return
         # A side process of another service returns the packet, and a search starts.
         service = view.member.service if view else route.service_of(packet.flow)
         self.sender.forward(packet, service, host)
@@ -203,13 +205,21 @@
         """
         if route.kind != SAFE or not view.takes_flows:
             return False
-        if (
-            view.unanswered_ms(now) < HOLDER_SILENT_MS
-            or view.unanswered_pings < HOLDER_SILENT_PINGS
-        ):
-            return False
         return self.state.pinger.most_members_answer(now)
 
+    def report_silent(self, now: int, packet: Packet, view: MemberView) -> None:
+        """Report that the holder of a flow has left pings unanswered."""
+        self.report(
+            6107,
+            flow=flow_name(packet.flow),
+            member=view.member.id,
+            host=view.member.host,
+            unanswered_ms=view.unanswered_ms(now),
+            unanswered_pings=view.unanswered_pings,
+            silent_members=self.state.pinger.silent_members(now),
+            members=len(self.table.views),
+        )
+
     # Messages of other processes
 
     def on_message(self, now: int, host: str, message: Any) -> None:
@@ -263,6 +273,14 @@
             self.search.continue_search(now, packet, route, host, message)
 
 
+def is_silent(now: int, view: MemberView) -> bool:
+    """Return whether a member has left several pings unanswered for some time."""
+    return (
+        view.unanswered_ms(now) >= HOLDER_SILENT_MS
+        and view.unanswered_pings >= HOLDER_SILENT_PINGS
+    )
+
+
 def make_flow_balancer_core(
     record: BalancerRecord,
     seeds: list[str],
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -82,6 +82,8 @@
         Its opening packet.
     reason : str
         Why no member takes it.
+    denials : int
+        Members that returned it.
     asked_hosts : frozenset of str
         Balancers that were asked whether they know the flow.
     unconfirmed_hosts : frozenset of str
@@ -90,6 +92,7 @@
 
     packet: Packet
     reason: str
+    denials: int
     asked_hosts: frozenset[str]
     unconfirmed_hosts: frozenset[str]
 
@@ -197,7 +200,12 @@
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
             if self.state.has_read_members() and opening.cannot_be_open:
                 # Without a reason of the policy, MAX_OFFERS members returned it.
-                self.reset_unless_known(now, packet, reason or "every member refused")
+                self.reset_unless_known(
+                    now,
+                    packet,
+                    reason or "every member refused",
+                    len(opening.returned_by),
+                )
             return
         view = self.order_members(packet.flow, views, self.state.record.zone)[0]
         view.placed_since_report += 1
@@ -219,8 +227,10 @@
         )
         self.sender.forward(packet, service, opening.host, route.priority)
 
-    def reset_unless_known(self, now: int, packet: Packet, reason: str) -> None:
-        """Reset a new flow unless another balancer knows it.
+    def reset_unless_known(
+        self, now: int, packet: Packet, reason: str, denials: int
+    ) -> None:
+        """Reset a new flow that members returned unless another balancer knows it.
 
         While this packet waited on a congested link, balancers may have come or
         gone and a retransmission may have reached another one: the flow may be open.
@@ -228,7 +238,7 @@
         if self.pending_resets.get(packet.flow, now) is not None:
             return
         hosts = frozenset(self.state.gossip.live_hosts(now)[:PUSH_PEERS])
-        pending = PendingReset(packet, reason, hosts, hosts)
+        pending = PendingReset(packet, reason, denials, hosts, hosts)
         if not hosts:
             self.reset_flow(pending)
             return
@@ -271,7 +281,12 @@
         flow = pending.packet.flow
         self.pending_resets.remove(flow)
         self.openings.remove(flow)
-        self.sender.reset(pending.packet, pending.reason)
+        self.sender.reset(
+            pending.packet,
+            pending.reason,
+            denials=pending.denials,
+            confirmations=len(pending.asked_hosts) - len(pending.unconfirmed_hosts),
+        )
 
     def reoffer(
         self,
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -124,15 +124,17 @@
         )
         return now - last_message_at < PING_MS * 2
 
+    def silent_members(self, now: int) -> int:
+        """Return how many members have left `MIN_SILENT_PINGS` pings unanswered."""
+        return sum(view.unanswered_ms(now) > 0 for view in self.table.views.values())
+
     def most_members_answer(self, now: int) -> bool:
         """Return whether at most one in `MEMBERS_PER_SILENT` members is silent.
 
-        A single silent member is always allowed, also if there are fewer members. A
-        member is silent after `MIN_SILENT_PINGS` unanswered pings.
+        A single silent member is always allowed, also if there are fewer members.
         """
-        views = self.table.views.values()
-        silent = sum(view.unanswered_ms(now) > 0 for view in views)
-        return silent <= max(1, len(views) // MEMBERS_PER_SILENT)
+        allowed = max(1, len(self.table.views) // MEMBERS_PER_SILENT)
+        return self.silent_members(now) <= allowed
 
     def is_dead(self, now: int, view: MemberView) -> bool:
         """Return whether a member has been silent for long while others answer."""
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -15,7 +15,7 @@
 from fuchsiapin.flows.placement import rank_views
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.sending import PacketSender
-from fuchsiapin.lightclasses import dataclass
+from fuchsiapin.lightclasses import dataclass, replace
 
 __all__ = ["HolderSearch"]
 
@@ -28,7 +28,7 @@
 and digests detect lost pushes, each round with a few random balancers. A reset after
 this time also requires `has_current_members`."""
 LEFT_FLOW_MS = 5_000
-"""How long a flow is remembered whose holder left."""
+"""How long a flow is remembered whose holder left, with the holder's address."""
 
 
 @dataclass(frozen=True)
@@ -59,15 +59,21 @@
         A packet of the flow.
     failed_at : int
         When all members had first answered that they don't hold it, in ms.
+    asked_members : int
+        Members that were asked.
     unconfirmed_hosts : frozenset of str
         Live balancers that haven't confirmed yet that they know the same members.
         They include those beyond the first `PUSH_PEERS`, which aren't asked: with more
         balancers only the repeated search can reset the flow.
+    confirmations : int
+        Balancers that confirmed it.
     """
 
     packet: Packet
     failed_at: int
+    asked_members: int
     unconfirmed_hosts: frozenset[str]
+    confirmations: int = 0
 
 
 class HolderSearch:
@@ -144,10 +150,10 @@
                 self.sender.forward_search(packet, service, hosts)
                 return
 
-    def note_holder_left(self, now: int, flow: bytes) -> None:
-        """Record that the holder of a flow left."""
+    def note_holder_left(self, now: int, flow: bytes, host: str) -> None:
+        """Record that the holder of a flow, a member at `host`, left."""
         self.holders.remove(flow)
-        self.left_flows.put(flow, True, now)
+        self.left_flows.put(flow, host, now)
 
     def note_holder(self, flow: bytes) -> None:
         """Record that a member holds a flow."""
@@ -168,7 +174,7 @@
         if message.reason == "lost":
             self.holders.remove(packet.flow)
             if not packet.resets:
-                self.sender.reset(packet, "upstream gone")
+                self.sender.reset(packet, "upstream gone", host=host, denials=1)
             return
         if not message.is_search:
             if self.holders.get(packet.flow, now) == host:
@@ -192,12 +198,14 @@
             return
         if not all(self.has_asked_all(packet.flow, now, name) for name in services):
             return
-        if self.left_flows.get(packet.flow, now) is not None:
-            self.sender.reset(packet, "upstream gone")
+        asked = len(self.searches.get(packet.flow, now).asked_ids)
+        left_host = self.left_flows.get(packet.flow, now)
+        if left_host is not None:
+            self.sender.reset(packet, "upstream gone", host=left_host, denials=asked)
             return
         failed = self.failed_searches.get(packet.flow, now)
         if failed is None:
-            self.ask_balancers(now, packet)
+            self.ask_balancers(now, packet, asked)
         elif (
             now - failed.failed_at >= PROPAGATION_MS
             and self.state.has_current_members(now)
@@ -217,9 +225,14 @@
     def reset_flow(self, failed: FailedSearch) -> None:
         """Reset a flow that is open nowhere, instead of letting its caller time out."""
         self.failed_searches.remove(failed.packet.flow)
-        self.sender.reset(failed.packet, "held nowhere")
+        self.sender.reset(
+            failed.packet,
+            "held nowhere",
+            denials=failed.asked_members,
+            confirmations=failed.confirmations,
+        )
 
-    def ask_balancers(self, now: int, packet: Packet) -> None:
+    def ask_balancers(self, now: int, packet: Packet, asked_members: int) -> None:
         """Ask other balancers where a flow was last sent and which members they know.
 
         Unless their answers lead to the holder or to a reset, the members are searched
@@ -228,7 +241,7 @@
         this balancer.
         """
         hosts = self.state.gossip.live_hosts(now)
-        failed = FailedSearch(packet, now, frozenset(hosts))
+        failed = FailedSearch(packet, now, asked_members, frozenset(hosts))
         self.failed_searches.put(packet.flow, failed, now)
         if not hosts and self.state.is_store_reachable():
             self.reset_flow(failed)
@@ -257,14 +270,22 @@
         if failed is None:
             return
         if message.host and self.table.has_left(message.host):
-            self.left_flows.put(message.flow, True, now)
+            self.left_flows.put(message.flow, message.host, now)
             self.failed_searches.remove(message.flow)
-            self.sender.reset(failed.packet, "upstream gone")
+            self.sender.reset(
+                failed.packet,
+                "upstream gone",
+                host=message.host,
+                denials=failed.asked_members,
+                confirmations=1,
+            )
         elif message.host and self.table.by_host(message.host) is None:
             self.forward_to(now, failed.packet, message.host)
         elif message.members == self.table.ids_hash:
-            failed = FailedSearch(
-                failed.packet, failed.failed_at, failed.unconfirmed_hosts - {host}
+            failed = replace(
+                failed,
+                unconfirmed_hosts=failed.unconfirmed_hosts - {host},
+                confirmations=failed.confirmations + 1,
             )
             self.failed_searches.put(message.flow, failed, now)
             if not failed.unconfirmed_hosts and self.state.has_current_members(now):
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -58,14 +58,39 @@
         forward = Forward(service, self.host, 0, 0, True, hosts[1:], packet.data)
         self.send(hosts[0], forward)
 
-    def reset(self, packet: Packet, reason: str) -> None:
-        """Send a reset to the caller of a flow that can't be served."""
+    def reset(
+        self,
+        packet: Packet,
+        reason: str,
+        host: str = "",
+        denials: int = 0,
+        confirmations: int = 0,
+    ) -> None:
+        """Send a reset to the caller of a flow that can't be served.
+
+        Parameters
+        ----------
+        packet : Packet
+            A packet of the flow.
+        reason : str
+            Why it can't be served.
+        host : str
+            Address of the side process that last had the flow, if known.
+        denials : int
+            Members that were asked for the flow and denied it.
+        confirmations : int
+            Other balancers that confirmed that they know neither the flow nor more
+            members.
+        """
         self.counts[f"reset: {reason}"] += 1
         self.report(
             6103,
             flow=flow_name(packet.flow),
             reason=reason,
             opens=packet.opens,
+            host=host,
+            denials=denials,
+            confirmations=confirmations,
             configuration=self.state.routes.version,
         )
         data = self.packet_format.reset(packet.flow, packet.acknowledged)
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -26,6 +26,8 @@
     6105: "no asked member holds the flow ({hops} forwarded the packet)",
     6106: "received nothing from {member} at {host} for {silent_ms} ms; new flows go "
     "to others",
+    6107: "{member} at {host}, which holds the flow, has left {unanswered_pings} pings "
+    "unanswered for {unanswered_ms} ms, as have {silent_members} of {members} members",
     6201: "upstream {member} is {state} ({change})",
     6202: "returned the new flow to the balancer: {reason}",
     6204: "nothing listens on the port of {member}; its open flows were reset ({flows} "
--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -73,6 +73,7 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.packets = PlainPacketFormat()
         self.event_counts: Counter[int] = Counter()
+        self.resets: list[dict[str, Any]] = []
         self.store = FakeStore(self)
         self.processes: dict[str, Process] = {}
         self.upstreams: dict[str, Upstream] = {}
@@ -129,8 +130,10 @@
         self.processes[host].is_up = False
 
     def report(self, number: int, **fields: Any) -> None:
-        """Count events."""
+        """Count events, and record the fields of resets."""
         self.event_counts[number] += 1
+        if number == 6103:
+            self.resets.append(fields)
 
     def holder(self, caller: Caller) -> str:
         """Return the address of the upstream that holds a caller's flow."""
--- a/fuchsiapin/tests/test_flowends.py
+++ b/fuchsiapin/tests/test_flowends.py
@@ -258,6 +258,16 @@
         caller.request(world.balancer_hosts[0])
         world.run(75)
         self.assertEqual(caller.resets, 1)
+        reset = world.resets[0]
+        self.assertEqual((reset["denials"], reset["confirmations"]), (4, 2))
+
+    def test_a_packet_to_a_silent_holder_is_reported(self) -> None:
+        world, caller, host = world_with_flow()
+        world.kill(host)
+        world.run(2_500)
+        caller.request(world.balancer_hosts[0])
+        world.run(50)
+        self.assertEqual(world.event_counts[6107], 1)
 
     def test_a_holder_that_only_another_balancer_knows_is_found(self) -> None:
         world = settled_world(members=2)
@@ -341,6 +351,8 @@
         caller.request(world.balancer_hosts[0])
         world.run(100)
         self.assertEqual(caller.resets, 1)
+        reset = world.resets[0]
+        self.assertEqual((reset["reason"], reset["host"]), ("upstream gone", host))
 
     def test_a_draining_upstream_takes_no_new_flow(self) -> None:
         world, caller, host = world_with_flow(members=2)
