Reproduce resets of open flows on proofs that are missing or out of date

Cause: callers got resets of flows that their upstreams served.

Ruled out: that the resets of the tests are of flows that can't be open: in each the upstream holds the flow and the caller has its acceptance.

--- /dev/null
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -0,0 +1,241 @@
+"""A flow is reset only on proof that is current: silence and old answers are none."""
+
+import unittest
+
+from fuchsiapin.flows.messages import Held
+from fuchsiapin.flows.routes import FlowRoute
+from fuchsiapin.flows.searching import PROPAGATION_MS
+from fuchsiapin.tests.flowactors import Caller, make_route
+from fuchsiapin.tests.flowworld import (
+    FlowWorld,
+    open_flow,
+    settled_world,
+    world_with_flow,
+)
+
+
+def links(sources: list[str], targets: list[str]) -> set[tuple[str, str]]:
+    """Return the links from some hosts to others."""
+    return {(source, target) for source in sources for target in targets}
+
+
+def isolate(world: FlowWorld, *sources: str) -> tuple[str, str]:
+    """Cut off a balancer that doesn't watch the store; return it and another one.
+
+    It receives nothing from other balancers and from `sources`.
+    """
+    index, balancer = next(
+        (index, host)
+        for index, host in enumerate(world.balancer_hosts)
+        if not world.balancer(index).state.member_follower.is_active
+    )
+    others = [host for host in world.balancer_hosts if host != balancer]
+    world.cut_links = links([*others, *sources], [balancer]) | {(balancer, "store")}
+    return balancer, others[0]
+
+
+class SilentHolderTest(unittest.TestCase):
+    """A holder that a balancer doesn't hear may be sound."""
+
+    def test_a_backlog_read_without_the_holders_answer_resets_nothing(self) -> None:
+        world, caller, host = world_with_flow(members=12)
+        balancer = world.balancer_hosts[0]
+        members = list(world.upstreams)
+        world.cut_links = links(members, [balancer])
+        world.run(2_500)
+        world.cut_links = links([host], [balancer])
+        world.run(400)
+        caller.request(balancer)
+        world.run(50)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
+    def test_a_holder_whose_side_process_is_down_keeps_its_flow(self) -> None:
+        world, caller, host = world_with_flow()
+        world.kill(host)
+        world.run(2_500)
+        caller.request(world.balancer_hosts[0])
+        world.run(50)
+        world.start_side(host)
+        world.run(50)
+        caller.retransmit(world.balancer_hosts[0])
+        world.run(100)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
+
+class SearchAnswerTest(unittest.TestCase):
+    """The answer to a search is proof only for the members that it went to."""
+
+    def test_an_answer_to_an_earlier_search_does_not_complete_a_later_one(self) -> None:
+        world, caller, host = world_with_flow()
+        balancer, other = world.balancer_hosts[1], world.balancer(1)
+        for core in (world.balancer(0), world.balancer(2)):
+            core.holders.remove(caller.flow)
+        other.table.by_host(host).has_unanswered_opening = True
+        caller.request(balancer)
+        world.run(3)
+        other.table.by_host(host).has_unanswered_opening = False
+        everyone = [*world.upstreams, *world.balancer_hosts]
+        world.cut_links = links(everyone, [host])
+        caller.retransmit(balancer)
+        world.run(200)
+        self.assertEqual(caller.resets, 0)
+
+    def test_a_flow_of_a_former_service_is_found_after_a_restart(self) -> None:
+        world = settled_world(members=2)
+        world.add_member("10.0.1.9", "new", 2, 30)
+        caller = open_flow(world, world.balancer_hosts[0])
+        route = world.routes[0]
+        world.routes = (
+            FlowRoute(route.name, route.address, (("new", 1),), "safe", 1_200, 170, 1),
+        )
+        world.configure(2)
+        world.run(2_000)
+        for host in world.balancer_hosts:
+            world.start_balancer(host)
+        world.run(1_500)
+        caller.request(world.balancer_hosts[1])
+        world.run(PROPAGATION_MS * 2)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
+
+class UnconfirmedMembersTest(unittest.TestCase):
+    """A list of members that was current some time ago proves nothing about now."""
+
+    def test_a_flow_of_a_member_that_joined_since_the_last_match_is_kept(self) -> None:
+        world = settled_world(balancers=5)
+        host = "10.0.1.9"
+        balancer, other = isolate(world, host)
+        world.add_member(host, "desk", 8, 30)
+        world.run(400)
+        caller = next(
+            caller
+            for caller in [open_flow(world, other) for _ in range(12)]
+            if world.holder(caller) == host
+        )
+        for _ in range(3):
+            caller.request(balancer)
+            world.run(PROPAGATION_MS)
+        self.assertEqual(caller.resets, 0)
+        world.cut_links = set()
+        world.run(1_500)
+        caller.retransmit(balancer)
+        world.run(200)
+        self.assertEqual((caller.answers > 0, caller.resets), (True, 0))
+
+    def test_no_other_balancer_is_heard_after_a_start(self) -> None:
+        world, caller, host = world_with_flow()
+        balancer = world.balancer_hosts[1]
+        others = [h for h in world.balancer_hosts if h != balancer]
+        world.start_balancer(balancer)
+        world.cut_links = links(others, [balancer]) | links([host], [balancer])
+        world.run(1_000)
+        core = world.balancer(1)
+        core.table.remove(world.upstreams[host].id)
+        caller.request(balancer)
+        world.run(PROPAGATION_MS)
+        self.assertEqual(caller.resets, 0)
+
+
+class ReusedAddressTest(unittest.TestCase):
+    """That an upstream left tells nothing of the next one at its address."""
+
+    def setUp(self) -> None:
+        self.world, self.caller, self.host = world_with_flow()
+        self.balancer = self.world.balancer_hosts[1]
+        core = self.world.balancer(1)
+        name = self.world.upstreams[self.host].id
+        # This balancer knows the upstream before the present one only, which left.
+        self.world.cut_links = links([self.host], [self.balancer])
+        core.table.remove(name)
+        core.state.gossip.remove(f"members/{name}")
+        core.table.left_hosts[self.host] = self.world.now
+
+    def test_a_flow_that_another_balancer_sends_there_is_not_reset(self) -> None:
+        self.caller.request(self.balancer)
+        self.world.run(100)
+        self.assertEqual((self.caller.answers, self.caller.resets), (1, 0))
+
+    def test_a_flow_that_the_present_upstream_claims_is_not_reset(self) -> None:
+        core = self.world.balancer(1)
+        held = Held(self.caller.flow, False, [0, 0, 0, 0, 0])
+        core.on_message(self.world.now, self.host, held)
+        self.caller.request(self.balancer)
+        self.world.run(100)
+        self.assertEqual((self.caller.answers, self.caller.resets), (1, 0))
+
+
+class LateOpeningTest(unittest.TestCase):
+    """A late opening packet of a flow that is open doesn't get it reset."""
+
+    def late_opening(self, world: FlowWorld) -> Caller:
+        """Return a caller whose copy opened the flow while the first packet waits."""
+        caller = world.caller()
+        caller.open(world.balancer_hosts[0], retransmission=1)
+        world.run(50)
+        self.assertTrue(caller.is_open)
+        for host, upstream in world.upstreams.items():
+            if host != world.holder(caller):
+                upstream.capacity = 0
+        view = world.balancer(1).table.by_host(world.holder(caller))
+        view.refused_until = world.now + 500
+        return caller
+
+    def test_the_balancer_that_knows_the_flow_answers_late(self) -> None:
+        world = settled_world(members=3, balancers=5)
+        caller = self.late_opening(world)
+        world.cut_links = links(world.balancer_hosts[:1], world.balancer_hosts[1:2])
+        caller.open(world.balancer_hosts[1])
+        world.run(400)
+        self.assertEqual((caller.resets, caller.is_open), (0, True))
+
+    def test_the_balancer_that_knows_the_flow_was_not_heard_yet(self) -> None:
+        world = settled_world(members=3)
+        others = [world.balancer_hosts[0], world.balancer_hosts[2]]
+        world.cut_links = links(others, world.balancer_hosts[1:2])
+        world.start_balancer(world.balancer_hosts[1])
+        world.run(1_000)
+        caller = self.late_opening(world)
+        caller.open(world.balancer_hosts[1])
+        world.run(400)
+        self.assertEqual((caller.resets, caller.is_open), (0, True))
+
+    def test_a_copy_that_its_member_took_after_it_had_returned_the_first(self) -> None:
+        world = settled_world(members=3, balancers=1)
+        balancer, opener = world.balancer_hosts[0], world.balancer(0).opener
+        for upstream in world.upstreams.values():
+            upstream.capacity = 0
+        caller = world.caller()
+        caller.open(balancer)
+        world.run(3)
+        first = opener.openings.get(caller.flow, world.now).host
+        caller.open(balancer, retransmission=1)
+        world.run(2)
+        world.upstreams[first].capacity = 100
+        world.run(2)
+        # The member's message that it holds the flow is lost.
+        world.cut_links = links([first], [balancer])
+        world.run(100)
+        self.assertEqual((caller.resets, caller.is_open), (0, True))
+
+
+class UnknownRouteTest(unittest.TestCase):
+    """A balancer with an older configuration resets no flow of a newer route."""
+
+    def test_an_open_flow_of_a_route_that_is_not_known_yet_is_not_reset(self) -> None:
+        world = settled_world(balancers=5)
+        balancer, other = isolate(world)
+        route = make_route(port=444)
+        world.routes = (*world.routes, route)
+        world.configure(2)
+        world.run(100)
+        caller = world.caller(route)
+        caller.open(other)
+        world.run(50)
+        self.assertTrue(caller.is_open)
+        caller.request(balancer)
+        world.run(50)
+        self.assertEqual(caller.resets, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
