Tell from events and metrics whether a process was late

Cause: a balancer that was itself late reset flows of sound upstreams, and neither its log nor its metrics could tell whether it was paused, short of processor time, behind a congested link, or on time while a member was silent.

Change: the event loop counts its largest timer lag, the time that it chose to wait, the datagrams that it read and the reads that ended at their limit (daemons/loopload). The check of the state ends an interval, reads the processor time, and reports event 1108, "process late", once a second at most, if the lag exceeds 150 ms or most iterations ended a read at the limit. The same figures are metrics.

Measured: 16 new tests fail on the code before (12 of the loop and the shell, for want of the figures; 2 of event 6308; 2 of stories); 3 more test the new class by itself.

--- a/fuchsiapin/daemons/eventloop.py
+++ b/fuchsiapin/daemons/eventloop.py
@@ -12,12 +12,13 @@
 from typing import Any
 
 from fuchsiapin.clock import Clock
+from fuchsiapin.daemons.loopload import LoopLoad
 from fuchsiapin.timers import Timers
 
 __all__ = ["EventLoop", "open_udp_socket"]
 
 MS_PER_S = 1_000
-MAX_WAIT_S = 1.0
+MAX_WAIT_MS = 1_000
 MAX_DATAGRAMS_PER_WAKEUP = 64
 """Datagrams read from one socket before the loop serves other sockets."""
 MAX_DATAGRAM_BYTES = 65_536
@@ -34,11 +35,17 @@
         Time in ms.
     timers : Timers
         Timers, shared with the decision core.
+
+    Attributes
+    ----------
+    load : LoopLoad
+        Load figures; whoever runs the loop ends their intervals.
     """
 
     def __init__(self, clock: Clock, timers: Timers) -> None:
         self.clock = clock
         self.timers = timers
+        self.load = LoopLoad(clock.now())
         self.selector = selectors.DefaultSelector()
         self.is_running = False
         self.after_events: Callable[[], None] = lambda: None
@@ -89,15 +96,25 @@
 
     def run_once(self) -> None:
         """Wait for the next event; handle sockets, signals and due timers."""
+        load = self.load
+        load.iterations += 1
         due = self.timers.next_due()
-        wait = MAX_WAIT_S
+        started_at = self.clock.now()
+        wait_ms = MAX_WAIT_MS
         if due is not None:
-            wait = min(wait, max(0, due - self.clock.now()) / MS_PER_S)
-        for key, mask in self.selector.select(wait):
+            wait_ms = min(wait_ms, max(0, due - started_at))
+        ready = self.selector.select(wait_ms / MS_PER_S)
+        if wait_ms:
+            load.waited_ms += min(wait_ms, self.clock.now() - started_at)
+        for key, mask in ready:
             key.data(mask)
         while self.pending_signals:
             self.signal_handlers[self.pending_signals.pop(0)]()
-        self.timers.run(self.clock.now())
+        now = self.clock.now()
+        # Timers that the handlers above added may have been due when they were added.
+        if due is not None and now - due > load.lag_ms:
+            load.lag_ms = now - due
+        self.timers.run(now)
         self.after_events()
 
     def stop(self) -> None:
@@ -129,15 +146,22 @@
     udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     udp_socket.bind((host, port))
 
+    load = loop.load
+
     def read(mask: int) -> None:
-        for _ in range(MAX_DATAGRAMS_PER_WAKEUP):
+        errors = 0
+        for count in range(MAX_DATAGRAMS_PER_WAKEUP):
             try:
                 data, address = udp_socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
+                load.datagrams += count - errors
                 return
             except ConnectionError:
-                continue  # ICMP port unreachable for a datagram sent earlier
+                errors += 1  # ICMP port unreachable for a datagram sent earlier
+                continue
             on_datagram(data, address[0])
+        load.datagrams += MAX_DATAGRAMS_PER_WAKEUP - errors
+        load.note_full_read()
 
     loop.watch(udp_socket, read, selectors.EVENT_READ)
     return udp_socket
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -33,6 +33,9 @@
 settings may change without a signal."""
 MIN_SUSPENSION_MS = 1_000
 """Shortest suspension of the VM that is logged and reported to the core."""
+LATE_REPORT_MS = 1_000
+"""Shortest time between two reports that the process is late. An interval that is
+itself longer, as after a pause, is always reported."""
 NS_PER_MS = 1_000_000
 
 
@@ -74,6 +77,7 @@
         self.stop_requested_at = 0
         self.was_ready = True  # a process that is ready at once logs no event 1104
         self.last_suspended_ns = self.suspended_ns()
+        self.late_reported_at = 0
         self.peers = open_udp_socket(
             self.loop, settings.bind, settings.peer_port, self.on_peer
         )
@@ -228,7 +232,7 @@
         self.log.report(6310, cause=cause, changed=changed)
 
     def check_state(self, now: int) -> None:
-        """Check for changed settings, changed readiness and a suspension of the VM."""
+        """Check for changed settings, readiness, a suspension of the VM, and lag."""
         if self.adapter.settings_fingerprint() != self.settings_fingerprint:
             self.reload("file changed")
         reason = self.core.not_ready(now)
@@ -244,8 +248,25 @@
         if suspended_ms > MIN_SUSPENSION_MS:
             self.log.report(1107, still_ms=suspended_ms)
             self.core.on_suspended(now)
+        self.check_load(now)
         self.loop.call_later(STATE_CHECK_MS, self.check_state)
 
+    def check_load(self, now: int) -> None:
+        """End an interval of the load figures; report whether the process was late."""
+        figures = self.loop.load.end_interval(now)
+        if not figures.is_late or now - self.late_reported_at < LATE_REPORT_MS:
+            return
+        self.late_reported_at = now
+        self.log.report(
+            1108,
+            lag_ms=figures.lag_ms,
+            interval_ms=figures.interval_ms,
+            waited_ms=figures.waited_ms,
+            processor_ms=figures.processor_ms,
+            datagrams=figures.datagrams,
+            full_reads=figures.full_reads,
+        )
+
     def suspended_ns(self) -> int:
         """Return the total time that the VM was suspended since boot."""
         boot = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
@@ -267,14 +288,21 @@
         """Return the metrics of the process: values by series name, then by label.
 
         `log_lines_left_out_total` is not a running total: the value of an event falls
-        to 0 when a line of this event is logged again.
+        to 0 when a line of this event is logged again. `timer_lag_ms` is the largest
+        lag of the last interval of `STATE_CHECK_MS`.
         """
+        load = self.loop.load
         events = {str(number): count for number, count in self.log.tally.items()}
         return {
             "events_total": events,
             "decisions_total": dict(self.core.counts),
             "store_calls_total": dict(self.store_call_counts),
             "unsent_datagrams_total": {"": self.unsent_datagrams},
+            "timer_lag_ms": {"": load.figures.lag_ms},
+            "waited_ms_total": {"": load.waited_ms},
+            "processor_ms_total": {"": load.processor_ms},
+            "datagrams_total": {"": load.datagrams},
+            "full_reads_total": {"": load.full_reads},
             "log_lines_left_out_total": {
                 str(number): count for number, count in self.log.left_out.items()
             },
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -67,6 +67,31 @@
         "Find out why the VM was suspended.",
         (Field("still_ms", "integer"),),
     ),
+    Event(
+        1108,
+        "process late",
+        "warning",
+        "The process ran its timers late, or most of its reads left datagrams unread, "
+        "so answers to it may have waited. The fields give the largest lag and, for "
+        "the interval since the check before, its length, the time that the process "
+        "chose to wait for events, the processor time that it used, the datagrams "
+        "that it read, and its reads that ended at their limit. The rest of the "
+        "interval is time in which it was kept from running.",
+        "Long interval with hardly any processor time: it was paused; find out by "
+        "what. No waiting and processor time well under the interval: it is short of "
+        "processor time; give it more. Processor time near the interval: it has too "
+        "much work. A process that is on time with much waiting reports nothing: look "
+        "at its links and the other processes.",
+        (
+            Field("lag_ms", "integer"),
+            Field("interval_ms", "integer"),
+            Field("waited_ms", "integer"),
+            Field("processor_ms", "integer"),
+            Field("datagrams", "integer"),
+            Field("full_reads", "integer"),
+        ),
+        is_rate_limited=True,
+    ),
     Event(
         1201,
         "object API unreachable",
--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -257,9 +257,17 @@
         6308,
         "member heard",
         "info",
-        "A member responded, for the first time or again.",
-        NO_ACTION,
-        (MEMBER, HOST),
+        "A member responded, for the first time or again. The fields give the time "
+        "since its previous message, or since it was added, and the pings that it "
+        "left unanswered.",
+        "If many members are heard at once after a silence, this balancer or its "
+        "links were late.",
+        (
+            MEMBER,
+            HOST,
+            Field("silent_ms", "integer"),
+            Field("unanswered_pings", "integer"),
+        ),
         is_rate_limited=True,
     ),
     Event(
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -360,7 +360,13 @@
         if view is None:
             return
         if not view.last_message_at or view.is_suspect(now):
-            self.report(6308, member=view.member.id, host=host)
+            self.report(
+                6308,
+                member=view.member.id,
+                host=host,
+                silent_ms=now - max(view.last_message_at, view.added_at),
+                unanswered_pings=view.unanswered_pings,
+            )
         view.note_message(now, load)
         view.takes_flows = message.takes_flows
         view.refused_until = 0 if message.takes_flows else now + REFUSAL_MS
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -11,7 +11,9 @@
 """Margin before and after a flow's lines in which related lines are included."""
 TIME_TOLERANCE_MS = 100
 """Tolerance around a given time within which lines match."""
-STATE_EVENTS = frozenset({1101, 1102, 1103, 1104, 1105, 1107, 6302, 6303, 6304, 6311})
+STATE_EVENTS = frozenset(
+    {1101, 1102, 1103, 1104, 1105, 1107, 1108, 6302, 6303, 6304, 6311}
+)
 """Events that affect all flows of a process."""
 MEMBER_EVENTS = frozenset({6106, 6201, 6204, 6306, 6307, 6308})
 """Events about one member."""
@@ -19,6 +21,9 @@
 RESET = 6103
 """Event of a flow reset."""
 EVENT_TEMPLATES = {
+    1108: "was late by up to {lag_ms} ms: in {interval_ms} ms it waited {waited_ms} ms "
+    "for events, used {processor_ms} ms of processor time and read {datagrams} "
+    "datagrams; {full_reads} reads ended at their limit",
     6102: "offered the flow to {member} at {host} (offer {offers}): {waiting} "
     "requests there as of a report {load_age_ms} ms old, routes of configuration "
     "{configuration}",
@@ -39,6 +44,8 @@
     "{source}",
     6306: "received from {source}: {member} at {host} is {state}",
     6307: "no longer uses {member}: {reason}",
+    6308: "heard from {member} at {host} after {silent_ms} ms and {unanswered_pings} "
+    "unanswered pings",
 }
 """Templates that describe a log line, by event number."""
 
@@ -204,7 +211,10 @@
     if line.number == RESET:
         return describe_reset(line.fields)
     if line.number in EVENT_TEMPLATES:
-        return EVENT_TEMPLATES[line.number].format(**line.fields)
+        try:
+            return EVENT_TEMPLATES[line.number].format(**line.fields)
+        except KeyError:
+            pass  # written by a version whose event had fewer fields
     fields = ", ".join(f"{name} {value}" for name, value in line.fields.items())
     return f"{line.event} ({fields})"
 
--- a/fuchsiapin/tests/test_flowprocess.py
+++ b/fuchsiapin/tests/test_flowprocess.py
@@ -7,9 +7,16 @@
 import sys
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
+from unittest.mock import patch
 
 from fuchsiapin.clock import ManualClock, SystemClock
-from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
+from fuchsiapin.daemons.eventloop import (
+    MAX_DATAGRAMS_PER_WAKEUP,
+    EventLoop,
+    open_udp_socket,
+)
+from fuchsiapin.daemons.flowshell import LATE_REPORT_MS, STATE_CHECK_MS, FlowShell
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import (
@@ -18,6 +25,7 @@
     MAX_BUFFER_BYTES,
     LogLines,
 )
+from fuchsiapin.daemons.loopload import MAX_LAG_MS, LoopLoad
 from fuchsiapin.timers import Timers
 
 ROOT = Path(__file__).parent.parent.parent
@@ -168,6 +176,221 @@
         self.assertIn("malformed", got[0].error)
 
 
+class LoopLoadTest(unittest.TestCase):
+    """The load figures of a loop, on a clock that only the test advances."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1_000)
+        self.timers = Timers()
+        self.loop = EventLoop(self.clock, self.timers)
+        self.handle = lambda: None
+        self.receiver = open_udp_socket(
+            self.loop, "127.0.0.1", 0, lambda data, host: self.handle()
+        )
+        self.addCleanup(self.receiver.close)
+
+    def send(self, count: int) -> None:
+        """Send datagrams to the loop."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(count):
+                sender.sendto(b"x", self.receiver.getsockname())
+
+    def wait_for(self, duration_ms: int) -> None:
+        """Let each wait of the loop take this long, without an event."""
+
+        def select(wait_s: float) -> list:
+            self.clock.advance(duration_ms)
+            return []
+
+        self.loop.selector.select = select
+
+    def test_handler_that_blocks_delays_timers(self) -> None:
+        self.timers.add(1_100, lambda now: None)
+        self.handle = lambda: self.clock.advance(400)
+        self.send(1)
+        self.loop.run_once()
+        figures = self.loop.load.end_interval(self.clock.now())
+        self.assertEqual((figures.lag_ms, figures.interval_ms), (300, 400))
+        self.assertEqual((figures.waited_ms, figures.datagrams), (0, 1))
+        self.assertTrue(figures.is_late)
+
+    def test_timer_that_blocks_delays_the_next_one(self) -> None:
+        self.timers.add(1_000, lambda now: self.clock.advance(500))
+        self.timers.add(1_010, lambda now: None)
+        self.loop.run_once()
+        self.loop.run_once()
+        self.assertEqual(self.loop.load.lag_ms, 490)
+
+    def test_timer_that_a_handler_adds_for_the_past_is_not_late(self) -> None:
+        self.timers.add(1_100, lambda now: None)
+        self.handle = lambda: self.timers.add(100, lambda now: None)
+        self.send(1)
+        self.loop.run_once()
+        self.assertEqual(self.timers.next_due(), 1_100)
+        self.assertEqual(self.loop.load.lag_ms, 0)
+
+    def test_pause_is_lag_and_not_waiting(self) -> None:
+        self.timers.add(1_100, lambda now: None)
+        self.wait_for(3_000)
+        self.loop.run_once()
+        figures = self.loop.load.end_interval(self.clock.now())
+        self.assertEqual((figures.lag_ms, figures.interval_ms), (2_900, 3_000))
+        self.assertEqual(figures.waited_ms, 100)
+
+    def test_loop_on_time_waits_and_is_not_late(self) -> None:
+        self.timers.add(1_100, lambda now: None)
+        self.wait_for(100)
+        self.loop.run_once()
+        figures = self.loop.load.end_interval(self.clock.now())
+        self.assertEqual((figures.lag_ms, figures.waited_ms), (0, 100))
+        self.assertFalse(figures.is_late)
+
+    def test_read_that_ends_at_its_limit_is_counted(self) -> None:
+        self.send(MAX_DATAGRAMS_PER_WAKEUP + 1)
+        self.loop.run_once()
+        load = self.loop.load
+        figures = load.end_interval(self.clock.now())
+        self.assertEqual(figures.full_reads, 1)
+        self.assertEqual(figures.datagrams, MAX_DATAGRAMS_PER_WAKEUP)
+        self.assertTrue(figures.is_late)
+        self.loop.run_once()
+        figures = load.end_interval(self.clock.now())
+        self.assertEqual((figures.full_reads, figures.datagrams), (0, 1))
+        self.assertFalse(figures.is_late)
+        self.assertEqual(load.full_reads, 1)
+        self.assertEqual(load.datagrams, MAX_DATAGRAMS_PER_WAKEUP + 1)
+
+    def test_error_of_a_datagram_sent_earlier_is_not_counted_as_read(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as closed:
+            closed.bind(("127.0.0.1", 0))
+            self.receiver.connect(closed.getsockname())
+        self.receiver.send(b"x")
+        self.loop.run_once()
+        with self.assertRaises(BlockingIOError):  # the loop has read the error
+            self.receiver.recv(1)
+        self.assertEqual(self.loop.load.datagrams, 0)
+
+    def test_two_full_reads_in_one_iteration_of_two_are_not_most(self) -> None:
+        load = LoopLoad(1_000)
+        load.iterations += 1
+        load.note_full_read()
+        load.note_full_read()
+        load.iterations += 1
+        figures = load.end_interval(1_250)
+        self.assertEqual((figures.full_reads, figures.full_iterations), (2, 1))
+        self.assertFalse(figures.is_late)
+
+    def test_processor_time_is_that_of_the_interval(self) -> None:
+        used_ns = iter([5_000_000, 30_900_000, 130_100_000])
+        load = LoopLoad(1_000, lambda: next(used_ns))
+        self.assertEqual(load.end_interval(1_250).processor_ms, 25)
+        self.assertEqual(load.end_interval(1_500).processor_ms, 100)
+        self.assertEqual(load.processor_ms, 130)
+
+    def test_lag_is_that_of_the_interval(self) -> None:
+        load = LoopLoad(1_000)
+        load.lag_ms = MAX_LAG_MS + 1
+        self.assertTrue(load.end_interval(1_250).is_late)
+        self.assertEqual(load.end_interval(1_500).lag_ms, 0)
+
+
+class LateProcessTest(unittest.TestCase):
+    """A process that is late logs why, at most once a second."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(10_000)
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        settings = SimpleNamespace(
+            name="entry-1", bind="127.0.0.1", peer_port=0, store=("127.0.0.1", 1)
+        )
+        adapter = SimpleNamespace(settings_fingerprint=lambda: 0)
+        core = SimpleNamespace(
+            timers=Timers(),
+            counts={},
+            not_ready=lambda now: "",
+            metric_values=lambda now: {},
+        )
+        module = "fuchsiapin.daemons.flowshell"
+        with (
+            patch(f"{module}.SystemClock", lambda: self.clock),
+            patch(f"{module}.LogLines", lambda *args: LogLines(*args, writing)),
+        ):
+            self.shell = FlowShell(adapter, settings, "balancer", lambda *args: core)
+        self.addCleanup(self.shell.peers.close)
+        self.reported: list[tuple[int, dict]] = []
+        self.shell.log.report = self.record
+        self.load = self.shell.loop.load
+
+    def record(self, number: int, **fields: int) -> None:
+        """Keep the fields of an event that says that the process is late."""
+        if number == 1108:
+            self.reported.append((self.clock.now(), fields))
+
+    def check(self, lag_ms: int = 0, interval_ms: int = STATE_CHECK_MS) -> None:
+        """Run the periodic check after an interval with this lag."""
+        self.clock.advance(interval_ms)
+        self.load.lag_ms = lag_ms
+        self.shell.check_state(self.clock.now())
+
+    def test_lag_beyond_the_limit_is_reported_with_its_fields(self) -> None:
+        used_ns = iter(
+            [self.load.processor_ms * 1_000_000, 10**15, 10**15 + 28 * 10**6]
+        )
+        self.load.read_processor_ns = lambda: next(used_ns)
+        self.check(MAX_LAG_MS)
+        self.check()
+        self.assertEqual(self.reported, [])
+        self.load.iterations += 9
+        self.load.waited_ms += 12
+        self.load.datagrams += 300
+        self.load.full_reads += 4
+        self.check(MAX_LAG_MS + 1, 260)
+        fields = {
+            "lag_ms": MAX_LAG_MS + 1,
+            "interval_ms": 260,
+            "waited_ms": 12,
+            "processor_ms": 28,
+            "datagrams": 300,
+            "full_reads": 4,
+        }
+        self.assertEqual(self.reported, [(self.clock.now(), fields)])
+
+    def test_full_reads_in_most_iterations_are_reported(self) -> None:
+        self.load.iterations += 1
+        self.load.note_full_read()
+        self.check()
+        self.assertEqual([f["full_reads"] for _, f in self.reported], [1])
+        self.assertEqual(self.reported[0][1]["lag_ms"], 0)
+
+    def test_reports_are_at_least_a_second_apart(self) -> None:
+        for _ in range(40):
+            self.check(MAX_LAG_MS + 1)
+        times = [time_ms for time_ms, _ in self.reported]
+        steps = [later - time for time, later in zip(times, times[1:], strict=False)]
+        self.assertEqual(steps, [LATE_REPORT_MS] * 9)
+
+    def test_pause_after_a_report_is_reported(self) -> None:
+        self.check(MAX_LAG_MS + 1)
+        self.check(3_000, 3_250)
+        self.assertEqual([f["lag_ms"] for _, f in self.reported], [151, 3_000])
+
+    def test_figures_are_metrics(self) -> None:
+        self.check(40)
+        self.load.waited_ms += 200
+        self.load.datagrams += 7
+        self.load.full_reads += 1
+        values = self.shell.metric_values()
+        self.assertEqual(values["timer_lag_ms"], {"": 40})
+        self.assertEqual(values["waited_ms_total"], {"": 200})
+        self.assertEqual(values["datagrams_total"], {"": 7})
+        self.assertEqual(values["full_reads_total"], {"": 1})
+        self.assertEqual(values["processor_ms_total"], {"": self.load.processor_ms})
+        self.check()
+        self.assertEqual(self.shell.metric_values()["timer_lag_ms"], {"": 0})
+
+
 class StartTest(unittest.TestCase):
     """A process on the platform must not import slow modules at start-up."""
 
--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -7,6 +7,7 @@
 from fuchsiapin.flows.balancerstate import MISSING_MEMBER_MS, STALE_MS, WATCHERS
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.members import FlowMember, MemberTable
+from fuchsiapin.flows.messages import Status
 from fuchsiapin.flows.pinging import DEAD_MS
 from fuchsiapin.flows.routes import FlowConfiguration, RouteTable
 from fuchsiapin.flows.storage import StoredItem, StoreResult
@@ -414,6 +415,51 @@
         views = state.table.views.values()
         self.assertFalse(any(view.is_suspect(late + 900) for view in views))
 
+    def test_a_member_heard_again_is_reported_with_its_silence(self) -> None:
+        world = FlowWorld()
+        world.run(4_000)
+        host, upstream = next(iter(world.upstreams.items()))
+        state = world.balancer(0).state
+        view = state.table.by_host(host)
+        heard: list[dict] = []
+
+        def report(number: int, **fields: object) -> None:
+            if number == 6308:
+                heard.append(fields)
+
+        state.report = report
+        world.kill(host)
+        world.run(2_500)
+        now, pings = world.now, view.unanswered_pings
+        silent_ms = now - view.last_message_at
+        state.on_status(now, host, Status(b"", True, [0] * 5))
+        self.assertGreater(silent_ms, 2_000)
+        self.assertGreater(pings, 2)
+        fields = {
+            "member": upstream.id,
+            "host": host,
+            "silent_ms": silent_ms,
+            "unanswered_pings": pings,
+        }
+        self.assertEqual(heard, [fields])
+
+    def test_a_member_heard_first_is_reported_with_the_time_since_it_was_added(
+        self,
+    ) -> None:
+        world = FlowWorld(members=0, balancers=1)
+        world.run(1_000)
+        state = world.balancer(0).state
+        heard: list[dict] = []
+        state.report = lambda number, **fields: heard.append(
+            {"number": number} | fields
+        )
+        state.apply_member(world.now, MEMBER, "store")
+        heard.clear()
+        state.on_status(world.now + 40, MEMBER.host, Status(b"", True, [0] * 5))
+        fields = {"member": "u1", "host": MEMBER.host}
+        figures = {"silent_ms": 40, "unanswered_pings": 1}
+        self.assertEqual(heard, [{"number": 6308} | fields | figures])
+
     def test_many_members_are_pinged_within_the_budget(self) -> None:
         world = FlowWorld(members=60, balancers=1)
         world.run(3_000)
--- a/fuchsiapin/tests/test_stories.py
+++ b/fuchsiapin/tests/test_stories.py
@@ -82,6 +82,31 @@
         self.assertIn("no line shows that a member admitted the flow", story.render())
         self.assertIn("no log line of flow x", build_story(lines, "x").render())
 
+    def test_late_process_of_the_flow_is_included(self) -> None:
+        figures = {
+            "waited_ms": 0,
+            "processor_ms": 31,
+            "datagrams": 512,
+            "full_reads": 8,
+        }
+        late = [
+            line(1_150, name, 1108, lag_ms=190, interval_ms=260, **figures)
+            for name in ("entry-1", "entry-9")
+        ]
+        story = build_story(read_log([*lost_side_process(), *late]), FLOW).render()
+        self.assertEqual(story.count("was late by up to 190 ms"), 1)
+        self.assertIn("used 31 ms of processor time", story)
+
+    def test_member_heard_again_is_described_with_its_silence(self) -> None:
+        old = {"member": "u1", "host": "h1"}
+        heard = [
+            line(1_300, "entry-1", 6308, **old, silent_ms=340, unanswered_pings=2),
+            line(1_400, "entry-1", 6308, **old),
+        ]
+        story = build_story(read_log([*lost_side_process(), *heard]), FLOW).render()
+        self.assertIn("heard from u1 at h1 after 340 ms and 2 unanswered pings", story)
+        self.assertIn("member heard (member u1, host h1)", story)
+
 
 class TemplateTest(unittest.TestCase):
     """Templates only use fields that their events have in the catalogue."""
