Match each answer of a search with the search that it answers

Callers saw: a reset of an open flow, `held nowhere`, though its holder was never asked.

Cause: the state of a search was kept by flow. Each retransmission of a caller starts another search, and members that are suspect at that moment are skipped. The answer to an earlier search, which had skipped the holder, was read as the answer to the latest one, which hadn't come back; all members seemed to have denied the flow.

Change: searches are numbered and kept by flow and number. The number travels in the count of hops, which starts at a negative multiple of 2**17: side processes add to it and return it, old ones too, so that no message changes its layout. Numbers start at the start time of the process, so that an answer to a former process matches nothing. Searches expire, as there may be several for a flow.

Measured: `test_an_answer_to_an_earlier_search_does_not_complete_a_later_one` failed before (reset with four denials, though three members were asked) and passes.

Ruled out: a new field, which old side processes refuse; one search at a time for a flow, which keeps asking by an old list while members come and go.

--- a/fuchsiapin/flows/flowcache.py
+++ b/fuchsiapin/flows/flowcache.py
@@ -21,8 +21,11 @@
     >>> cache = FlowCache(max_entries=1, max_idle_ms=100)
     >>> cache.put(b"a", 1, now=0)
     >>> cache.put(b"b", 2, now=0)
-    >>> cache.get(b"a", now=1), cache.get(b"b", now=1), cache.get(b"b", now=200)
-    (None, 2, None)
+    >>> cache.get(b"a", now=1), cache.get(b"b", now=1)
+    (None, 2)
+    >>> cache.expire(now=200)
+    >>> len(cache)
+    0
     """
 
     def __init__(self, max_entries: int, max_idle_ms: int) -> None:
@@ -50,6 +53,14 @@
         if len(self.entries) > self.max_entries:
             self.entries.popitem(last=False)
 
+    def expire(self, now: int) -> None:
+        """Remove the entries that were idle for too long."""
+        while self.entries:
+            key, (_, used) = next(iter(self.entries.items()))
+            if now - used <= self.max_idle_ms:
+                return
+            del self.entries[key]
+
     def remove(self, key: bytes) -> None:
         """Remove the entry of a flow."""
         self.entries.pop(key, None)
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -23,6 +23,10 @@
 """Maximum number of searches whose state is kept."""
 SEARCH_MS = 1_000
 """How long the state of a search is kept."""
+HOPS_PER_SEARCH = 1 << 17
+"""Range of the count of hops within one search; more than a deployment has members."""
+MAX_FIRST_NUMBER = 1 << 30
+"""Upper bound of the number before that of a process's first search."""
 PROPAGATION_MS = DIGEST_MS
 """Time within which a new member usually reaches every balancer: it is pushed at once,
 and digests detect lost pushes, each round with a few random balancers. A reset after
@@ -49,6 +53,31 @@
     asked_ids: frozenset[str]
 
 
+def first_hops(number: int) -> int:
+    """Return the count of hops with which the packet of a numbered search starts.
+
+    Side processes add their hops to it, so that `search_number` can tell which of
+    several searches for a flow a returned packet answers.
+    """
+    return -number * HOPS_PER_SEARCH
+
+
+def search_key(flow: bytes, number: int) -> bytes:
+    """Return the key of a numbered search for a flow."""
+    return flow + number.to_bytes(8, "big")
+
+
+def search_number(hops: int) -> int:
+    """Return the number of the search from a returned packet's count of hops.
+
+    Examples
+    --------
+    >>> search_number(first_hops(7)), search_number(first_hops(7) + 1_000)
+    (7, 7)
+    """
+    return max(0, -(hops // HOPS_PER_SEARCH))
+
+
 @dataclass(frozen=True)
 class FailedSearch:
     """A flow that no known member holds.
@@ -105,6 +134,8 @@
         self.holders = holders
         self.report = report
         self.searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
+        # Starts differ, so that no answer to a former process matches a search.
+        self.last_number = state.record.started % MAX_FIRST_NUMBER
         self.failed_searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
 
@@ -138,8 +169,11 @@
             asked_ids |= {view.member.id for view in views}
             hosts = [v.member.host for v in views if v.member.host != excluded_host]
             if hosts:
+                self.last_number += 1
                 search = Search(services[index + 1 :], asked_ids)
-                self.searches.put(packet.flow, search, now)
+                key = search_key(packet.flow, self.last_number)
+                self.searches.expire(now)
+                self.searches.put(key, search, now)
                 self.sender.counts["searched"] += 1
                 self.report(
                     6104,
@@ -147,7 +181,8 @@
                     service=service,
                     members=len(hosts),
                 )
-                self.sender.forward_search(packet, service, hosts)
+                hops = first_hops(self.last_number)
+                self.sender.forward_search(packet, service, hosts, hops)
                 return
 
     def note_holder_left(self, now: int, flow: bytes, host: str) -> None:
@@ -181,24 +216,38 @@
                 self.holders.remove(packet.flow)
             self.start(now, packet, route, host)
             return
-        search = self.searches.get(packet.flow, now)
-        if search is not None and search.remaining_services:
+        number = search_number(message.hops)
+        search = self.searches.get(search_key(packet.flow, number), now)
+        if search is None:
+            return  # expired; the caller's next packet starts another search
+        if search.remaining_services:
             self.ask_members(now, packet, search.remaining_services, search.asked_ids)
             return
-        self.handle_not_found(now, packet, route, message.hops)
+        hops = message.hops - first_hops(number)
+        self.handle_not_found(now, packet, route, search.asked_ids, hops)
 
     def handle_not_found(
-        self, now: int, packet: Packet, route: FlowRoute, hops: int
+        self,
+        now: int,
+        packet: Packet,
+        route: FlowRoute,
+        asked_ids: frozenset[str],
+        hops: int,
     ) -> None:
         """Handle a flow that none of the asked members holds."""
         self.sender.counts["not found"] += 1
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
-        services = self.routes.services(route)
         if packet.resets:
             return
-        if not all(self.has_asked_all(packet.flow, now, name) for name in services):
+        services = self.routes.services(route)
+        known_ids = {
+            view.member.id
+            for service in services
+            for view in self.table.by_service(service)
+        }
+        if not known_ids <= asked_ids:
             return
-        asked = len(self.searches.get(packet.flow, now).asked_ids)
+        asked = len(asked_ids)
         left_host = self.left_flows.get(packet.flow, now)
         if left_host is not None:
             self.sender.reset(packet, "upstream gone", host=left_host, denials=asked)
@@ -212,16 +261,6 @@
         ):
             self.reset_flow(failed)
 
-    def has_asked_all(self, flow: bytes, now: int, service: str) -> bool:
-        """Return whether every known member of a service was asked for the flow."""
-        search = self.searches.get(flow, now)
-        if search is None:
-            return False
-        return all(
-            view.member.id in search.asked_ids
-            for view in self.table.by_service(service)
-        )
-
     def reset_flow(self, failed: FailedSearch) -> None:
         """Reset a flow that is open nowhere, instead of letting its caller time out."""
         self.failed_searches.remove(failed.packet.flow)
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -53,9 +53,14 @@
         forward = Forward(service, self.host, 0, priority, False, [], packet.data)
         self.send(host, forward)
 
-    def forward_search(self, packet: Packet, service: str, hosts: list[str]) -> None:
-        """Send a packet along several members until one of them holds its flow."""
-        forward = Forward(service, self.host, 0, 0, True, hosts[1:], packet.data)
+    def forward_search(
+        self, packet: Packet, service: str, hosts: list[str], hops: int
+    ) -> None:
+        """Send a packet along several members until one of them holds its flow.
+
+        `hops` is the count of hops with which it starts.
+        """
+        forward = Forward(service, self.host, hops, 0, True, hosts[1:], packet.data)
         self.send(hosts[0], forward)
 
     def reset(
