Reset a flow that every member denied only when other balancers confirm that

Callers saw: a reset of an open flow, `held nowhere`, at a balancer that didn't know the flow's member yet.

Cause: 400 ms after the first search a second one sufficed, if the list of members had been confirmed by the store or another balancer within 3.5 s. A member that joined since and the answers of balancers that knew more were passed over; so was a change of the members between the search and the answers. A balancer that heard no other one reset at once, as if it were the only one.

Change: what is proof has to be younger than the packet. A flow is reset once all balancers that were asked after the denials answer that they know neither it nor more members, or after 400 ms once more than half of them do; the members must be those of the search. Without an answer nothing is reset, unless the store lists no other balancer. Of more than 24 balancers those of the same availability zone are asked first. The question and its answers are an `Inquiry`, in a module of its own.

Ruled out: the age of a match of digests as a bound: a digest may have waited unread for longer than the member has existed. Answers to a question can't be older than it.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -60,10 +60,9 @@
 itself."""
 WATCHER_REVIEW_MS = 300
 """Interval at which a balancer decides whether it should watch the store."""
-CURRENT_MEMBERS_MS = 3_500
-"""A balancer may miss members if for this long neither the store answered it nor
-another balancer had the same state. Longer than the 3.1 s within which a silent watch
-is detected (its wait and the additional time for the answer)."""
+MAX_ASKED_BALANCERS = 24
+"""Balancers that are asked about one flow; those of the same availability zone come
+first, because routers rarely move a caller's packets to another one."""
 DELETE_TIMEOUT_MS = 1_000
 """Timeout of a call that deletes an object."""
 
@@ -238,13 +237,18 @@
         for follower in self.followers[1:]:
             follower.resume(now)
 
-    def has_current_members(self, now: int) -> bool:
-        """Return whether this balancer's list of members is current.
-
-        The store or another balancer with the same state confirmed it recently.
-        """
-        confirmed_at = max(self.member_follower.synced_at, self.gossip.last_match_at)
-        return bool(confirmed_at) and now - confirmed_at <= CURRENT_MEMBERS_MS
+    def balancers_to_ask(self, now: int) -> list[str]:
+        """Return the addresses of the balancers to ask about a flow."""
+        hosts = self.gossip.live_hosts(now)
+        if len(hosts) > MAX_ASKED_BALANCERS:
+            peers = self.gossip.peers
+            hosts.sort(key=lambda host: peers[host].zone != self.record.zone)
+        return hosts[:MAX_ASKED_BALANCERS]
+
+    def is_alone(self) -> bool:
+        """Return whether the store answers and no other balancer is known."""
+        has_listed = self.balancer_follower.has_listed
+        return has_listed and self.is_store_reachable() and not self.gossip.peers
 
     # Configuration
 
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -128,8 +128,8 @@
         When the peer was added, in ms.
     last_message_at : int
         When its last message was received, in ms, 0 for never.
-    name : str
-        Name of the balancer, from its last digest.
+    name, zone : str
+        Name and availability zone of the balancer, from its last digest.
     configuration : int
         Version of the configuration that its last digest reported.
     """
@@ -137,6 +137,7 @@
     def __init__(self, host: str, now: int) -> None:
         self.host = host
         self.name = ""
+        self.zone = ""
         self.added_at = now
         self.last_message_at = 0
         self.configuration = 0
@@ -165,8 +166,6 @@
         Time up to which the store's changes are known, from this balancer's own
         watches or from other balancers, in ms. While the last calls were answered it
         is the current time, although a watch may have gone silent since.
-    last_match_at : int
-        When another balancer last had an identical digest, 0 for never.
     """
 
     def __init__(
@@ -189,7 +188,6 @@
         self.replicas = Replicas()
         self.peers: dict[str, Peer] = {}
         self.store_synced_at = 0
-        self.last_match_at = 0
 
     def start(self, now: int) -> None:
         """Start to send digests."""
@@ -291,13 +289,12 @@
             return
         peer.last_message_at = now
         peer.name = message.name
+        peer.zone = message.zone
         self.store_synced_at = max(
             self.store_synced_at, now - max(message.store_age_ms, 0)
         )
         peer.configuration = message.configuration
-        if message.total == self.replicas.digest(ALL_PREFIXES):
-            self.last_match_at = now
-        else:
+        if message.total != self.replicas.digest(ALL_PREFIXES):
             hashes = self.replicas.buckets(ALL_PREFIXES)
             self.effects.append(ToPeer(host, Buckets(hashes)))
         if is_new:
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -9,7 +9,8 @@
 
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
-from fuchsiapin.flows.gossip import DIGEST_MS, PUSH_PEERS
+from fuchsiapin.flows.gossip import DIGEST_MS
+from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.messages import Ask, Known, Returned
 from fuchsiapin.flows.packets import Packet, flow_name
 from fuchsiapin.flows.placement import rank_views
@@ -29,8 +30,7 @@
 """Upper bound of the number before that of a process's first search."""
 PROPAGATION_MS = DIGEST_MS
 """Time within which a new member usually reaches every balancer: it is pushed at once,
-and digests detect lost pushes, each round with a few random balancers. A reset after
-this time also requires `has_current_members`."""
+and digests detect lost pushes, each round with a few random balancers."""
 LEFT_FLOW_MS = 5_000
 """How long a flow is remembered whose holder left, with the holder's address."""
 
@@ -47,10 +47,13 @@
         Ids of the members that were asked, including the one that returned the packet
         before the search; suspect members are skipped unless all members of a service
         are suspect.
+    is_repeated : bool
+        Whether it repeats an earlier search without a new packet of the caller.
     """
 
     remaining_services: list[str]
     asked_ids: frozenset[str]
+    is_repeated: bool
 
 
 def first_hops(number: int) -> int:
@@ -80,29 +83,21 @@
 
 @dataclass(frozen=True)
 class FailedSearch:
-    """A flow that no known member holds.
+    """A flow that every known member denied, until other balancers confirm that.
 
     Parameters
     ----------
-    packet : Packet
-        A packet of the flow.
+    inquiry : Inquiry
+        The question to the other balancers.
     failed_at : int
-        When all members had first answered that they don't hold it, in ms.
-    asked_members : int
-        Members that were asked.
-    unconfirmed_hosts : frozenset of str
-        Live balancers that haven't confirmed yet that they know the same members.
-        They include those beyond the first `PUSH_PEERS`, which aren't asked: with more
-        balancers only the repeated search can reset the flow.
-    confirmations : int
-        Balancers that confirmed it.
+        When the last member had denied the flow, in ms.
+    ids_hash : int
+        Hash over the members then.
     """
 
-    packet: Packet
+    inquiry: Inquiry
     failed_at: int
-    asked_members: int
-    unconfirmed_hosts: frozenset[str]
-    confirmations: int = 0
+    ids_hash: int
 
 
 class HolderSearch:
@@ -140,28 +135,28 @@
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
 
     def start(
-        self, now: int, packet: Packet, route: FlowRoute, excluded_host=""
+        self,
+        now: int,
+        packet: Packet,
+        route: FlowRoute,
+        excluded_host: str = "",
+        is_repeated: bool = False,
     ) -> None:
         """Start a search over the services of a route.
 
         `excluded_host` isn't asked in the first service with members to ask.
         """
-        self.ask_members(
-            now, packet, self.routes.services(route), frozenset(), excluded_host
-        )
+        search = Search(self.routes.services(route), frozenset(), is_repeated)
+        self.ask_members(now, packet, search, excluded_host)
 
     def ask_members(
-        self,
-        now: int,
-        packet: Packet,
-        services: list[str],
-        asked_ids: frozenset[str],
-        excluded_host: str = "",
+        self, now: int, packet: Packet, search: Search, excluded_host: str = ""
     ) -> None:
-        """Ask the members of the first service that has any, in rank order.
+        """Ask the members of the first remaining service that has any, in rank order.
 
         If no service has a member to ask, the packet is dropped.
         """
+        services, asked_ids = search.remaining_services, search.asked_ids
         for index, service in enumerate(services):
             views = rank_views(packet.flow, self.table.by_service(service))
             responsive = [view for view in views if not view.is_suspect(now)]
@@ -170,7 +165,7 @@
             hosts = [v.member.host for v in views if v.member.host != excluded_host]
             if hosts:
                 self.last_number += 1
-                search = Search(services[index + 1 :], asked_ids)
+                search = Search(services[index + 1 :], asked_ids, search.is_repeated)
                 key = search_key(packet.flow, self.last_number)
                 self.searches.expire(now)
                 self.searches.put(key, search, now)
@@ -221,71 +216,86 @@
         if search is None:
             return  # expired; the caller's next packet starts another search
         if search.remaining_services:
-            self.ask_members(now, packet, search.remaining_services, search.asked_ids)
+            self.ask_members(now, packet, search)
             return
         hops = message.hops - first_hops(number)
-        self.handle_not_found(now, packet, route, search.asked_ids, hops)
+        self.handle_not_found(now, packet, route, search, hops)
 
     def handle_not_found(
-        self,
-        now: int,
-        packet: Packet,
-        route: FlowRoute,
-        asked_ids: frozenset[str],
-        hops: int,
+        self, now: int, packet: Packet, route: FlowRoute, search: Search, hops: int
     ) -> None:
         """Handle a flow that none of the asked members holds."""
         self.sender.counts["not found"] += 1
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
-        if packet.resets:
+        if packet.resets or not self.known_ids(route) <= search.asked_ids:
             return
-        services = self.routes.services(route)
-        known_ids = {
-            view.member.id
-            for service in services
-            for view in self.table.by_service(service)
-        }
-        if not known_ids <= asked_ids:
-            return
-        asked = len(asked_ids)
+        denials = len(search.asked_ids)
         left_host = self.left_flows.get(packet.flow, now)
         if left_host is not None:
-            self.sender.reset(packet, "upstream gone", host=left_host, denials=asked)
+            self.sender.reset(packet, "upstream gone", host=left_host, denials=denials)
             return
         failed = self.failed_searches.get(packet.flow, now)
-        if failed is None:
-            self.ask_balancers(now, packet, asked)
-        elif (
-            now - failed.failed_at >= PROPAGATION_MS
-            and self.state.has_current_members(now)
-        ):
+        if failed is not None and self.may_reset(now, failed):
             self.reset_flow(failed)
+        elif not search.is_repeated and not self.is_pending(now, failed):
+            self.ask_balancers(now, packet, denials)
+
+    def known_ids(self, route: FlowRoute) -> set[str]:
+        """Return the ids of all known members that may hold flows of a route."""
+        return {
+            view.member.id
+            for service in self.routes.services(route)
+            for view in self.table.by_service(service)
+        }
+
+    def is_pending(self, now: int, failed: FailedSearch | None) -> bool:
+        """Return whether other balancers may still confirm a failed search."""
+        return (
+            failed is not None
+            and failed.ids_hash == self.table.ids_hash
+            and now - failed.failed_at < SEARCH_MS
+        )
+
+    def may_reset(self, now: int, failed: FailedSearch) -> bool:
+        """Return whether a flow can't be open at any member, known here or not.
+
+        All members that are known here denied it, and since then the other balancers
+        answered that they know neither the flow nor more members: at once if all of
+        them did, after `PROPAGATION_MS` if more than half did.
+        """
+        if failed.ids_hash != self.table.ids_hash:
+            return False
+        if not failed.inquiry.asked_hosts:
+            return self.state.is_alone()
+        if not failed.inquiry.unconfirmed_hosts:
+            return True
+        has_waited = now - failed.failed_at >= PROPAGATION_MS
+        return has_waited and failed.inquiry.is_confirmed_by_most
 
     def reset_flow(self, failed: FailedSearch) -> None:
         """Reset a flow that is open nowhere, instead of letting its caller time out."""
-        self.failed_searches.remove(failed.packet.flow)
+        inquiry = failed.inquiry
+        self.failed_searches.remove(inquiry.packet.flow)
         self.sender.reset(
-            failed.packet,
+            inquiry.packet,
             "held nowhere",
-            denials=failed.asked_members,
-            confirmations=failed.confirmations,
+            denials=inquiry.denials,
+            confirmations=len(inquiry.confirming_hosts),
         )
 
-    def ask_balancers(self, now: int, packet: Packet, asked_members: int) -> None:
+    def ask_balancers(self, now: int, packet: Packet, denials: int) -> None:
         """Ask other balancers where a flow was last sent and which members they know.
 
         Unless their answers lead to the holder or to a reset, the members are searched
-        again after a time in which new members usually reach this balancer. If no
-        balancer is live, the flow is reset at once, provided that the store answers
-        this balancer.
+        again after a time in which new members usually reach this balancer.
         """
-        hosts = self.state.gossip.live_hosts(now)
-        failed = FailedSearch(packet, now, asked_members, frozenset(hosts))
-        self.failed_searches.put(packet.flow, failed, now)
-        if not hosts and self.state.is_store_reachable():
+        hosts = frozenset(self.state.balancers_to_ask(now))
+        failed = FailedSearch(Inquiry(packet, denials, hosts), now, self.table.ids_hash)
+        if self.may_reset(now, failed):
             self.reset_flow(failed)
             return
-        for host in hosts[:PUSH_PEERS]:
+        self.failed_searches.put(packet.flow, failed, now)
+        for host in hosts:
             self.sender.send(host, Ask(packet.flow))
         self.state.timers.add(
             now + PROPAGATION_MS, lambda later: self.search_again(later, packet.flow)
@@ -296,7 +306,7 @@
         failed = self.failed_searches.get(flow, now)
         route = self.routes.find(flow)
         if failed is not None and route is not None:
-            self.start(now, failed.packet, route)
+            self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
     def on_ask(self, now: int, host: str, message: Ask) -> None:
         """Answer another balancer where a flow was last sent."""
@@ -308,26 +318,23 @@
         failed = self.failed_searches.get(message.flow, now)
         if failed is None:
             return
+        inquiry = failed.inquiry
         if message.host and self.table.has_left(message.host):
             self.left_flows.put(message.flow, message.host, now)
             self.failed_searches.remove(message.flow)
             self.sender.reset(
-                failed.packet,
+                inquiry.packet,
                 "upstream gone",
                 host=message.host,
-                denials=failed.asked_members,
+                denials=inquiry.denials,
                 confirmations=1,
             )
         elif message.host and self.table.by_host(message.host) is None:
-            self.forward_to(now, failed.packet, message.host)
-        elif message.members == self.table.ids_hash:
-            failed = replace(
-                failed,
-                unconfirmed_hosts=failed.unconfirmed_hosts - {host},
-                confirmations=failed.confirmations + 1,
-            )
+            self.forward_to(now, inquiry.packet, message.host)
+        elif message.members == failed.ids_hash:
+            failed = replace(failed, inquiry=inquiry.confirm(host))
             self.failed_searches.put(message.flow, failed, now)
-            if not failed.unconfirmed_hosts and self.state.has_current_members(now):
+            if self.may_reset(now, failed):
                 self.reset_flow(failed)
 
     def forward_to(self, now: int, packet: Packet, host: str) -> None:
