Don't take an upstream's leave for that of the next one at its address

Callers saw: a reset of an open flow, `upstream gone`, soon after an address was used again by a new upstream.

Cause: a balancer remembers for two minutes that the last member of an address left. As long as the record of the next one hadn't arrived, flows there were reset, also when another balancer had just sent packets to it, and when the side process itself had just reported the flow.

Change: a report of a held flow clears the address. When another balancer names such an address, the flow is reset only if both know the same members, so that neither knows a later one there; otherwise the packet goes to the address as a search, which its side process answers. A balancer that can't account for the address that it names leaves the hash of its members out, which old builds read as a difference. A flow that is found is no longer remembered as one whose holder left.

Measured: the two tests of ReusedAddressTest failed before and pass, as do the tests that flows of an upstream that left are reset on their next packet.

Ruled out: forgetting the leave sooner: its age says nothing of the next member.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -230,6 +230,7 @@
     def on_held(self, now: int, host: str, message: Held) -> None:
         """Cache which member holds a flow."""
         self.note_member_message(now, host, message.load)
+        self.table.note_present(host)
         if self.opener.record_holder(now, message.flow, message.accepts):
             self.holders.put(message.flow, host, now)
         self.search.note_holder(message.flow)
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -164,22 +164,24 @@
             asked_ids |= {view.member.id for view in views}
             hosts = [v.member.host for v in views if v.member.host != excluded_host]
             if hosts:
-                self.last_number += 1
                 search = Search(services[index + 1 :], asked_ids, search.is_repeated)
-                key = search_key(packet.flow, self.last_number)
-                self.searches.expire(now)
-                self.searches.put(key, search, now)
-                self.sender.counts["searched"] += 1
-                self.report(
-                    6104,
-                    flow=flow_name(packet.flow),
-                    service=service,
-                    members=len(hosts),
-                )
-                hops = first_hops(self.last_number)
-                self.sender.forward_search(packet, service, hosts, hops)
+                self.send_search(now, packet, service, hosts, search)
                 return
 
+    def send_search(
+        self, now: int, packet: Packet, service: str, hosts: list[str], search: Search
+    ) -> None:
+        """Send a packet along the members of a service, and remember the search."""
+        self.last_number += 1
+        self.searches.expire(now)
+        self.searches.put(search_key(packet.flow, self.last_number), search, now)
+        self.sender.counts["searched"] += 1
+        self.report(
+            6104, flow=flow_name(packet.flow), service=service, members=len(hosts)
+        )
+        hops = first_hops(self.last_number)
+        self.sender.forward_search(packet, service, hosts, hops)
+
     def note_holder_left(self, now: int, flow: bytes, host: str) -> None:
         """Record that the holder of a flow, a member at `host`, left."""
         self.holders.remove(flow)
@@ -188,6 +190,7 @@
     def note_holder(self, flow: bytes) -> None:
         """Record that a member holds a flow."""
         self.failed_searches.remove(flow)
+        self.left_flows.remove(flow)
 
     def continue_search(
         self,
@@ -213,8 +216,10 @@
             return
         number = search_number(message.hops)
         search = self.searches.get(search_key(packet.flow, number), now)
-        if search is None:
-            return  # expired; the caller's next packet starts another search
+        # Without a search, or with one of no known member, nothing follows; the
+        # caller's next packet starts another one.
+        if search is None or not search.asked_ids:
+            return
         if search.remaining_services:
             self.ask_members(now, packet, search)
             return
@@ -227,7 +232,7 @@
         """Handle a flow that none of the asked members holds."""
         self.sender.counts["not found"] += 1
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
-        if packet.resets or not self.known_ids(route) <= search.asked_ids:
+        if packet.resets or not search.asked_ids >= self.known_ids(route):
             return
         denials = len(search.asked_ids)
         left_host = self.left_flows.get(packet.flow, now)
@@ -309,9 +314,15 @@
             self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
     def on_ask(self, now: int, host: str, message: Ask) -> None:
-        """Answer another balancer where a flow was last sent."""
+        """Answer another balancer where a flow was last sent.
+
+        The hash over the members is left out if they don't account for that address: a
+        member that isn't known here may hold the flow.
+        """
         holder = self.holders.get(message.flow, now) or ""
-        self.sender.send(host, Known(message.flow, holder, self.table.ids_hash))
+        is_accounted = self.table.has_left(holder) or self.table.by_host(holder)
+        ids_hash = self.table.ids_hash if is_accounted or not holder else 0
+        self.sender.send(host, Known(message.flow, holder, ids_hash))
 
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow that no member here holds."""
@@ -319,7 +330,9 @@
         if failed is None:
             return
         inquiry = failed.inquiry
-        if message.host and self.table.has_left(message.host):
+        is_confirmed = message.members == failed.ids_hash
+        has_left = self.table.has_left(message.host)
+        if has_left and is_confirmed and failed.ids_hash == self.table.ids_hash:
             self.left_flows.put(message.flow, message.host, now)
             self.failed_searches.remove(message.flow)
             self.sender.reset(
@@ -331,7 +344,7 @@
             )
         elif message.host and self.table.by_host(message.host) is None:
             self.forward_to(now, inquiry.packet, message.host)
-        elif message.members == failed.ids_hash:
+        elif is_confirmed:
             failed = replace(failed, inquiry=inquiry.confirm(host))
             self.failed_searches.put(message.flow, failed, now)
             if self.may_reset(now, failed):
@@ -341,10 +354,21 @@
         """Forward a packet to a member that is not known here yet.
 
         The member's service isn't known either, so the route's service for new flows
-        is sent. A side process of another service returns the packet.
+        is sent. A side process of another service returns the packet. The address is
+        cached only if no member is known to have left it: otherwise the next packet
+        asks again, unless the member reports the flow.
         """
         route = self.routes.find(packet.flow)
         if route is not None:
             self.failed_searches.remove(packet.flow)
-            self.holders.put(packet.flow, host, now)
-            self.sender.forward(packet, route.service_of(packet.flow), host)
+            service = route.service_of(packet.flow)
+            if self.table.has_left(host):
+                self.ask_host(now, packet, service, host)
+            else:
+                self.holders.put(packet.flow, host, now)
+                self.sender.forward(packet, service, host)
+
+    def ask_host(self, now: int, packet: Packet, service: str, host: str) -> None:
+        """Send a packet to one address; its member reports the flow if it holds it."""
+        search = Search([], frozenset(), is_repeated=True)
+        self.send_search(now, packet, service, [host], search)
