Refuse a new flow only when all asked balancers don't know it

Callers saw: a reset of an open flow whose first opening packet had waited on a full link while a retransmission opened it through another balancer.

Cause: the other balancers were asked, but after 100 ms more than half of the answers sufficed, and a balancer that had heard no other one reset at once. The one that had offered the flow may be the one that is late, or not heard yet after a start.

Change: all asked balancers have to answer that they don't know the flow. Those that haven't are asked again after 100 and 200 ms; after 300 ms the check ends without a reset, and the caller's next retransmission repeats it. A balancer resets without a question only if the store lists no other one.

Ruled out: a longer wait with a majority: no number of other answers stands for that of the balancer that offered the flow.

--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -20,7 +20,6 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
-    "PUSH_PEERS",
     "BalancerRecord",
     "Gossip",
     "pack_balancer",
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -4,7 +4,7 @@
 
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
-from fuchsiapin.flows.gossip import PUSH_PEERS
+from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.messages import Ask, Known
 from fuchsiapin.flows.packets import Packet, flow_name
 from fuchsiapin.flows.placement import (
@@ -28,8 +28,11 @@
 MAX_OFFERS = 4
 """Maximum number of members that one new flow is offered to."""
 PEER_ANSWER_MS = 100
-"""How long other balancers have to answer whether they know a flow; many times the
-round-trip time between availability zones."""
+"""Time after which balancers that haven't answered whether they know a flow are asked
+again; many times the round-trip time between availability zones."""
+MAX_PEER_QUESTIONS = 3
+"""Number of times that a balancer is asked about one flow; the caller's next
+retransmission repeats the check."""
 
 
 @dataclass
@@ -78,23 +81,14 @@
 
     Parameters
     ----------
-    packet : Packet
-        Its opening packet.
+    inquiry : Inquiry
+        The question to the other balancers.
     reason : str
         Why no member takes it.
-    denials : int
-        Members that returned it.
-    asked_hosts : frozenset of str
-        Balancers that were asked whether they know the flow.
-    unconfirmed_hosts : frozenset of str
-        Those of them that haven't answered yet.
     """
 
-    packet: Packet
+    inquiry: Inquiry
     reason: str
-    denials: int
-    asked_hosts: frozenset[str]
-    unconfirmed_hosts: frozenset[str]
 
 
 class FlowOpener:
@@ -237,55 +231,56 @@
         """
         if self.pending_resets.get(packet.flow, now) is not None:
             return
-        hosts = frozenset(self.state.gossip.live_hosts(now)[:PUSH_PEERS])
-        pending = PendingReset(packet, reason, denials, hosts, hosts)
-        if not hosts:
+        hosts = frozenset(self.state.balancers_to_ask(now))
+        pending = PendingReset(Inquiry(packet, denials, hosts), reason)
+        if hosts:
+            self.pending_resets.put(packet.flow, pending, now)
+            self.ask_balancers(now, packet.flow, 1)
+        elif self.state.is_alone():
             self.reset_flow(pending)
+
+    def ask_balancers(self, now: int, flow: bytes, number: int) -> None:
+        """Ask the balancers that haven't answered about a flow for the nth time."""
+        pending = self.pending_resets.get(flow, now)
+        if pending is None:
+            return
+        if number > MAX_PEER_QUESTIONS:
+            self.pending_resets.remove(flow)
             return
-        self.pending_resets.put(packet.flow, pending, now)
-        for host in hosts:
-            self.sender.send(host, Ask(packet.flow))
+        for host in pending.inquiry.unconfirmed_hosts:
+            self.sender.send(host, Ask(flow))
         self.state.timers.add(
-            now + PEER_ANSWER_MS, lambda later: self.decide_reset(later, packet.flow)
+            now + PEER_ANSWER_MS,
+            lambda later: self.ask_balancers(later, flow, number + 1),
         )
 
     def on_known(self, now: int, host: str, message: Known) -> None:
-        """Handle another balancer's answer about a flow that no member takes."""
+        """Handle another balancer's answer about a flow that no member takes.
+
+        The flow is reset once all asked balancers answered that they don't know it: one
+        that hasn't answered may be late, and have offered the flow.
+        """
         pending = self.pending_resets.get(message.flow, now)
         if pending is None:
             return
         if message.host:
             self.pending_resets.remove(message.flow)
             return
-        pending = replace(pending, unconfirmed_hosts=pending.unconfirmed_hosts - {host})
+        pending = replace(pending, inquiry=pending.inquiry.confirm(host))
         self.pending_resets.put(message.flow, pending, now)
-        if not pending.unconfirmed_hosts:
-            self.reset_flow(pending)
-
-    def decide_reset(self, now: int, flow: bytes) -> None:
-        """Reset a flow if most of the asked balancers don't know it.
-
-        Some of them may have stopped, so not all have to answer. If at most half of
-        them answer, the links of this VM may be at fault: the flow isn't reset, and the
-        caller's next retransmission repeats the check.
-        """
-        pending = self.pending_resets.get(flow, now)
-        if pending is None:
-            return
-        self.pending_resets.remove(flow)
-        if 2 * len(pending.unconfirmed_hosts) < len(pending.asked_hosts):
+        if not pending.inquiry.unconfirmed_hosts:
             self.reset_flow(pending)
 
     def reset_flow(self, pending: PendingReset) -> None:
         """Reset a flow that can't have opened."""
-        flow = pending.packet.flow
-        self.pending_resets.remove(flow)
-        self.openings.remove(flow)
+        inquiry = pending.inquiry
+        self.pending_resets.remove(inquiry.packet.flow)
+        self.openings.remove(inquiry.packet.flow)
         self.sender.reset(
-            pending.packet,
+            inquiry.packet,
             pending.reason,
-            denials=pending.denials,
-            confirmations=len(pending.asked_hosts) - len(pending.unconfirmed_hosts),
+            denials=inquiry.denials,
+            confirmations=len(inquiry.confirming_hosts),
         )
 
     def reoffer(
