Wait for the latest copy of an opening packet before a flow is refused

Callers saw: a reset of a flow that a member had just taken.

Cause: a member that returned one copy of the opening packet counted as one that returned the flow, though a later copy was on its way to it and could be taken there.

Change: an opening remembers the latest copy that was sent to each member, and a member has returned the flow once it returned that copy.

Measured: `test_a_copy_that_its_member_took_after_it_had_returned_the_first` failed before and passes.

Ruled out: counting copies against returns: a member's queue returns one packet for all the copies that it got.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -51,8 +51,11 @@
         Whether a member reported that it holds the flow.
     retransmissions : int
         Opening packets of the flow received here after the first one.
+    last_copies : dict
+        Number of the latest copy of the opening packet that was sent to each member,
+        by address.
     returned_by : list of str
-        Addresses of members that returned it.
+        Addresses of members that returned the latest copy sent to them.
     saw_first : bool
         Whether this balancer received the first opening packet. Otherwise another
         balancer may have offered the flow to members that aren't in `tried_hosts`.
@@ -63,9 +66,21 @@
     tried_hosts: list[str]
     is_held: bool = False
     retransmissions: int = 0
+    last_copies: dict[str, int] = field(default_factory=dict)
     returned_by: list[str] = field(default_factory=list)
     saw_first: bool = False
 
+    def note_sent(self, host: str, packet: Packet) -> None:
+        """Record that a copy of the opening packet was sent to a member."""
+        # The acknowledgement number is the number of the copy.
+        number = max(self.last_copies.get(host, 0), packet.acknowledged)
+        self.last_copies[host] = number
+
+    def note_returned(self, host: str, packet: Packet) -> None:
+        """Record that a member returned a copy; it may have taken a later one."""
+        if packet.acknowledged >= self.last_copies.get(host, 0):
+            self.returned_by.append(host)
+
     @property
     def cannot_be_open(self) -> bool:
         """Return whether the flow can't have opened at any member."""
@@ -133,7 +148,6 @@
         """Place a new flow, or forward a retransmitted opening packet."""
         opening = self.openings.get(packet.flow, now)
         if opening is None:
-            # The acknowledgement number is the number of this retransmission.
             opening = Opening("", now, [], saw_first=packet.acknowledged == 0)
             self.place(now, packet, route, opening)
             return
@@ -143,6 +157,7 @@
             self.place(now, packet, route, opening)
             return
         service = route.service_of(packet.flow)
+        opening.note_sent(opening.host, packet)
         self.sender.forward(packet, service, opening.host, route.priority)
 
     def should_reoffer(self, now: int, opening: Opening) -> bool:
@@ -206,6 +221,7 @@
         opening.host = view.member.host
         opening.offered_at = now
         opening.tried_hosts.append(view.member.host)
+        opening.note_sent(view.member.host, packet)
         self.openings.put(packet.flow, opening, now)
         self.holders.put(packet.flow, view.member.host, now)
         self.sender.counts["placed"] += 1
@@ -300,7 +316,7 @@
             return
         if host not in opening.tried_hosts:
             opening.tried_hosts.append(host)
-        opening.returned_by.append(host)
+        opening.note_returned(host, packet)
         if self.holders.get(packet.flow, now) is not None:
             self.holders.remove(packet.flow)
         self.place(now, packet, route, opening)
