Don't reset open flows of a route that this balancer doesn't know yet

Callers saw: a reset of an open flow, `no route`, at a balancer whose configuration was older than the flow's route.

Cause: an address without a route counted as proof that its route was dropped. A balancer with an older configuration can't tell a dropped route from a new one.

Change: dropped routes are remembered when a newer configuration takes effect. A packet of an open flow is reset if its route was dropped, else ignored and counted ("route not known"); the caller repeats it. New flows without a route are refused at once as before.

Measured: `test_an_open_flow_of_a_route_that_is_not_known_yet_is_not_reset` failed before and passes, as does the test that flows of a removed route are reset.

Ruled out: asking other balancers for their version: silence costs a retransmission.

--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -6,6 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.packets import ROUTE_BYTES
 from fuchsiapin.lightclasses import astuple, dataclass
 
 __all__ = [
@@ -16,6 +17,9 @@
     "unpack_configuration",
 ]
 
+MAX_DROPPED_ROUTES = 10_000
+"""Maximum number of dropped routes that are remembered; about 100 bytes each."""
+
 
 @dataclass(frozen=True)
 class FlowRoute:
@@ -114,6 +118,8 @@
     former_services : dict
         Services that were removed from a route and may still hold its flows, by
         address.
+    dropped : dict
+        Addresses of routes that a configuration dropped, the latest last.
     """
 
     def __init__(self) -> None:
@@ -121,6 +127,7 @@
         self.idle_timeout_ms = 0
         self.routes: dict[bytes, FlowRoute] = {}
         self.former_services: dict[bytes, tuple[str, ...]] = {}
+        self.dropped: dict[bytes, None] = {}
 
     def put(self, configuration: FlowConfiguration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
@@ -134,8 +141,21 @@
             self.remember_former(address, before.get(address), route)
         for address in self.former_services.keys() - self.routes.keys():
             del self.former_services[address]
+        self.remember_dropped(before)
         return True
 
+    def remember_dropped(self, before: dict[bytes, FlowRoute]) -> None:
+        """Remember the routes in force before that are no longer there."""
+        for address in self.dropped.keys() & self.routes.keys():
+            del self.dropped[address]
+        self.dropped.update(dict.fromkeys(before.keys() - self.routes.keys()))
+        while len(self.dropped) > MAX_DROPPED_ROUTES:
+            del self.dropped[next(iter(self.dropped))]
+
+    def is_dropped(self, flow: bytes) -> bool:
+        """Return whether a configuration dropped the route of a flow."""
+        return flow[:ROUTE_BYTES] in self.dropped
+
     def remember_former(
         self, address: bytes, before: FlowRoute | None, route: FlowRoute
     ) -> None:
@@ -152,7 +172,7 @@
 
     def find(self, flow: bytes) -> FlowRoute | None:
         """Return the route of a flow, None if there is none."""
-        return self.routes.get(flow[:6])
+        return self.routes.get(flow[:ROUTE_BYTES])
 
     def services(self, route: FlowRoute) -> list[str]:
         """Return the services that may hold open flows of a route."""
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -102,6 +102,15 @@
         self.state.effects.append(ToCaller(caller_host(packet.flow), data))
 
     def reset_unrouted(self, packet: Packet) -> None:
-        """Reset a flow that matches no route, once a configuration is known."""
-        if self.state.routes.version and not packet.resets:
+        """Reset a flow that matches no route, once a configuration is known.
+
+        An open flow is reset only if its route was dropped: otherwise the route may be
+        newer than the configuration here. Its caller repeats the packet.
+        """
+        routes = self.state.routes
+        if not routes.version or packet.resets:
+            return
+        if packet.opens or routes.is_dropped(packet.flow):
             self.reset(packet, "no route")
+        else:
+            self.counts["route not known"] += 1
