Search other services too before a young balancer resets a flow

Callers saw: a reset of an open flow, `held nowhere`, after its route had moved to another service and the balancers had restarted.

Cause: a search covers the services of the route and those that this process saw it have. One that started after the change doesn't know the former service, whose members still hold flows; their absence from the search counted as denial.

Change: for its first minute, the longest life of a flow, a balancer goes on with all other services once the members of the route's own denied the flow; the flow is reset only if all members denied it. Beyond 1,000 members nothing is searched further, nor reset. Questions go out in a fixed order.

Ruled out: replicating former services: another object to keep, for one minute's use.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -263,7 +263,7 @@
         if number > MAX_PEER_QUESTIONS:
             self.pending_resets.remove(flow)
             return
-        for host in pending.inquiry.unconfirmed_hosts:
+        for host in sorted(pending.inquiry.unconfirmed_hosts):
             self.sender.send(host, Ask(flow))
         self.state.timers.add(
             now + PEER_ANSWER_MS,
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -31,6 +31,10 @@
 PROPAGATION_MS = DIGEST_MS
 """Time within which a new member usually reaches every balancer: it is pushed at once,
 and digests detect lost pushes, each round with a few random balancers."""
+MAX_FLOW_MS = 60_000
+"""Longest life of a flow by default."""
+MAX_SEARCHED_MEMBERS = 1_000
+"""Most members in all for which services other than the route's are searched."""
 LEFT_FLOW_MS = 5_000
 """How long a flow is remembered whose holder left, with the holder's address."""
 
@@ -49,11 +53,14 @@
         are suspect.
     is_repeated : bool
         Whether it repeats an earlier search without a new packet of the caller.
+    has_all_services : bool
+        Whether it includes services that the route isn't known to have had.
     """
 
     remaining_services: list[str]
     asked_ids: frozenset[str]
-    is_repeated: bool
+    is_repeated: bool = False
+    has_all_services: bool = False
 
 
 def first_hops(number: int) -> int:
@@ -146,7 +153,8 @@
 
         `excluded_host` isn't asked in the first service with members to ask.
         """
-        search = Search(self.routes.services(route), frozenset(), is_repeated)
+        services = self.routes.services(route)
+        search = Search(services, frozenset(), is_repeated)
         self.ask_members(now, packet, search, excluded_host)
 
     def ask_members(
@@ -164,7 +172,11 @@
             asked_ids |= {view.member.id for view in views}
             hosts = [v.member.host for v in views if v.member.host != excluded_host]
             if hosts:
-                search = Search(services[index + 1 :], asked_ids, search.is_repeated)
+                search = replace(
+                    search,
+                    remaining_services=services[index + 1 :],
+                    asked_ids=asked_ids,
+                )
                 self.send_search(now, packet, service, hosts, search)
                 return
 
@@ -220,19 +232,44 @@
         # caller's next packet starts another one.
         if search is None or not search.asked_ids:
             return
+        if not search.remaining_services:
+            search = self.extend(now, packet, route, search)
         if search.remaining_services:
             self.ask_members(now, packet, search)
             return
         hops = message.hops - first_hops(number)
         self.handle_not_found(now, packet, route, search, hops)
 
+    def extend(
+        self, now: int, packet: Packet, route: FlowRoute, search: Search
+    ) -> Search:
+        """Return a search of which no service remains, with those still to be asked.
+
+        A process that started recently doesn't know which services the route had
+        before, so it asks all others too, once all members of the route's own services
+        denied the flow.
+        """
+        is_complete = search.has_all_services or packet.resets
+        if is_complete or now - self.state.record.started > MAX_FLOW_MS:
+            return search
+        if self.left_flows.get(packet.flow, now) is not None:
+            return search
+        if not search.asked_ids >= self.known_ids(route, search):
+            return search
+        services = []
+        if len(self.table.views) <= MAX_SEARCHED_MEMBERS:
+            own = self.routes.services(route)
+            by_service = self.table.views_by_service
+            services = [name for name in by_service if name not in own]
+        return replace(search, remaining_services=services, has_all_services=True)
+
     def handle_not_found(
         self, now: int, packet: Packet, route: FlowRoute, search: Search, hops: int
     ) -> None:
         """Handle a flow that none of the asked members holds."""
         self.sender.counts["not found"] += 1
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
-        if packet.resets or not search.asked_ids >= self.known_ids(route):
+        if packet.resets or not search.asked_ids >= self.known_ids(route, search):
             return
         denials = len(search.asked_ids)
         left_host = self.left_flows.get(packet.flow, now)
@@ -245,8 +282,10 @@
         elif not search.is_repeated and not self.is_pending(now, failed):
             self.ask_balancers(now, packet, denials)
 
-    def known_ids(self, route: FlowRoute) -> set[str]:
-        """Return the ids of all known members that may hold flows of a route."""
+    def known_ids(self, route: FlowRoute, search: Search) -> set[str]:
+        """Return the ids of all known members that may hold the flow of a search."""
+        if search.has_all_services:
+            return set(self.table.views)
         return {
             view.member.id
             for service in self.routes.services(route)
@@ -294,8 +333,9 @@
         Unless their answers lead to the holder or to a reset, the members are searched
         again after a time in which new members usually reach this balancer.
         """
-        hosts = frozenset(self.state.balancers_to_ask(now))
-        failed = FailedSearch(Inquiry(packet, denials, hosts), now, self.table.ids_hash)
+        hosts = self.state.balancers_to_ask(now)
+        inquiry = Inquiry(packet, denials, frozenset(hosts))
+        failed = FailedSearch(inquiry, now, self.table.ids_hash)
         if self.may_reset(now, failed):
             self.reset_flow(failed)
             return
