Don't refuse a flow of which a copy was sent on since the question

Cause: the answers were taken for more than they say. A copy of the opening packet that came while the other balancers were asked was sent on to the member, and the flow reset all the same. And a balancer that had answered that it doesn't know the flow could offer it a moment later, when a copy came there.

Change: to send a copy on ends the check. A balancer that is asked names a member that may still take the flow, and after the answer that it knows none it doesn't offer the flow for 600 ms, twice the longest check; its caller gets the reset meanwhile.

Measured: `test_a_copy_sent_on_while_other_balancers_are_asked` and `test_a_copy_through_a_balancer_that_has_answered` failed before and pass.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -94,7 +94,7 @@
             Buckets: state.gossip.on_buckets,
             Pull: state.gossip.on_pull,
             Copy: state.on_copy,
-            Ask: self.search.on_ask,
+            Ask: self.on_ask,
             Known: self.on_known,
         }
 
@@ -235,6 +235,14 @@
             self.holders.put(message.flow, host, now)
         self.search.note_holder(message.flow)
 
+    def on_ask(self, now: int, host: str, message: Ask) -> None:
+        """Answer another balancer's question about a flow."""
+        flow = message.flow
+        holder = self.holders.get(flow, now) or self.opener.pending_host(now, flow)
+        if not holder:
+            self.opener.hold_back(now, flow)
+        self.search.answer(host, flow, holder)
+
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow."""
         self.opener.on_known(now, host, message)
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -30,6 +30,9 @@
 PEER_ANSWER_MS = 100
 """Time after which balancers that haven't answered whether they know a flow are asked
 again; many times the round-trip time between availability zones."""
+HOLD_BACK_MS = 600
+"""How long a flow that another balancer is about to refuse isn't offered here; twice
+the time of its longest check."""
 MAX_PEER_QUESTIONS = 3
 """Number of times that a balancer is asked about one flow; the caller's next
 retransmission repeats the check."""
@@ -75,17 +78,23 @@
         # The acknowledgement number is the number of the copy.
         number = max(self.last_copies.get(host, 0), packet.acknowledged)
         self.last_copies[host] = number
+        if host in self.returned_by:
+            self.returned_by.remove(host)
 
     def note_returned(self, host: str, packet: Packet) -> None:
         """Record that a member returned a copy; it may have taken a later one."""
         if packet.acknowledged >= self.last_copies.get(host, 0):
             self.returned_by.append(host)
 
+    @property
+    def pending_hosts(self) -> list[str]:
+        """Return the addresses of the members that may take the flow or have it."""
+        return [host for host in self.tried_hosts if host not in self.returned_by]
+
     @property
     def cannot_be_open(self) -> bool:
         """Return whether the flow can't have opened at any member."""
-        is_returned_by_all = all(host in self.returned_by for host in self.tried_hosts)
-        return self.saw_first and not self.is_held and is_returned_by_all
+        return self.saw_first and not self.is_held and not self.pending_hosts
 
 
 @dataclass(frozen=True)
@@ -143,9 +152,16 @@
         self.refusal_reason = refusal_policies.get(refusal_policy)
         self.openings = FlowCache(MAX_OPENINGS, OPENING_MS)
         self.pending_resets = FlowCache(MAX_OPENINGS, OPENING_MS)
+        self.held_back = FlowCache(MAX_OPENINGS, HOLD_BACK_MS)
 
     def on_opening(self, now: int, packet: Packet, route: FlowRoute) -> None:
-        """Place a new flow, or forward a retransmitted opening packet."""
+        """Place a new flow, or forward a retransmitted opening packet.
+
+        A flow that another balancer is about to refuse isn't placed.
+        """
+        if self.held_back.get(packet.flow, now) is not None:
+            self.sender.counts["held back"] += 1
+            return
         opening = self.openings.get(packet.flow, now)
         if opening is None:
             opening = Opening("", now, [], saw_first=packet.acknowledged == 0)
@@ -156,8 +172,13 @@
             self.suspect_member(now, opening)
             self.place(now, packet, route, opening)
             return
-        service = route.service_of(packet.flow)
+        self.send(packet, route, opening)
+
+    def send(self, packet: Packet, route: FlowRoute, opening: Opening) -> None:
+        """Send an opening packet to the member that the flow was offered to last."""
+        self.pending_resets.remove(packet.flow)
         opening.note_sent(opening.host, packet)
+        service = route.service_of(packet.flow)
         self.sender.forward(packet, service, opening.host, route.priority)
 
     def should_reoffer(self, now: int, opening: Opening) -> bool:
@@ -221,7 +242,6 @@
         opening.host = view.member.host
         opening.offered_at = now
         opening.tried_hosts.append(view.member.host)
-        opening.note_sent(view.member.host, packet)
         self.openings.put(packet.flow, opening, now)
         self.holders.put(packet.flow, view.member.host, now)
         self.sender.counts["placed"] += 1
@@ -235,7 +255,7 @@
             offers=len(opening.tried_hosts),
             configuration=self.state.routes.version,
         )
-        self.sender.forward(packet, service, opening.host, route.priority)
+        self.send(packet, route, opening)
 
     def reset_unless_known(
         self, now: int, packet: Packet, reason: str, denials: int
@@ -270,6 +290,21 @@
             lambda later: self.ask_balancers(later, flow, number + 1),
         )
 
+    def pending_host(self, now: int, flow: bytes) -> str:
+        """Return the address of a member that may take a flow, empty if none may."""
+        opening = self.openings.get(flow, now)
+        hosts = opening.pending_hosts if opening is not None else []
+        return hosts[-1] if hosts else ""
+
+    def hold_back(self, now: int, flow: bytes) -> None:
+        """Don't offer a flow for a while, as another balancer was told it isn't known.
+
+        Otherwise a copy of its opening packet could open it here before that balancer
+        resets it.
+        """
+        self.held_back.expire(now)
+        self.held_back.put(flow, True, now)
+
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow that no member takes.
 
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -353,16 +353,15 @@
         if failed is not None and route is not None:
             self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
-    def on_ask(self, now: int, host: str, message: Ask) -> None:
-        """Answer another balancer where a flow was last sent.
+    def answer(self, host: str, flow: bytes, holder: str) -> None:
+        """Answer another balancer where a flow was last sent, empty for nowhere.
 
         The hash over the members is left out if they don't account for that address: a
         member that isn't known here may hold the flow.
         """
-        holder = self.holders.get(message.flow, now) or ""
         is_accounted = self.table.has_left(holder) or self.table.by_host(holder)
         ids_hash = self.table.ids_hash if is_accounted or not holder else 0
-        self.sender.send(host, Known(message.flow, holder, ids_hash))
+        self.sender.send(host, Known(flow, holder, ids_hash))
 
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow that no member here holds."""
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -217,6 +217,38 @@
         world.run(100)
         self.assertEqual((caller.resets, caller.is_open), (0, True))
 
+    def world_that_refuses(self) -> tuple[FlowWorld, Caller]:
+        """Return a world whose only member has no room, and a caller that opens."""
+        world = settled_world(members=1)
+        for upstream in world.upstreams.values():
+            upstream.capacity = 0
+        caller = world.caller()
+        caller.open(world.balancer_hosts[0])
+        return world, caller
+
+    def test_a_copy_sent_on_while_other_balancers_are_asked(self) -> None:
+        world, caller = self.world_that_refuses()
+        world.run(6)
+        for upstream in world.upstreams.values():
+            upstream.capacity = 100
+        caller.open(world.balancer_hosts[0], retransmission=1)
+        world.run(400)
+        self.assertEqual((caller.resets, caller.is_open), (0, True))
+
+    def test_a_copy_through_a_balancer_that_has_answered(self) -> None:
+        world, caller = self.world_that_refuses()
+        first, second, third = world.balancer_hosts
+        world.cut_links = links([first], [third])
+        world.run(8)
+        for upstream in world.upstreams.values():
+            upstream.capacity = 100
+        caller.open(second, retransmission=1)
+        world.run(50)
+        world.cut_links = set()
+        world.run(400)
+        self.assertFalse(caller.is_open and caller.resets)
+        self.assertFalse(any(caller.flow in u.flows for u in world.upstreams.values()))
+
 
 class UnknownRouteTest(unittest.TestCase):
     """A balancer with an older configuration resets no flow of a newer route."""
