Remove state that only former conditions of a reset read

Cause: the time of the last sync with the store and a member's last report that it takes flows have no reader any more.

Change: both are gone.

Measured: tests of flow ends, state and proofs pass; no behaviour changes.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -372,7 +372,6 @@
                 unanswered_pings=view.unanswered_pings,
             )
         view.note_message(now, load)
-        view.takes_flows = message.takes_flows
         view.refused_until = 0 if message.takes_flows else now + REFUSAL_MS
 
     def remove_dead(self, now: int, view: MemberView) -> None:
--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -64,8 +64,6 @@
         Whether a complete list was read at least once.
     is_reachable : bool
         Whether the last call succeeded, or was answered with `history lost`.
-    synced_at : int
-        When the follower was last in sync with the store, in ms, 0 for never.
     generation : int
         Generation of calls; answers to calls of an earlier generation are ignored.
     """
@@ -93,7 +91,6 @@
         self.has_listed = False
         self.is_reachable = False
         self.is_active = False
-        self.synced_at = 0
         self.revision = 0
         self.items: list[StoredItem] = []
         self.failures = 0
@@ -170,7 +167,6 @@
         self.failures = 0
         self.is_reachable = True
         if self.revision:
-            self.synced_at = now
             self.revision = max(self.revision, answer.revision)
             for item in answer.items:
                 self.on_change(now, item)
@@ -180,7 +176,6 @@
         if answer.has_more and answer.items:
             self.list_page(answer.items[-1].name)
             return
-        self.synced_at = now
         self.revision = answer.revision
         self.has_listed = True
         items, self.items = self.items, []
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -203,8 +203,6 @@
         Whether an opening packet went unanswered and nothing was received since.
     is_stored : bool
         Whether the store holds it, as far as known.
-    takes_flows : bool
-        Whether its side process last reported that it takes new flows.
     """
 
     def __init__(self, member: FlowMember, now: int) -> None:
@@ -218,7 +216,6 @@
         self.refused_until = 0
         self.has_unanswered_opening = False
         self.is_stored = False
-        self.takes_flows = False
 
     def note_message(self, now: int, load: Load | None = None) -> None:
         """Record a message from the side process, and its load report if it has one."""
