Report the silence of a member never heard from when it was added

Change: the silence counts from the addition of the member, as in event 6308.

Measured: the new test failed before (silent_ms was the whole time) and passes.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -211,7 +211,7 @@
                 6106,
                 member=view.member.id,
                 host=opening.host,
-                silent_ms=now - view.last_message_at,
+                silent_ms=now - max(view.last_message_at, view.added_at),
             )
 
     def place(
--- a/fuchsiapin/tests/test_flows.py
+++ b/fuchsiapin/tests/test_flows.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiapin.flows.opening import Opening
 from fuchsiapin.tests.flowactors import make_packet, make_route
 from fuchsiapin.tests.flowworld import open_flow, settled_world
 
@@ -145,6 +146,17 @@
         world.run(50)
         self.assertTrue(caller.is_open)
 
+    def test_the_silence_of_a_member_never_heard_counts_from_its_addition(self) -> None:
+        world = settled_world()
+        core = world.balancer(0)
+        view = core.table.by_host(next(iter(world.upstreams)))
+        view.last_message_at, view.added_at = 0, world.now - 40
+        reports: list[dict] = []
+        core.opener.report = lambda number, **fields: reports.append(fields)
+        opening = Opening(view.member.host, world.now, [view.member.host])
+        core.opener.suspect_member(world.now, opening)
+        self.assertEqual([fields["silent_ms"] for fields in reports], [40])
+
     def test_a_full_upstream_passes_a_flow_to_another(self) -> None:
         world = settled_world(members=3)
         for upstream in list(world.upstreams.values())[:2]:
