List that a dropped member is restored by balancers that drop it later

Each balancer drops a silent member by itself; as long as another one still has it, the next digest restores it, with its silence starting anew.

The code isn't changed.

Ruled out: refusing a dropped version for a while, by reading: a member that is alive again announces itself with the same version, to a few balancers only.

--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -382,6 +382,18 @@
         for n in range(3):
             self.assertNotIn(upstream.id, world.balancer(n).table.views)
 
+    def test_a_dropped_member_is_not_restored_by_a_balancer_that_drops_it_later(
+        self,
+    ) -> None:
+        world = FlowWorld(seed=2)
+        world.run(4_000)
+        host, upstream = next(iter(world.upstreams.items()))
+        world.kill(host)
+        upstream.is_up = False
+        world.run(DEAD_MS + 4_000)
+        for n in range(3):
+            self.assertNotIn(upstream.id, world.balancer(n).table.views)
+
     def test_a_removed_member_that_is_alive_is_added_again(self) -> None:
         world = FlowWorld()
         world.run(4_000)
