Ask the present upstream before a flow is reported lost

Callers saw: a reset of an open flow, `upstream gone`, though its upstream served. Shown by tests only.

Cause: with the first heartbeat of a new incarnation a side process took all flows that it tracked for the former one's. A flow that opened before that heartbeat was read, or that a new side process had adopted before a late heartbeat of a former upstream, was reported lost, and one such report resets it.

Change: a packet of a lost flow goes to the present upstream, and the flow is reported lost once that bounces it; at once only if the upstream left or its port is closed.

Measured: the two tests of IncarnationTest failed before and pass; flows of a former incarnation are reset as before (test_flowends).

Ruled out: telling flows apart by when they opened: that of the upstream's start isn't known where clocks were set back.

--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -127,9 +127,9 @@
     def on_open_flow_packet(self, now: int, message: Forward, packet: Packet) -> None:
         """Deliver, return or pass on a packet of an open flow.
 
-        It is delivered if the upstream holds the flow, and returned if the flow was
-        lost with an earlier incarnation. An upstream that may hold a flow unknown to
-        this process gets the packet too, and bounces it if it doesn't hold the flow.
+        It is delivered if the upstream holds the flow. An upstream that may hold a flow
+        unknown to this process, or one that this process takes for lost with an earlier
+        incarnation, gets the packet too, and bounces it if it doesn't hold the flow.
         Otherwise the packet is passed on to the next hop.
         """
         flow = self.held.get(packet.flow)
@@ -142,8 +142,7 @@
             self.effects.append(ToUpstream(packet.data))
             self.let_in(now)
         elif self.state.lost_flows.get(packet.flow, now) is not None:
-            self.counts["lost"] += 1
-            self.return_packet(now, message, "lost")
+            self.offer_lost(now, message, packet)
         elif self.may_hold_unknown_flows(now) and (
             flow is None or flow.first_sequence is None
         ):
@@ -154,6 +153,24 @@
         else:
             self.pass_on(now, message, "unknown")
 
+    def offer_lost(self, now: int, message: Forward, packet: Packet) -> None:
+        """Return a packet of a lost flow unless the present upstream may hold it.
+
+        The flow may have opened there before the upstream's first heartbeat was read.
+        """
+        member = self.upstream.member
+        is_gone = member is None or member.state == "gone"
+        if is_gone or self.upstream.is_port_closed:
+            self.return_lost(now, message)
+            return
+        self.tentative_messages.put(packet.flow, message, now)
+        self.effects.append(ToUpstream(packet.data))
+
+    def return_lost(self, now: int, message: Forward) -> None:
+        """Return a packet of a flow that was lost with an earlier incarnation."""
+        self.counts["lost"] += 1
+        self.return_packet(now, message, "lost")
+
     def may_hold_unknown_flows(self, now: int) -> bool:
         """Return whether the upstream may hold flows older than this process."""
         if (
@@ -214,6 +231,7 @@
         """Start to track a flow that the upstream held before this process started."""
         message = self.tentative_messages.get(flow, now)
         self.tentative_messages.remove(flow)
+        self.state.lost_flows.remove(flow)
         origin = message.origin if message is not None else ""
         self.counts["adopted"] += 1
         self.send_held(now, flow, origin)
@@ -229,7 +247,11 @@
         flow = self.held.get(packet.flow)
         message = self.tentative_messages.get(packet.flow, now)
         if message is not None:
-            self.pass_on(now, replace(message, packet=data), "unknown")
+            message = replace(message, packet=data)
+            if self.state.lost_flows.get(packet.flow, now) is not None:
+                self.return_lost(now, message)
+            else:
+                self.pass_on(now, message, "unknown")
         elif flow is not None:
             self.held.remove(packet.flow)
             self.report(6203, flow=flow_name(packet.flow), opens=False)
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -5,7 +5,8 @@
 from fuchsiapin.flows.messages import Held
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import PROPAGATION_MS
-from fuchsiapin.tests.flowactors import Caller, make_route
+from fuchsiapin.lightclasses import replace
+from fuchsiapin.tests.flowactors import HEARTBEAT_MS, Caller, make_route
 from fuchsiapin.tests.flowworld import (
     FlowWorld,
     open_flow,
@@ -250,6 +251,40 @@
         self.assertFalse(any(caller.flow in u.flows for u in world.upstreams.values()))
 
 
+class IncarnationTest(unittest.TestCase):
+    """A side process doesn't take the present upstream's flows for former ones."""
+
+    def test_a_flow_opened_before_the_first_heartbeat_of_its_upstream(self) -> None:
+        world = settled_world(members=1)
+        balancer = world.balancer_hosts[0]
+        upstream = next(iter(world.upstreams.values()))
+        world.run(100)
+        upstream.restart()
+        caller = open_flow(world, balancer)
+        caller.request(balancer)
+        world.run(HEARTBEAT_MS + 200)
+        self.assertIn(caller.flow, upstream.flows)
+        caller.request(balancer)
+        world.run(200)
+        self.assertEqual((caller.answers, caller.resets), (2, 0))
+
+    def test_a_late_heartbeat_of_a_former_upstream_after_a_flow_was_adopted(
+        self,
+    ) -> None:
+        world, caller, host = world_with_flow(members=3)
+        balancer, upstream = world.balancer_hosts[0], world.upstreams[host]
+        former = replace(upstream.next_heartbeat(), id="former", born=1, sequence=900)
+        world.start_side(host)
+        world.run(20)
+        caller.request(balancer)
+        world.run(100)
+        world.side(host).on_heartbeat(world.now, former)
+        world.run_effects(host)
+        caller.request(balancer)
+        world.run(100)
+        self.assertEqual((caller.answers, caller.resets), (2, 0))
+
+
 class UnknownRouteTest(unittest.TestCase):
     """A balancer with an older configuration resets no flow of a newer route."""
 
