Don't take one late heartbeat for an upstream that this process has seen end

Callers saw: a reset of an open flow, `held nowhere`, though its upstream served. Shown by a test only.

Cause: a side process that reads a heartbeat of one upstream and then of another knows all flows of the latter, as it ran before it started. After a restart the first one may be a late heartbeat of an upstream that is long gone, and the flows of the present one were denied without asking it.

Change: an earlier incarnation counts once it sent a second heartbeat to this process.

Measured: `test_a_late_heartbeat_of_a_former_upstream_before_the_first_one` failed before and passes.

Ruled out: comparing starts, which clocks set back make useless. Two late heartbeats would still mislead.

--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -69,6 +69,9 @@
         Whether this process ran before the incarnation started, so that it has
         seen every flow. Derived from an earlier incarnation or a closed port,
         because clocks may jump.
+    was_continued : bool
+        Whether an incarnation sent a second heartbeat to this process. A single one may
+        be a late one of an upstream that ended before this process started.
     has_heartbeat : bool
         Whether `member` comes from a heartbeat; otherwise from a probe.
     last_heartbeat_at : int
@@ -95,6 +98,7 @@
         self.earlier_start_sequence = -1
         self.unanswered_openings: list[int] = []
         self.has_heartbeat = False
+        self.was_continued = False
         self.is_port_closed = False
         self.was_port_closed = False
         self.has_seen_all_flows = False
@@ -137,6 +141,7 @@
         if heartbeat.sequence <= self.sequence:
             return "late"
         self.note_alive(now)
+        self.was_continued = True
         self.sequence = heartbeat.sequence
         self.cold_until = now + heartbeat.cold_ms
         state = "draining" if heartbeat.is_draining else member.state
@@ -150,7 +155,7 @@
     def begin_incarnation(self, now: int, heartbeat: Heartbeat) -> str:
         """Apply the first heartbeat of an incarnation."""
         known = self.member
-        self.has_seen_all_flows = self.has_heartbeat or self.was_port_closed
+        self.has_seen_all_flows = self.was_continued or self.was_port_closed
         is_same = (
             known is not None and known.id == heartbeat.id and not self.has_heartbeat
         )
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -284,6 +284,20 @@
         world.run(100)
         self.assertEqual((caller.answers, caller.resets), (2, 0))
 
+    def test_a_late_heartbeat_of_a_former_upstream_before_the_first_one(self) -> None:
+        world, caller, host = world_with_flow(members=3)
+        balancer, upstream = world.balancer_hosts[0], world.upstreams[host]
+        former = replace(upstream.next_heartbeat(), id="former", born=1, sequence=900)
+        world.start_side(host)
+        for heartbeat in (former, upstream.next_heartbeat()):
+            world.side(host).on_heartbeat(world.now, heartbeat)
+            world.run_effects(host)
+        world.start_balancer(balancer)
+        world.run(1_500)
+        caller.request(balancer)
+        world.run(200)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
 
 class UnknownRouteTest(unittest.TestCase):
     """A balancer with an older configuration resets no flow of a newer route."""
