Ask an address that members don't account for, instead of trusting a leave

Cause: that the last known member of an address left was a short cut to a reset, and any claim from the address cleared it. A balancer that was named an address that it doesn't know sent the packet there as to a known holder; a refusal began the search anew, with the same question and the same answer, more than a hundred times a second.

Change: flows of a left address are reset on the same proof as others; their reason stays "upstream gone". Meanwhile the address gets the packet as a search of its own, which the next member there would answer. A claim from a left address is followed by a ping, whose answer carries the member. What an unknown address answers begins no search.

Measured: both tests of the leave and the one of the loop (110 questions in a second before) failed before and pass, as do those of flows whose upstream left.

Ruled out: comparing the times of a claim and a leave: either may have waited.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -21,6 +21,7 @@
     Digest,
     Held,
     Known,
+    Ping,
     Pull,
     Returned,
     Status,
@@ -181,7 +182,7 @@
         """
         host = self.holders.get(packet.flow, now)
         if host is not None and self.table.has_left(host):
-            self.search.note_holder_left(now, packet.flow, host)
+            self.search.note_holder_left(now, packet, host)
             host = None
         if host is None:
             self.search.start(now, packet, route)
@@ -230,7 +231,9 @@
     def on_held(self, now: int, host: str, message: Held) -> None:
         """Cache which member holds a flow."""
         self.note_member_message(now, host, message.load)
-        self.table.note_present(host)
+        if self.table.has_left(host):
+            # The status of the member that is there now clears the address.
+            self.sender.send(host, Ping(self.state.record.name, 0, False))
         if self.opener.record_holder(now, message.flow, message.accepts):
             self.holders.put(message.flow, host, now)
         self.search.note_holder(message.flow)
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -348,10 +348,6 @@
         """Return whether the last member at an address announced that it left."""
         return host in self.left_hosts
 
-    def note_present(self, host: str) -> None:
-        """Record that an address has a member, which may not be known yet."""
-        self.left_hosts.pop(host, None)
-
     def by_host(self, host: str) -> MemberView | None:
         """Return the member at an address."""
         return self.views.get(self.ids_by_host.get(host, ""))
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -194,10 +194,14 @@
         hops = first_hops(self.last_number)
         self.sender.forward_search(packet, service, hosts, hops)
 
-    def note_holder_left(self, now: int, flow: bytes, host: str) -> None:
-        """Record that the holder of a flow, a member at `host`, left."""
-        self.holders.remove(flow)
-        self.left_flows.put(flow, host, now)
+    def note_holder_left(self, now: int, packet: Packet, host: str) -> None:
+        """Record that the holder of a flow, a member at `host`, left.
+
+        The address is asked all the same: the next member there may hold the flow.
+        """
+        self.holders.remove(packet.flow)
+        self.left_flows.put(packet.flow, host, now)
+        self.ask_host(now, packet, host)
 
     def note_holder(self, flow: bytes) -> None:
         """Record that a member holds a flow."""
@@ -271,16 +275,11 @@
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
         if packet.resets or not search.asked_ids >= self.known_ids(route, search):
             return
-        denials = len(search.asked_ids)
-        left_host = self.left_flows.get(packet.flow, now)
-        if left_host is not None:
-            self.sender.reset(packet, "upstream gone", host=left_host, denials=denials)
-            return
         failed = self.failed_searches.get(packet.flow, now)
         if failed is not None and self.may_reset(now, failed):
-            self.reset_flow(failed)
+            self.reset_flow(now, failed)
         elif not search.is_repeated and not self.is_pending(now, failed):
-            self.ask_balancers(now, packet, denials)
+            self.ask_balancers(now, packet, len(search.asked_ids))
 
     def known_ids(self, route: FlowRoute, search: Search) -> set[str]:
         """Return the ids of all known members that may hold the flow of a search."""
@@ -316,13 +315,15 @@
         has_waited = now - failed.failed_at >= PROPAGATION_MS
         return has_waited and failed.inquiry.is_confirmed_by_most
 
-    def reset_flow(self, failed: FailedSearch) -> None:
+    def reset_flow(self, now: int, failed: FailedSearch) -> None:
         """Reset a flow that is open nowhere, instead of letting its caller time out."""
         inquiry = failed.inquiry
         self.failed_searches.remove(inquiry.packet.flow)
+        left_host = self.left_flows.get(inquiry.packet.flow, now)
         self.sender.reset(
             inquiry.packet,
-            "held nowhere",
+            "held nowhere" if left_host is None else "upstream gone",
+            host=left_host or "",
             denials=inquiry.denials,
             confirmations=len(inquiry.confirming_hosts),
         )
@@ -337,7 +338,7 @@
         inquiry = Inquiry(packet, denials, frozenset(hosts))
         failed = FailedSearch(inquiry, now, self.table.ids_hash)
         if self.may_reset(now, failed):
-            self.reset_flow(failed)
+            self.reset_flow(now, failed)
             return
         self.failed_searches.put(packet.flow, failed, now)
         for host in hosts:
@@ -368,46 +369,38 @@
         failed = self.failed_searches.get(message.flow, now)
         if failed is None:
             return
-        inquiry = failed.inquiry
-        is_confirmed = message.members == failed.ids_hash
-        has_left = self.table.has_left(message.host)
-        if has_left and is_confirmed and failed.ids_hash == self.table.ids_hash:
-            self.left_flows.put(message.flow, message.host, now)
-            self.failed_searches.remove(message.flow)
-            self.sender.reset(
-                inquiry.packet,
-                "upstream gone",
-                host=message.host,
-                denials=inquiry.denials,
-                confirmations=1,
-            )
-        elif message.host and self.table.by_host(message.host) is None:
-            self.forward_to(now, inquiry.packet, message.host)
-        elif is_confirmed:
-            failed = replace(failed, inquiry=inquiry.confirm(host))
+        if message.host and self.table.by_host(message.host) is None:
+            self.ask_unknown_host(now, failed, message.host)
+            if not self.table.has_left(message.host):
+                return
+        if message.members == failed.ids_hash:
+            failed = replace(failed, inquiry=failed.inquiry.confirm(host))
             self.failed_searches.put(message.flow, failed, now)
             if self.may_reset(now, failed):
-                self.reset_flow(failed)
+                self.reset_flow(now, failed)
 
-    def forward_to(self, now: int, packet: Packet, host: str) -> None:
-        """Forward a packet to a member that is not known here yet.
+    def ask_unknown_host(self, now: int, failed: FailedSearch, host: str) -> None:
+        """Send a packet to the address of a member that isn't known here.
 
-        The member's service isn't known either, so the route's service for new flows
-        is sent. A side process of another service returns the packet. The address is
-        cached only if no member is known to have left it: otherwise the next packet
-        asks again, unless the member reports the flow.
+        The flow isn't reset then unless a member is known to have left the address.
+        """
+        packet = failed.inquiry.packet
+        if not self.table.has_left(host):
+            self.failed_searches.remove(packet.flow)
+        elif self.left_flows.get(packet.flow, now) is None:
+            self.left_flows.put(packet.flow, host, now)
+        else:
+            return
+        self.ask_host(now, packet, host)
+
+    def ask_host(self, now: int, packet: Packet, host: str) -> None:
+        """Send a packet to one address; its member reports the flow if it holds it.
+
+        The member's service isn't known, so the route's service for new flows is sent.
+        A side process of another service returns the packet, and nothing follows.
         """
         route = self.routes.find(packet.flow)
         if route is not None:
-            self.failed_searches.remove(packet.flow)
             service = route.service_of(packet.flow)
-            if self.table.has_left(host):
-                self.ask_host(now, packet, service, host)
-            else:
-                self.holders.put(packet.flow, host, now)
-                self.sender.forward(packet, service, host)
-
-    def ask_host(self, now: int, packet: Packet, service: str, host: str) -> None:
-        """Send a packet to one address; its member reports the flow if it holds it."""
-        search = Search([], frozenset(), is_repeated=True)
-        self.send_search(now, packet, service, [host], search)
+            search = Search([], frozenset(), is_repeated=True)
+            self.send_search(now, packet, service, [host], search)
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.messages import Held
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import PROPAGATION_MS
@@ -164,6 +165,57 @@
         self.world.run(100)
         self.assertEqual((self.caller.answers, self.caller.resets), (1, 0))
 
+    def test_the_former_upstream_leaves_after_the_present_one_claimed_the_flow(
+        self,
+    ) -> None:
+        world, core = self.world, self.world.balancer(1)
+        present = world.upstreams[self.host]
+        former = FlowMember("former", 1, "desk", self.host, "z", 2, "ready")
+        del core.table.left_hosts[self.host]
+        core.table.put(world.now, former)
+        held = Held(self.caller.flow, False, [0, 0, 0, 0, 0])
+        core.on_message(world.now, self.host, held)
+        core.table.put(world.now, replace(former, state="gone"))
+        self.caller.request(self.balancer)
+        world.run(200)
+        self.assertIn(self.caller.flow, present.flows)
+        self.assertEqual((self.caller.answers, self.caller.resets), (1, 0))
+
+    def test_a_late_claim_of_another_flow_does_not_hide_that_the_upstream_left(
+        self,
+    ) -> None:
+        world, caller, host = world_with_flow()
+        world.side(host).on_leave(world.now, world.upstreams[host].id)
+        world.run_effects(host)
+        world.upstreams[host].is_up = False
+        world.run(100)
+        world.kill(host)
+        core = world.balancer(0)
+        core.on_message(world.now, host, Held(b"x" * 12, False, [0, 0, 0, 0, 0]))
+        caller.request(world.balancer_hosts[0])
+        world.run(100)
+        self.assertEqual(caller.resets, 1)
+
+
+class UnknownHolderTest(unittest.TestCase):
+    """An address or a service that this balancer doesn't know proves nothing."""
+
+    def test_a_holder_that_only_others_know_is_not_asked_without_end(self) -> None:
+        world = settled_world(members=2)
+        world.add_member("10.0.1.9", "new", 2, 30)
+        caller = open_flow(world, world.balancer_hosts[0])
+        holder = world.holder(caller)
+        world.routes = (replace(world.routes[0], shares=(("new", 1),)),)
+        world.configure(2)
+        world.run(2_000)
+        world.start_balancer(world.balancer_hosts[1])
+        world.run(1_000)
+        world.balancer(1).table.remove(world.upstreams[holder].id)
+        before = world.sent_messages["Ask"]
+        caller.request(world.balancer_hosts[1])
+        world.run(1_000)
+        self.assertLess(world.sent_messages["Ask"] - before, 20)
+
 
 class LateOpeningTest(unittest.TestCase):
     """A late opening packet of a flow that is open doesn't get it reset."""
