Don't count a denial about another service as one of the member

Callers saw: a reset of an open flow, `held nowhere`. Shown by a test only.

Cause: a balancer without the record of a holder sends it packets for the route's service for new flows. A side process of another service returns them unread; if the record arrived in between, the search that follows left the member out as one that had denied the flow.

Change: a member is left out only if it was asked for its own service.

Measured: `test_a_denial_by_a_side_process_for_another_service` failed before and passes.

Ruled out: keeping the service that was sent; the returned message carries it.

--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -228,7 +228,9 @@
         if not message.is_search:
             if self.holders.get(packet.flow, now) == host:
                 self.holders.remove(packet.flow)
-            self.start(now, packet, route, host)
+            view = self.table.by_host(host)
+            is_own = view is not None and view.member.service == message.service
+            self.start(now, packet, route, host if is_own else "")
             return
         number = search_number(message.hops)
         search = self.searches.get(search_key(packet.flow, number), now)
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -200,6 +200,35 @@
 class UnknownHolderTest(unittest.TestCase):
     """An address or a service that this balancer doesn't know proves nothing."""
 
+    def test_a_denial_by_a_side_process_for_another_service(self) -> None:
+        world = settled_world(members=1)
+        caller = open_flow(world, world.balancer_hosts[0])
+        holder = world.holder(caller)
+        world.add_member("10.0.1.9", "new", 2, 30)
+        route = world.routes[0]
+        new = next(
+            candidate
+            for weight in range(1, 60)
+            if (
+                candidate := replace(route, shares=(("desk", 1), ("new", weight)))
+            ).service_of(caller.flow)
+            == "new"
+        )
+        world.routes = (new,)
+        world.configure(2)
+        world.run(2_000)
+        balancer, core = world.balancer_hosts[1], world.balancer(1)
+        view = core.table.by_host(holder)
+        core.holders.put(caller.flow, holder, world.now)
+        for other in (world.balancer(0), world.balancer(2)):
+            other.holders.remove(caller.flow)
+        core.table.remove(view.member.id)
+        caller.request(balancer)
+        world.run(3)
+        core.table.put(world.now, view.member)
+        world.run(100)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
     def test_a_holder_that_only_others_know_is_not_asked_without_end(self) -> None:
         world = settled_world(members=2)
         world.add_member("10.0.1.9", "new", 2, 30)
