Let balancers that have just started confirm nothing about members

Callers saw: a reset of an open flow, `held nowhere`, by one of two balancers that had started together while the store was away and knew the same single member.

Cause: equal lists of members were taken for complete ones.

Change: a balancer decides on and confirms flows that nobody holds once it has read the members from the store, or has run for 2 s, in which every side process announces its member. Before, its answers leave the hash of its members out.

Measured: `test_two_balancers_that_have_just_started_confirm_nothing` failed before and passes.

Ruled out: waiting for the store alone: an outage would then keep callers of lost flows waiting for as long as it lasts.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -244,7 +244,7 @@
         holder = self.holders.get(flow, now) or self.opener.pending_host(now, flow)
         if not holder:
             self.opener.hold_back(now, flow)
-        self.search.answer(host, flow, holder)
+        self.search.answer(now, host, flow, holder)
 
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow."""
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -63,6 +63,9 @@
 MAX_ASKED_BALANCERS = 24
 """Balancers that are asked about one flow; those of the same availability zone come
 first, because routers rarely move a caller's packets to another one."""
+ALL_ANNOUNCED_MS = 2_000
+"""Time after the start within which each side process has announced its member, also
+without the store: they repeat it at the latest after 1.2 s."""
 DELETE_TIMEOUT_MS = 1_000
 """Timeout of a call that deletes an object."""
 
@@ -237,6 +240,11 @@
         for follower in self.followers[1:]:
             follower.resume(now)
 
+    def knows_members(self, now: int) -> bool:
+        """Return whether this balancer has run for long enough to know all members."""
+        is_young = now - self.record.started < ALL_ANNOUNCED_MS
+        return self.member_follower.has_listed or not is_young
+
     def balancers_to_ask(self, now: int) -> list[str]:
         """Return the addresses of the balancers to ask about a flow."""
         hosts = self.gossip.live_hosts(now)
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -308,7 +308,7 @@
         answered that they know neither the flow nor more members: at once if all of
         them did, after `PROPAGATION_MS` if more than half did.
         """
-        if failed.ids_hash != self.table.ids_hash:
+        if failed.ids_hash != self.table.ids_hash or not self.state.knows_members(now):
             return False
         if not failed.inquiry.asked_hosts:
             return self.state.is_alone()
@@ -356,14 +356,17 @@
         if failed is not None and route is not None:
             self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
-    def answer(self, host: str, flow: bytes, holder: str) -> None:
+    def answer(self, now: int, host: str, flow: bytes, holder: str) -> None:
         """Answer another balancer where a flow was last sent, empty for nowhere.
 
-        The hash over the members is left out if they don't account for that address: a
-        member that isn't known here may hold the flow.
+        The hash over the members is left out if they don't account for that address, or
+        if some may not be known here yet: a member that isn't may hold the flow.
         """
-        is_accounted = self.table.has_left(holder) or self.table.by_host(holder)
-        ids_hash = self.table.ids_hash if is_accounted or not holder else 0
+        is_accounted = (
+            not holder or self.table.has_left(holder) or self.table.by_host(holder)
+        )
+        is_complete = is_accounted and self.state.knows_members(now)
+        ids_hash = self.table.ids_hash if is_complete else 0
         self.sender.send(host, Known(flow, holder, ids_hash))
 
     def on_known(self, now: int, host: str, message: Known) -> None:
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from fuchsiapin.flows.gossip import CONFIGURATION_KEY
 from fuchsiapin.flows.members import FlowMember
-from fuchsiapin.flows.messages import Held
+from fuchsiapin.flows.messages import Copy, Held
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import PROPAGATION_MS
 from fuchsiapin.lightclasses import replace
@@ -137,6 +138,28 @@
         world.run(PROPAGATION_MS)
         self.assertEqual(caller.resets, 0)
 
+    def test_two_balancers_that_have_just_started_confirm_nothing(self) -> None:
+        world = settled_world()
+        caller = open_flow(world, world.balancer_hosts[2])
+        first, second, third = world.balancer_hosts
+        holder = world.holder(caller)
+        known = next(host for host in world.upstreams if host != holder)
+        unheard = [host for host in world.upstreams if host != known]
+        replicas = world.balancer(0).state.gossip.replicas.by_key
+        configuration = replicas[CONFIGURATION_KEY]
+        world.cut_links = links([third, *unheard], [first, second])
+        world.cut_links |= links([first, second], ["store"])
+        for index, host in enumerate((first, second)):
+            world.start_balancer(host)
+            copy = Copy(CONFIGURATION_KEY, configuration.version, configuration.packed)
+            world.balancer(index).on_message(world.now, known, copy)
+        world.side(known).announcer.announce(world.now)
+        world.run_effects(known)
+        world.run(1_000)
+        caller.request(first)
+        world.run(100)
+        self.assertEqual(caller.resets, 0)
+
 
 class ReusedAddressTest(unittest.TestCase):
     """That an upstream left tells nothing of the next one at its address."""
