Drop a member as dead only after it left pings unanswered

Callers saw nothing yet: above some 450 members a balancer would drop sound ones and delete them from the store. Shown by a test only.

Cause: a member counted as silent since its last message, though it may just have waited for its turn to be pinged: at 40 pings a second that takes longer than the 10 s after which a member is dead. The decision was taken right after a ping had been sent.

Change: a dead member has also left pings unanswered for at least half of that time.

A dead member is removed as before.

Ruled out: pinging faster; the rate keeps to the budget for control.

--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -22,7 +22,8 @@
 MAX_TIMER_LAG_MS = 150
 """A process whose timers are later than this ignores unanswered pings."""
 DEAD_MS = 10_000
-"""A member that is silent for this long, while others answer, is dead."""
+"""A member that is silent for this long, while others answer, is dead, provided that it
+has left pings unanswered for at least half of the time."""
 
 
 class Pinger:
@@ -132,4 +133,6 @@
         """Return whether a member has been silent for long while others answer."""
         if now - max(view.last_message_at, view.added_at) < DEAD_MS:
             return False
-        return self.has_recent_answer(now)
+        # With many members, each waits for long until it is pinged again.
+        has_ignored_pings = view.unanswered_ms(now) >= DEAD_MS // 2
+        return has_ignored_pings and self.has_recent_answer(now)
--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -483,6 +483,11 @@
         world.run(4_000)
         self.assertTrue(world.balancer(0).table.by_host(host).is_suspect(world.now))
 
+    def test_a_member_that_was_not_pinged_for_long_is_not_dropped(self) -> None:
+        world = FlowWorld(balancers=1, members=700)
+        world.run(22_000)
+        self.assertEqual(world.event_counts[6307], 0)
+
     def test_members_are_kept_when_all_are_silent(self) -> None:
         world = FlowWorld()
         world.run(4_000)
