Repeat a refusal that no offer preceded

Callers saw: no answer, until they gave up, where a service had no member to offer a new flow to and another balancer's answer was missing.

Cause: an opening was kept only once the flow had been offered. The next copy of the opening packet began a new one, which hadn't seen the first copy and so couldn't refuse.

Change: the opening is kept when the refusal begins.

Measured: `test_a_refusal_without_an_offer_is_repeated` failed before and passes.

Ruled out: refusing without the first copy; another balancer may have offered the flow.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -229,6 +229,7 @@
         reason = self.refusal_reason(route, views, len(opening.tried_hosts))
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
             if self.state.has_read_members() and opening.cannot_be_open:
+                self.openings.put(packet.flow, opening, now)
                 # Without a reason of the policy, MAX_OFFERS members returned it.
                 self.reset_unless_known(
                     now,
--- a/fuchsiapin/tests/test_flows.py
+++ b/fuchsiapin/tests/test_flows.py
@@ -183,6 +183,22 @@
         world.run(20)
         self.assertEqual(caller.resets, 1)
 
+    def test_a_refusal_without_an_offer_is_repeated(self) -> None:
+        world = settled_world()
+        for upstream in world.upstreams.values():
+            upstream.is_draining = True
+        world.run(1_000)
+        first, other, _ = world.balancer_hosts
+        world.cut_links = {(other, first)}
+        caller = world.caller()
+        caller.open(first)
+        world.run(350)
+        self.assertEqual(caller.resets, 0)
+        world.cut_links = set()
+        caller.open(first, retransmission=1)
+        world.run(100)
+        self.assertEqual(caller.resets, 1)
+
 
 class NewFlowResetTest(unittest.TestCase):
     """A flow is reset only if it can't have opened."""
