Ignore a closed port that was probed before the latest heartbeat

Callers saw: resets of open flows of an upstream that had just started. Shown by a test only.

Cause: the outcome of a probe that was sent before the upstream started, read after its first heartbeat, reset the flows of the new incarnation.

Change: such an outcome resets nothing; it still shows that this process ran before the upstream started.

Measured: `test_a_closed_port_that_was_probed_before_the_upstream_started` failed before and passes; flows of a closed port are reset as before.

Ruled out: a second probe before each reset, which delays callers of dead upstreams.

--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -202,6 +202,8 @@
         """
         if outcome == "closed":
             self.upstream.was_port_closed = True
+            if self.upstream.last_heartbeat_at > self.probed_at:
+                return  # started since the probe was sent
             if not self.upstream.is_port_closed and self.upstream.member is not None:
                 self.report(
                     6204, member=self.upstream.member.id, flows=len(self.held.flows)
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -402,6 +402,21 @@
         world.run(200)
         self.assertEqual((caller.answers, caller.resets), (1, 0))
 
+    def test_a_closed_port_that_was_probed_before_the_upstream_started(self) -> None:
+        world = settled_world(members=1)
+        host, upstream = next(iter(world.upstreams.items()))
+        side = world.side(host)
+        upstream.restart()
+        side.on_heartbeat(world.now, upstream.next_heartbeat())
+        world.run_effects(host)
+        caller = open_flow(world, world.balancer_hosts[0])
+        caller.request(world.balancer_hosts[0])
+        world.run(100)
+        side.on_probe(world.now, "closed", "")
+        world.run_effects(host)
+        world.run(20)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
 
 class UnknownRouteTest(unittest.TestCase):
     """A balancer with an older configuration resets no flow of a newer route."""
