Search all services of small deployments only

Cause: a young balancer that finds no holder searches all services, on each packet of the caller.

Change: it searches up to 200 members in all; with more, a balancer in its first minute leaves such flows to the balancers that know their routes' former services. The text of the limit of hops says what binds searches.

Ruled out: keeping the former reset of these flows: their holder may not have been asked.

--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -16,8 +16,8 @@
 __all__ = ["FlowDelivery"]
 
 MAX_HOPS = 1_000
-"""Maximum number of members that one packet is passed along; more than a service has,
-so that a search reaches all of them."""
+"""Maximum number of members that one packet is passed along. It doesn't bind searches,
+whose count starts below 0; they end with the list of addresses in the message."""
 MAX_TENTATIVE_FLOWS = 1_000
 """Maximum number of flows whose packets were given to the upstream to find out whether
 it holds them."""
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -33,7 +33,7 @@
 and digests detect lost pushes, each round with a few random balancers."""
 MAX_FLOW_MS = 60_000
 """Longest life of a flow by default."""
-MAX_SEARCHED_MEMBERS = 1_000
+MAX_SEARCHED_MEMBERS = 200
 """Most members in all for which services other than the route's are searched."""
 LEFT_FLOW_MS = 5_000
 """How long a flow is remembered whose holder left, with the holder's address."""
