--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -13,6 +13,7 @@
 from fuchsiapin.flows.routes import FlowConfiguration, FlowRoute
 from fuchsiapin.flows.sidecore import FlowSideCore, SideSettings, make_flow_side_core
 from fuchsiapin.flows.storage import StoreResult
+from fuchsiapin.flows.upstreams import Heartbeat
 from fuchsiapin.flows.wire import decode_message, encode_message
 from fuchsiapin.tests.flowactors import (
     HEARTBEAT_MS,
@@ -100,7 +101,7 @@
         record = BalancerRecord(f"entry-{host}", self.now, host, "z")
         seeds = self.balancer_hosts[:2] if hasattr(self, "balancer_hosts") else []
         core = make_flow_balancer_core(
-            record, list(seeds), self.packets, self.report, self.rng
+            record, list(seeds), self.packets, self.reporter(host), self.rng
         )
         self.start(host, core)
 
@@ -115,9 +116,8 @@
         record = SideSettings(
             host, service, "z", HEARTBEAT_MS, 60_000, self.balancer_hosts
         )
-        self.start(
-            host, make_flow_side_core(record, self.packets, self.report, self.rng)
-        )
+        report = self.reporter(host)
+        self.start(host, make_flow_side_core(record, self.packets, report, self.rng))
 
     def start(self, host: str, core: FlowBalancerCore | FlowSideCore) -> None:
         """Start a process at an address."""
@@ -129,6 +129,10 @@
         """Kill a process."""
         self.processes[host].is_up = False
 
+    def reporter(self, host: str) -> Callable[..., None]:
+        """Return the function to which the process at an address reports events."""
+        return self.report
+
     def report(self, number: int, **fields: Any) -> None:
         """Count events, and record the fields of resets."""
         self.event_counts[number] += 1
@@ -175,7 +179,7 @@
             while self.scheduled_calls and self.scheduled_calls[0][0] <= self.now:
                 heapq.heappop(self.scheduled_calls)[2]()
             for host, process in list(self.processes.items()):
-                if process.is_up:
+                if process.is_up and self.runs_timers(host):
                     process.core.timers.run(self.now)
                     self.run_effects(host)
         self.now = end
@@ -184,13 +188,23 @@
         """Return the time of the next event or timer."""
         times = [
             due
-            for process in self.processes.values()
-            if process.is_up and (due := process.core.timers.next_due()) is not None
+            for host, process in self.processes.items()
+            if process.is_up
+            and self.runs_timers(host)
+            and (due := process.core.timers.next_due()) is not None
         ]
         if self.scheduled_calls:
             times.append(self.scheduled_calls[0][0])
         return min(times, default=None)
 
+    def runs_timers(self, host: str) -> bool:
+        """Return whether the process at an address runs its timers now."""
+        return True
+
+    def enter(self, host: str, handle: Callable[[], None], is_local: bool) -> None:
+        """Let a process handle an input, from its own VM or from a link."""
+        handle()
+
     def run_effects(self, host: str) -> None:
         """Execute the pending effects of a core."""
         process = self.processes[host]
@@ -225,10 +239,14 @@
 
     def deliver_message(self, host: str, source: str, data: bytes) -> None:
         """Deliver a message to a process."""
-        process = self.processes.get(host)
-        if process is not None and process.is_up:
-            process.core.on_message(self.now, source, decode_message(data))
-            self.run_effects(host)
+
+        def handle() -> None:
+            process = self.processes.get(host)
+            if process is not None and process.is_up:
+                process.core.on_message(self.now, source, decode_message(data))
+                self.run_effects(host)
+
+        self.enter(host, handle, is_local=False)
 
     def call_store(self, host: str, effect: ToStore) -> None:
         """Deliver a call to the store and its answer back, within the timeout."""
@@ -244,7 +262,7 @@
                 self.run_effects(host)
 
         def answered(answer: StoreResult) -> None:
-            self.after(2, lambda: done(answer))
+            self.after(2, lambda: self.enter(host, lambda: done(answer), False))
 
         if (host, "store") not in self.cut_links:
             self.after(2, lambda: self.store.call(effect.request, answered))
@@ -253,10 +271,14 @@
     def probe(self, host: str) -> None:
         """Answer a health check."""
         process, upstream = self.processes[host], self.upstreams[host]
-        if process.is_up:
-            outcome = "healthy" if upstream.is_up else "closed"
-            process.core.on_probe(self.now, outcome, upstream.id)
-            self.run_effects(host)
+        outcome = "healthy" if upstream.is_up else "closed"
+
+        def handle() -> None:
+            if process.is_up:
+                process.core.on_probe(self.now, outcome, upstream.id)
+                self.run_effects(host)
+
+        self.enter(host, handle, is_local=True)
 
     def send_from_upstream(self, host: str, data: bytes) -> None:
         """Deliver an upstream's packet to its side process."""
@@ -267,7 +289,7 @@
                 process.core.on_upstream_packet(self.now, data)
                 self.run_effects(host)
 
-        self.after(1, deliver)
+        self.after(1, lambda: self.enter(host, deliver, is_local=True))
 
     def send_to_balancer(self, host: str, data: bytes) -> None:
         """Deliver a caller's packet to a balancer."""
@@ -278,16 +300,24 @@
                 process.core.on_packet(self.now, data)
                 self.run_effects(host)
 
-        self.after(LINK_MS, deliver)
+        self.after(LINK_MS, lambda: self.enter(host, deliver, is_local=False))
+
+    def send_heartbeat(self, host: str, heartbeat: Heartbeat) -> None:
+        """Deliver an upstream's heartbeat to its side process."""
+
+        def handle() -> None:
+            process = self.processes[host]
+            if process.is_up:
+                process.core.on_heartbeat(self.now, heartbeat)
+                self.run_effects(host)
+
+        self.enter(host, handle, is_local=True)
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat from each upstream, and schedule the next ones."""
         for host, upstream in self.upstreams.items():
             if upstream.is_up and self.processes[host].is_up:
-                self.processes[host].core.on_heartbeat(
-                    self.now, upstream.next_heartbeat()
-                )
-                self.run_effects(host)
+                self.send_heartbeat(host, upstream.next_heartbeat())
         self.after(HEARTBEAT_MS, self.send_heartbeats)
 
 
