Test that no open flow is reset, with drawn faults and one seed per cause

Cause: a reset is checked only where somebody thought of the path to it. Change: eight worlds with all actions, one seed for each cause found, and tests of the check itself: a balancer that resets what it should search, a side process that resets flows of a living upstream, and right resets. The first heartbeat of a restarted upstream comes 0 to 300 ms after its port is open.

--- a/fuchsiapin/tests/flowchaos.py
+++ b/fuchsiapin/tests/flowchaos.py
@@ -43,8 +43,8 @@
         Whether an opening packet caused it.
     backlog : int
         Inputs that waited at the process.
-    knows_holder : bool
-        Whether the process had the upstream's member in its table.
+    is_side_sound : bool
+        Whether the upstream's side process was up and not late.
     """
 
     at: int
@@ -54,7 +54,7 @@
     holder: str
     opens: bool
     backlog: int
-    knows_holder: bool
+    is_side_sound: bool
 
 
 @dataclass
@@ -289,7 +289,8 @@
         """Let a process, or its link, stand still."""
         self.note("stall", host=host, ms=duration, is_process=is_process)
         inbox = self.inbox(host)
-        inbox.is_process = is_process
+        is_stalled_process = inbox.is_process and self.now < inbox.stalled_until
+        inbox.is_process = is_process or is_stalled_process
         inbox.stalled_until = max(inbox.stalled_until, self.now + duration)
         self.schedule_drain(host, duration)
 
@@ -346,9 +347,8 @@
         for holder, upstream in self.upstreams.items():
             is_held = upstream.is_up and not upstream.is_leaving
             if is_held and flow in upstream.open_flows:
-                core = self.processes[host].core
-                table = getattr(core, "table", None)
-                knows = table is None or table.by_host(holder) is not None
+                inbox = self.inbox(holder)
+                is_late = self.now < inbox.stalled_until or bool(inbox.waiting)
                 self.wrong_resets.append(
                     WrongReset(
                         self.now,
@@ -358,7 +358,7 @@
                         holder,
                         opens,
                         len(self.inbox(host).waiting),
-                        knows,
+                        self.processes[holder].is_up and not is_late,
                     )
                 )
 
@@ -546,7 +546,9 @@
         return
     host = world.plan.choice(hosts)
     upstream = world.upstreams[host]
-    world.note("crash", host=host)
+    # How long the first heartbeat comes after the port is open.
+    delay = world.plan.choice((0, 2, 50, 300))
+    world.note("crash", host=host, heartbeat_ms=delay)
     upstream.is_up = False
 
     def start() -> None:
@@ -554,6 +556,11 @@
             upstream.restart()
             upstream.is_up = True
             world.note("upstream restarted", host=host)
+            world.after(delay, beat)
+
+    def beat() -> None:
+        if upstream.is_up:
+            world.send_heartbeat(host, upstream.next_heartbeat())
 
     world.after(world.plan.randint(200, 2_500), start)
 
@@ -582,7 +589,8 @@
 def cut_link(world: ChaosWorld) -> None:
     """Cut the links between two processes, or one of the two directions."""
     source = world.plan.choice(world.balancer_hosts)
-    target = world.plan.choice([*world.balancer_hosts, *world.upstreams, "store"])
+    others = [host for host in world.balancer_hosts if host != source]
+    target = world.plan.choice([*others, *world.upstreams, "store"])
     pairs = {(source, target), (target, source)}
     if world.plan.random() < 0.4:
         pairs = {world.plan.choice(sorted(pairs))}
--- /dev/null
+++ b/fuchsiapin/tests/test_flowresets.py
@@ -0,0 +1,136 @@
+"""No open flow whose upstream holds it is reset, whatever is late or fails."""
+
+import unittest
+from typing import Any
+
+from fuchsiapin.flows.balancercore import FlowBalancerCore
+from fuchsiapin.flows.packets import Packet
+from fuchsiapin.flows.routes import FlowRoute
+from fuchsiapin.flows.searching import HolderSearch
+from fuchsiapin.flows.sidecore import FlowSideCore
+from fuchsiapin.tests.flowchaos import ChaosWorld
+
+SMALL = {"span_ms": 2_000, "callers": 15, "members": 3, "balancers": 2}
+"""Options of a small world."""
+
+
+class ResettingSearch(HolderSearch):
+    """A deliberate fault: every flow that would be searched is reset."""
+
+    def start(
+        self, now: int, packet: Packet, route: FlowRoute, excluded_host: str = ""
+    ) -> None:
+        """Reset the flow."""
+        self.sender.reset(packet, "searched")
+
+
+class FaultyWorld(ChaosWorld):
+    """A world whose balancers have a deliberate fault."""
+
+    def start(self, host: str, core: FlowBalancerCore | FlowSideCore) -> None:
+        """Start a process at an address."""
+        if isinstance(core, FlowBalancerCore):
+            core.search = ResettingSearch(
+                core.state, core.sender, core.holders, core.report
+            )
+        super().start(host, core)
+
+
+def quiet_world(seed: int, **options: Any) -> ChaosWorld:
+    """Return a world without actions, in which flows were opened."""
+    world = ChaosWorld(seed, actions=0, span_ms=500, callers=20, **options)
+    world.run_all()
+    return world
+
+
+class CheckTest(unittest.TestCase):
+    """The check finds wrong resets, and only these."""
+
+    def test_a_balancer_that_resets_searched_flows_is_found(self) -> None:
+        world = FaultyWorld(1, actions=0, span_ms=500, callers=20)
+        world.run_all()
+        self.assertEqual({r.reason for r in world.wrong_resets}, {"searched"})
+
+    def test_a_side_process_that_resets_flows_of_a_living_upstream_is_found(
+        self,
+    ) -> None:
+        world = quiet_world(1)
+        host = next(h for h, u in world.upstreams.items() if u.open_flows)
+        world.side(host).on_probe(world.now, "closed", "")
+        world.run_effects(host)
+        self.assertEqual({r.reason for r in world.wrong_resets}, {"port closed"})
+        self.assertEqual({r.host for r in world.wrong_resets}, {host})
+
+    def test_flows_are_served_and_not_reset_without_faults(self) -> None:
+        world = quiet_world(1)
+        self.assertEqual(world.resets, [])
+        self.assertTrue(all(c.answers for c in world.callers.values()))
+
+    def test_resets_of_flows_of_a_crashed_upstream_are_not_wrong(self) -> None:
+        world = quiet_world(1)
+        upstream = next(u for u in world.upstreams.values() if u.open_flows)
+        upstream.is_up = False
+        world.run(5_000)
+        resets = sum(c.resets for c in world.callers.values())
+        self.assertGreaterEqual(resets, len(upstream.open_flows))
+        self.assertEqual(world.wrong_resets, [])
+
+    def test_inputs_wait_during_a_stall_and_are_handled_in_order(self) -> None:
+        world = quiet_world(1)
+        host, handled = world.balancer_hosts[0], []
+        world.stall(host, 100, is_process=True)
+        for number in range(30):
+            world.enter(host, lambda n=number: handled.append(n), is_local=False)
+        world.run(99)
+        self.assertEqual((handled, world.runs_timers(host)), ([], False))
+        world.run(3)
+        self.assertTrue(0 < len(handled) < 30 and world.runs_timers(host))
+        world.run(100)
+        self.assertEqual(handled, list(range(30)))
+
+
+class CauseTest(unittest.TestCase):
+    """Each seed led to a wrong reset for one cause."""
+
+    def assert_no_wrong_reset(
+        self, seed: int, kinds: tuple[str, ...] = (), **options: Any
+    ) -> None:
+        """Run a world, and require that flows were opened and none reset wrongly."""
+        world = ChaosWorld(seed, kinds, **options)
+        wrong_resets = world.run_all()
+        self.assertTrue(any(c.answers for c in world.callers.values()))
+        self.assertEqual(wrong_resets, [])
+
+    def test_a_side_process_that_is_down_is_no_proof(self) -> None:
+        self.assert_no_wrong_reset(38, ("restart side",), actions=1, **SMALL)
+
+    def test_silence_is_no_proof_while_a_backlog_waits(self) -> None:
+        self.assert_no_wrong_reset(32)
+
+    def test_a_flow_opened_before_the_first_heartbeat_is_not_lost(self) -> None:
+        """Its upstream restarted, and accepted it before its side process knew."""
+        self.assert_no_wrong_reset(36, ("crash upstream",), actions=4, **SMALL)
+
+    def test_a_late_opening_packet_finds_no_route_at_a_late_balancer(self) -> None:
+        """Its retransmission opened the flow at a balancer that knows the route."""
+        self.assert_no_wrong_reset(
+            44, ("add route", "stall balancers"), actions=2, **SMALL
+        )
+
+    def test_the_answer_to_an_earlier_search_is_no_proof(self) -> None:
+        kinds = ("restart side", "stall side")
+        options = SMALL | {"span_ms": 2_500, "callers": 25, "balancers": 3}
+        self.assert_no_wrong_reset(26, kinds, actions=4, **options)
+
+
+class RandomTest(unittest.TestCase):
+    """Worlds with all actions."""
+
+    def test_no_open_flow_is_reset(self) -> None:
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                self.assertEqual(ChaosWorld(seed).run_all(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
