Reproduce a reset of a flow that was only offered to a member that left

Cause: a balancer caches the member that it offered a flow to. When that member leaves, the flow counts as one whose holder left, and is reset as soon as all known members deny it; other balancers aren't asked. It may have opened at another balancer, at a member that isn't known here yet. Change: a test with such a flow.

--- a/fuchsiapin/tests/test_flowresets.py
+++ b/fuchsiapin/tests/test_flowresets.py
@@ -9,6 +9,8 @@
 from fuchsiapin.flows.searching import HolderSearch
 from fuchsiapin.flows.sidecore import FlowSideCore
 from fuchsiapin.tests.flowchaos import ChaosWorld
+from fuchsiapin.tests.flowworld import settled_world
+from fuchsiapin.tests.test_resetproofs import isolate, links
 
 SMALL = {"span_ms": 2_000, "callers": 15, "members": 3, "balancers": 2}
 """Options of a small world."""
@@ -123,6 +125,37 @@
         self.assert_no_wrong_reset(26, kinds, actions=4, **options)
 
 
+class FormerOfferTest(unittest.TestCase):
+    """That a member left is no proof for a flow that was only offered to it."""
+
+    def test_a_flow_that_opened_at_a_member_not_known_here_is_not_reset(self) -> None:
+        world = settled_world(members=2, balancers=5)
+        new = "10.0.1.9"
+        balancer, other = isolate(world, new)
+        world.add_member(new, "desk", 8, 30)
+        world.run(900)
+        lost_offers = links([balancer], list(world.upstreams))
+        world.cut_links |= lost_offers
+        caller = world.caller()
+        caller.open(balancer)
+        world.run(10)
+        world.cut_links -= lost_offers
+        core = world.balancer(world.balancer_hosts.index(balancer))
+        offered = core.holders.get(caller.flow, world.now)
+        for host, upstream in world.upstreams.items():
+            upstream.capacity = 100 if host == new else 0
+        caller.open(other, retransmission=1)
+        world.run(100)
+        self.assertEqual((caller.is_open, world.holder(caller)), (True, new))
+        world.side(offered).on_leave(world.now, world.upstreams[offered].id)
+        world.run_effects(offered)
+        world.upstreams[offered].is_up = False
+        world.run(20)
+        caller.request(balancer)
+        world.run(100)
+        self.assertEqual(caller.resets, 0)
+
+
 class RandomTest(unittest.TestCase):
     """Worlds with all actions."""
 
