Ask other balancers before a new flow without a route is refused

Callers saw: a reset of an open flow, `no route`.

Cause: a balancer that is late reads an opening packet before the configuration that brought its route; a retransmission has opened the flow elsewhere meanwhile. New flows without a route were refused with what was known at that moment.

Change: two other balancers are asked. Their answers come after the configurations that they pushed before, so that the route is known by then, and the flow is placed. Open flows of unknown routes stay unanswered, as before.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -168,12 +168,19 @@
             return
         route = self.routes.find(packet.flow)
         if route is None:
-            self.sender.reset_unrouted(packet)
+            self.handle_unrouted(now, packet)
         elif packet.opens:
             self.opener.on_opening(now, packet, route)
         else:
             self.forward(now, packet, route)
 
+    def handle_unrouted(self, now: int, packet: Packet) -> None:
+        """Refuse or reset a flow that matches no route."""
+        if packet.opens:
+            self.opener.refuse_unrouted(now, packet)
+        else:
+            self.sender.reset_unrouted(packet)
+
     def forward(self, now: int, packet: Packet, route: FlowRoute) -> None:
         """Send a packet of an open flow to its holder, or search for the holder.
 
@@ -264,7 +271,7 @@
         self.counts[f"returned: {message.reason}"] += 1
         route = self.routes.find(packet.flow)
         if route is None:
-            self.sender.reset_unrouted(packet)
+            self.handle_unrouted(now, packet)
         elif packet.opens:
             self.opener.reoffer(now, packet, route, host, message.reason)
         else:
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -13,7 +13,7 @@
     usable_views,
 )
 from fuchsiapin.flows.routes import FlowRoute
-from fuchsiapin.flows.sending import PacketSender
+from fuchsiapin.flows.sending import NO_ROUTE, PacketSender
 from fuchsiapin.lightclasses import dataclass, field, replace
 
 __all__ = ["FlowOpener", "Opening"]
@@ -33,6 +33,9 @@
 HOLD_BACK_MS = 600
 """How long a flow that another balancer is about to refuse isn't offered here; twice
 the time of its longest check."""
+MAX_ASKED_ABOUT_ROUTE = 2
+"""Balancers that are asked before a flow without a route is refused. Few suffice, as an
+answer comes after the configurations that its sender pushed before."""
 MAX_PEER_QUESTIONS = 3
 """Number of times that a balancer is asked about one flow; the caller's next
 retransmission repeats the check."""
@@ -236,6 +239,7 @@
                     packet,
                     reason or "every member refused",
                     len(opening.returned_by),
+                    self.state.balancers_to_ask(now),
                 )
             return
         view = self.order_members(packet.flow, views, self.state.record.zone)[0]
@@ -258,23 +262,35 @@
         )
         self.send(packet, route, opening)
 
+    def refuse_unrouted(self, now: int, packet: Packet) -> None:
+        """Refuse a new flow that matches no route, once a configuration is known.
+
+        A few other balancers are asked first: the configuration here may be outdated.
+        """
+        if self.state.routes.version:
+            hosts = self.state.balancers_to_ask(now)
+            if len(hosts) > MAX_ASKED_ABOUT_ROUTE:
+                hosts = self.state.rng.sample(hosts, MAX_ASKED_ABOUT_ROUTE)
+            self.reset_unless_known(now, packet, NO_ROUTE, 0, hosts)
+
     def reset_unless_known(
-        self, now: int, packet: Packet, reason: str, denials: int
+        self, now: int, packet: Packet, reason: str, denials: int, hosts: list[str]
     ) -> None:
         """Reset a new flow that members returned unless another balancer knows it.
 
         While this packet waited on a congested link, balancers may have come or
         gone and a retransmission may have reached another one: the flow may be open.
+        `hosts` are the addresses of the balancers to ask.
         """
         if self.pending_resets.get(packet.flow, now) is not None:
             return
-        hosts = frozenset(self.state.balancers_to_ask(now))
-        pending = PendingReset(Inquiry(packet, denials, hosts), reason)
+        inquiry = Inquiry(packet, denials, frozenset(hosts))
+        pending = PendingReset(inquiry, reason)
         if hosts:
             self.pending_resets.put(packet.flow, pending, now)
             self.ask_balancers(now, packet.flow, 1)
         elif self.state.is_alone():
-            self.reset_flow(pending)
+            self.reset_flow(now, pending)
 
     def ask_balancers(self, now: int, flow: bytes, number: int) -> None:
         """Ask the balancers that haven't answered about a flow for the nth time."""
@@ -321,13 +337,21 @@
         pending = replace(pending, inquiry=pending.inquiry.confirm(host))
         self.pending_resets.put(message.flow, pending, now)
         if not pending.inquiry.unconfirmed_hosts:
-            self.reset_flow(pending)
+            self.reset_flow(now, pending)
+
+    def reset_flow(self, now: int, pending: PendingReset) -> None:
+        """Reset a flow that can't have opened.
 
-    def reset_flow(self, pending: PendingReset) -> None:
-        """Reset a flow that can't have opened."""
+        A flow whose route has become known meanwhile is placed instead.
+        """
         inquiry = pending.inquiry
-        self.pending_resets.remove(inquiry.packet.flow)
-        self.openings.remove(inquiry.packet.flow)
+        flow = inquiry.packet.flow
+        self.pending_resets.remove(flow)
+        route = self.state.routes.find(flow)
+        if pending.reason == NO_ROUTE and route is not None:
+            self.on_opening(now, inquiry.packet, route)
+            return
+        self.openings.remove(flow)
         self.sender.reset(
             inquiry.packet,
             pending.reason,
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -9,7 +9,10 @@
 from fuchsiapin.flows.messages import Forward
 from fuchsiapin.flows.packets import Packet, PacketFormat, caller_host, flow_name
 
-__all__ = ["PacketSender"]
+__all__ = ["NO_ROUTE", "PacketSender"]
+
+NO_ROUTE = "no route"
+"""Reason of the reset of a flow that matches no route."""
 
 
 class PacketSender:
@@ -102,15 +105,14 @@
         self.state.effects.append(ToCaller(caller_host(packet.flow), data))
 
     def reset_unrouted(self, packet: Packet) -> None:
-        """Reset a flow that matches no route, once a configuration is known.
+        """Reset an open flow that matches no route, if its route was dropped.
 
-        An open flow is reset only if its route was dropped: otherwise the route may be
-        newer than the configuration here. Its caller repeats the packet.
+        Otherwise the route may be newer than the configuration here; the caller repeats
+        the packet.
         """
-        routes = self.state.routes
-        if not routes.version or packet.resets:
+        if packet.resets:
             return
-        if packet.opens or routes.is_dropped(packet.flow):
-            self.reset(packet, "no route")
+        if self.state.routes.is_dropped(packet.flow):
+            self.reset(packet, NO_ROUTE)
         else:
             self.counts["route not known"] += 1
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -5,7 +5,7 @@
 from fuchsiapin.flows.gossip import CONFIGURATION_KEY
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.messages import Copy, Held
-from fuchsiapin.flows.routes import FlowRoute
+from fuchsiapin.flows.routes import FlowConfiguration, FlowRoute
 from fuchsiapin.flows.searching import PROPAGATION_MS
 from fuchsiapin.lightclasses import replace
 from fuchsiapin.tests.flowactors import HEARTBEAT_MS, Caller, make_route
@@ -436,6 +436,35 @@
         world.run(50)
         self.assertEqual(caller.resets, 0)
 
+    def test_a_late_opening_packet_of_a_route_that_is_not_known_yet(self) -> None:
+        world = settled_world(balancers=5)
+        balancer, other = isolate(world)
+        route = make_route(port=444)
+        world.routes = (*world.routes, route)
+        world.configure(2)
+        world.run(100)
+        caller = world.caller(route)
+        caller.open(other, retransmission=1)
+        world.run(50)
+        self.assertTrue(caller.is_open)
+        caller.open(balancer)
+        world.run(400)
+        self.assertEqual(caller.resets, 0)
+
+    def test_a_new_flow_whose_route_arrives_before_the_answers_is_not_refused(
+        self,
+    ) -> None:
+        world = settled_world()
+        route = make_route(port=444)
+        caller = world.caller(route)
+        caller.open(world.balancer_hosts[0])
+        world.run(3)
+        world.routes = (*world.routes, route)
+        configuration = FlowConfiguration(2, world.routes, 15_000)
+        world.balancer(0).state.apply_configuration(configuration, "peer")
+        world.run(50)
+        self.assertEqual((caller.resets, caller.is_open), (0, True))
+
 
 if __name__ == "__main__":
     unittest.main()
