--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -9,7 +9,11 @@
 from fuchsiapin.flows.members import FlowMember, MemberTable
 from fuchsiapin.flows.messages import Status
 from fuchsiapin.flows.pinging import DEAD_MS
-from fuchsiapin.flows.routes import FlowConfiguration, RouteTable
+from fuchsiapin.flows.routes import (
+    MAX_DROPPED_ROUTES,
+    FlowConfiguration,
+    RouteTable,
+)
 from fuchsiapin.flows.storage import StoredItem, StoreResult
 from fuchsiapin.flows.upstreams import Heartbeat, UpstreamState
 from fuchsiapin.flows.writing import ObjectWriter
@@ -131,6 +135,28 @@
         drawn = [route.service_of(rng.randbytes(12)) for _ in range(4_000)]
         self.assertAlmostEqual(drawn.count("b") / 4_000, 0.1, delta=0.03)
 
+    def test_a_dropped_route_that_comes_back_is_not_dropped_any_more(self) -> None:
+        table, route = RouteTable(), make_route()
+        flow = route.address + b"caller"
+        table.put(FlowConfiguration(1, (route,), 1))
+        self.assertFalse(table.is_dropped(flow))
+        table.put(FlowConfiguration(2, (), 1))
+        self.assertTrue(table.is_dropped(flow))
+        table.put(FlowConfiguration(3, (route,), 1))
+        self.assertEqual((table.is_dropped(flow), len(table.dropped)), (False, 0))
+
+    def test_the_memory_of_dropped_routes_is_bounded(self) -> None:
+        table, first = RouteTable(), make_route()
+        many = [
+            replace(first, address=b"r" + number.to_bytes(5, "big"))
+            for number in range(MAX_DROPPED_ROUTES)
+        ]
+        for version, routes in enumerate(([first], many, []), 1):
+            table.put(FlowConfiguration(version, tuple(routes), 1))
+        self.assertEqual(len(table.dropped), MAX_DROPPED_ROUTES)
+        self.assertFalse(table.is_dropped(first.address + b"caller"))
+        self.assertTrue(table.is_dropped(many[0].address + b"caller"))
+
 
 class FollowerTest(unittest.TestCase):
     """Lists in pages, watches that end, answers that arrive late."""
