Show that copies prolong the time for which a flow is held back

Cause: FlowCache.get renews an entry, so each copy of an opening packet that is held back holds the flow back for another HOLD_BACK_MS. A caller that repeats its packet more often isn't served by this balancer until it gives up.

Change: a test only.

Measured: 1 failure (0 offers instead of 1).

Ruled out: a longer wait in the test, which would hide the fault.

--- a/fuchsiapin/tests/test_inquiries.py
+++ b/fuchsiapin/tests/test_inquiries.py
@@ -143,6 +143,13 @@
         self.balancer.open(1)
         self.assertEqual(len(self.balancer.hosts_of(Forward)), 1)
 
+    def test_a_copy_while_the_flow_is_held_back_does_not_prolong_that(self) -> None:
+        self.balancer.wait(HOLD_BACK_MS - 1)
+        self.balancer.open(1)
+        self.balancer.wait(2)
+        self.balancer.open(2)
+        self.assertEqual(len(self.balancer.hosts_of(Forward)), 1)
+
     def test_flows_that_were_held_back_are_forgotten(self) -> None:
         peer, opener = self.balancer.peers[0], self.balancer.core.opener
         for number in range(20):
