Hold a flow back for a fixed time after an answer about it

Callers saw nothing yet: one whose copies come within 600 ms of each other wasn't offered to a member by a balancer that had answered a question about its flow.

Cause: each copy that was held back renewed the entry.

Change: the time of the answer counts.

Measured: `test_a_copy_while_the_flow_is_held_back_does_not_prolong_that` failed before and passes; 185 tests of flows pass.

Ruled out: a shorter time with renewal, which may end before the other balancer's check.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -162,7 +162,8 @@
 
         A flow that another balancer is about to refuse isn't placed.
         """
-        if self.held_back.get(packet.flow, now) is not None:
+        held_back_at = self.held_back.get(packet.flow, now)
+        if held_back_at is not None and now - held_back_at <= HOLD_BACK_MS:
             self.sender.counts["held back"] += 1
             return
         opening = self.openings.get(packet.flow, now)
@@ -320,7 +321,7 @@
         resets it.
         """
         self.held_back.expire(now)
-        self.held_back.put(flow, True, now)
+        self.held_back.put(flow, now, now)
 
     def on_known(self, now: int, host: str, message: Known) -> None:
         """Handle another balancer's answer about a flow that no member takes.
