--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -43,14 +43,14 @@
 
 @dataclass
 class Opening:
-    """A new flow that was offered to a member.
+    """A new flow, and the members that it was offered to.
 
     Attributes
     ----------
     host : str
-        Address of the member that it was offered to last.
+        Address of the member that it was offered to last, empty for none.
     offered_at : int
-        Time of that offer, in ms.
+        Time of that offer, or of the first packet, in ms.
     tried_hosts : list of str
         Addresses of all members that it was offered to.
     is_held : bool
@@ -277,7 +277,7 @@
     def reset_unless_known(
         self, now: int, packet: Packet, reason: str, denials: int, hosts: list[str]
     ) -> None:
-        """Reset a new flow that members returned unless another balancer knows it.
+        """Reset a new flow that isn't served here unless another balancer knows it.
 
         While this packet waited on a congested link, balancers may have come or
         gone and a retransmission may have reached another one: the flow may be open.
