--- a/fuchsiapin/flows/messages.py
+++ b/fuchsiapin/flows/messages.py
@@ -136,10 +136,30 @@
     era: int
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """
+    Tells a side process whether the availability zone of its upstream is evacuated.
+    """
+
+    zone: str
+    version: int
+
+
+@dataclass(frozen=True)
+class ColdLimit:
+    """
+    Tells a side process how many new flows its upstream may be given while it is cold.
+    """
+
+    configuration: int
+    openings_per_s: int
+
+
 @dataclass(frozen=True)
 class Copy:
     """
-    One object of the shared state: a configuration, a member or a balancer.
+    One object of the shared state: a configuration, a member, a balancer or an evacuated zone.
     """
 
     key: str
--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -23,6 +23,8 @@
     messages.Ask,
     messages.Known,
     messages.Era,
+    messages.Evacuation,
+    messages.ColdLimit,
 )
 """Message types, indexed by their number on the wire."""
 TYPE_NUMBERS = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
