Evacuate availability zones

Cause: nothing knew the store's evacuations, so new flows went on to upstreams of a zone that the operator had evacuated. Change: balancers follow the evacuations where the settings ask for it, replicate them between one another, leave members of evacuated zones out of placement and tell the side processes there, which refuse openings and return those that wait. Versions are built of the store's era, revision and state, so that neither an evacuation nor its removal outlives a newer record.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -38,7 +38,10 @@
                 settings.name, self.clock.now(), settings.host, settings.zone
             )
             seeds = list(settings.seeds)
-            return make_flow_balancer_core(record, seeds, adapter.packets, report, rng)
+            evacuates = settings.evacuation_ms > 0
+            return make_flow_balancer_core(
+                record, seeds, adapter.packets, report, rng, evacuates
+            )
 
         super().__init__(adapter, settings, "balancer", make_core)
         open_udp_socket(self.loop, *settings.callers, self.on_packet)
--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -18,6 +18,7 @@
 SERVICE = Field("service")
 STATE = Field("state")
 SOURCE = Field("source")
+ZONE = Field("zone")
 
 FLOW_EVENTS = (
     Event(
@@ -202,6 +203,24 @@
         "If it lasts, start the upstream, or take the VM away.",
         (Field("probes", "integer"),),
     ),
+    Event(
+        6210,
+        "zone evacuated at upstream",
+        "info",
+        "A balancer told that the availability zone of this upstream is evacuated: it "
+        "takes no new flows, and its open flows continue.",
+        "Wait until `flows`, the number of open flows, is 0 before stopping the VM.",
+        (ZONE, Field("flows", "integer")),
+    ),
+    Event(
+        6211,
+        "zone in use at upstream",
+        "info",
+        "A balancer told that the availability zone of this upstream is no longer "
+        "evacuated: it takes new flows again.",
+        NO_ACTION,
+        (ZONE, Field("flows", "integer")),
+    ),
     Event(
         6301,
         "message refused",
@@ -350,4 +369,23 @@
         (MEMBER, HOST),
         is_rate_limited=True,
     ),
+    Event(
+        6316,
+        "zone evacuated",
+        "warning",
+        "No new flow is placed in this availability zone until its evacuation is "
+        "removed from the store. `version` identifies the record, `source` tells "
+        "whether the store or another balancer told it.",
+        "See `fuchsiapin-ctl explain` for the flows that are still open there.",
+        (ZONE, Field("version", "integer"), SOURCE),
+    ),
+    Event(
+        6317,
+        "zone in use again",
+        "info",
+        "The evacuation of an availability zone has ended; new flows are placed there "
+        "again.",
+        NO_ACTION,
+        (ZONE, Field("version", "integer"), SOURCE),
+    ),
 )
--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -48,6 +48,9 @@
         Time between the stop signal and the exit.
     metrics_port : int
         Port of the metrics, 0 for none.
+    evacuation_ms : int
+        Time within which an evacuated zone gets no new flows any more, 0 if zones
+        can't be evacuated.
     """
 
     name: str
@@ -68,6 +71,7 @@
     flow_ms: int
     grace_ms: int
     metrics_port: int
+    evacuation_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -124,6 +124,8 @@
             return "stopping"
         if not self.routes.version:
             return "no configuration is known yet"
+        if reason := self.state.evacuations.not_ready(now):
+            return reason
         if not self.table.views:
             return "no member is known yet"
         last_message_at = max(
@@ -160,6 +162,10 @@
             },
             "balancers_heard": {"": len(self.state.gossip.live_hosts(now))},
             "remembered_flows": {"": len(self.holders)},
+            "evacuated_zone_ms": {
+                zone: now - self.state.zones.changed_at[zone]
+                for zone in sorted(self.state.zones.evacuated)
+            },
         }
 
     def take_effects(self) -> list[Any]:
@@ -304,6 +310,7 @@
     packet_format: PacketFormat,
     report: Callable[..., None],
     rng: random.Random,
+    evacuates: bool = False,
 ) -> FlowBalancerCore:
     """Return the core of a balancer.
 
@@ -319,7 +326,8 @@
         Takes the number and the fields of an event.
     rng : random.Random
         Source of all random numbers.
+    evacuates : bool
+        Whether zones may be evacuated in this deployment.
     """
-    return FlowBalancerCore(
-        BalancerState(record, seeds, report, rng), packet_format, report
-    )
+    state = BalancerState(record, seeds, report, rng, evacuates)
+    return FlowBalancerCore(state, packet_format, report)
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -8,6 +8,8 @@
 from fuchsiapin.flows.departures import Departures, is_departure
 from fuchsiapin.flows.erakeeping import EraKeeper
 from fuchsiapin.flows.eras import StoreEra
+from fuchsiapin.flows.evacuating import EvacuationKeeper
+from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX, EvacuatedZones
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import (
     CONFIGURATION_KEY,
@@ -37,6 +39,7 @@
 from fuchsiapin.flows.storage import (
     BALANCERS,
     CONFIGURATION,
+    EVACUATIONS,
     MEMBERS,
     StoredItem,
     StoreResult,
@@ -82,6 +85,8 @@
         Takes the number and the fields of an event.
     rng : random.Random
         Source of all random numbers.
+    evacuates : bool
+        Whether zones may be evacuated in this deployment.
     """
 
     def __init__(
@@ -90,6 +95,7 @@
         seeds: list[str],
         report: Callable[..., None],
         rng: random.Random,
+        evacuates: bool = False,
     ) -> None:
         self.record = record
         self.report = report
@@ -129,11 +135,23 @@
             self.apply_balancer_change,
             self.configuration_follower,
         )
-        self.followers = (
+        self.zones = EvacuatedZones()
+        self.evacuations = EvacuationKeeper(
+            self.zones, self.gossip, self.era, self.timers, report, evacuates
+        )
+        self.evacuations.follower = self.make_follower(
+            EVACUATIONS,
+            self.evacuations.apply_list,
+            self.evacuations.apply_change,
+            self.configuration_follower,
+        )
+        self.followers: tuple[StoreFollower, ...] = (
             self.configuration_follower,
             self.member_follower,
             self.balancer_follower,
         )
+        if evacuates:
+            self.followers = (*self.followers, self.evacuations.follower)
         self.writer = ObjectWriter(BALANCERS, self.timers, self.effects, rng)
         self.eras = EraKeeper(
             self.era,
@@ -154,6 +172,7 @@
             rng,
             self.is_store_reachable,
             self.remove_dead,
+            self.evacuations.notices,
         )
 
     def make_follower(
@@ -177,6 +196,7 @@
 
     def start(self, now: int) -> None:
         """Read the store, query the seeds, and announce this balancer."""
+        self.evacuations.start(now)
         for follower in self.followers:
             follower.start(now)
         self.gossip.start(now)
@@ -494,4 +514,7 @@
             elif record.is_leaving:
                 self.gossip.remove_peer(record.host)
             return record.name != self.record.name
+        if key.startswith(EVACUATIONS_PREFIX):
+            zone = key.removeprefix(EVACUATIONS_PREFIX)
+            return self.evacuations.apply_copy(now, zone, version)
         raise MalformedObject(f"key {key!r} has no prefix that balancers replicate")
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -14,6 +14,7 @@
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
+from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
 from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.replicas import BUCKETS, Replicas, bucket_of, unpack_value
@@ -29,7 +30,7 @@
 ]
 
 CONFIGURATION_KEY = "configuration/current"
-ALL_PREFIXES = ["balancers/", "configuration/", "members/"]
+ALL_PREFIXES = ["balancers/", "configuration/", EVACUATIONS_PREFIX, "members/"]
 DIGEST_MS = 400
 """Maximum time between two digests to other balancers."""
 DIGEST_PEERS = 8
@@ -177,6 +178,8 @@
         Time up to which the store's changes are known, from this balancer's own
         watches or from other balancers, in ms. While the last calls were answered it
         is the current time, although a watch may have gone silent since.
+    was_in_step : bool
+        Whether another balancer's digest has matched the objects here.
     """
 
     def __init__(
@@ -205,6 +208,7 @@
         self.replicas = Replicas()
         self.peers: dict[str, Peer] = {}
         self.store_synced_at = 0
+        self.was_in_step = False
 
     def start(self, now: int) -> None:
         """Start to send digests."""
@@ -344,7 +348,9 @@
             self.store_synced_at, now - max(message.store_age_ms, 0)
         )
         peer.configuration = message.configuration
-        if message.total != self.total(now):
+        is_in_step = message.total == self.total(now)
+        self.was_in_step = self.was_in_step or is_in_step
+        if not is_in_step:
             self.effects.append(ToPeer(host, Buckets(self.buckets(now))))
         if is_new:
             self.effects.append(ToPeer(host, self.digest(now)))
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -18,6 +18,8 @@
 
 __all__ = ["FlowOpener", "Opening"]
 
+ZONES_EVACUATED = "no member outside evacuated zones takes flows"
+"""Reason of the refusal of a flow of a service that is left without other members."""
 MAX_OPENINGS = 100_000
 """Maximum number of openings remembered; about 300 bytes each."""
 OPENING_MS = 3_000
@@ -235,8 +237,12 @@
         that may still be queued or open at a member isn't reset; its caller times out.
         """
         service = route.service_of(packet.flow)
-        views = usable_views(now, self.table.by_service(service), opening.tried_hosts)
+        members = self.table.by_service(service)
+        evacuated = self.state.zones.evacuated
+        views = usable_views(now, members, opening.tried_hosts, evacuated)
         reason = self.refusal_reason(route, views, len(opening.tried_hosts))
+        if not views and any(view.member.zone in evacuated for view in members):
+            reason = ZONES_EVACUATED
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
             if self.state.has_read_members() and opening.cannot_be_open:
                 self.openings.put(packet.flow, opening, now)
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.members import MemberTable, MemberView
@@ -41,6 +42,9 @@
         Returns whether this balancer follows the store and the store answers it.
     on_dead : callable
         Called with the time and the view of a dead member.
+    notices : callable
+        Takes the time and a view, and returns messages that are sent to the member
+        before each ping.
 
     Attributes
     ----------
@@ -57,6 +61,7 @@
         rng: random.Random,
         is_store_reachable: Callable[[], bool],
         on_dead: Callable[[int, MemberView], None],
+        notices: Callable[[int, MemberView], list[Any]] = lambda now, view: [],
     ) -> None:
         self.zone = zone
         self.table = table
@@ -65,6 +70,7 @@
         self.rng = rng
         self.is_store_reachable = is_store_reachable
         self.on_dead = on_dead
+        self.notices = notices
         self.next_index = 0
         self.round_due_at = 0
         self.silent_members = 0
@@ -118,6 +124,8 @@
         if not view.unanswered_since:
             view.unanswered_since = now
         view.unanswered_pings += 1
+        for notice in self.notices(now, view):
+            self.effects.append(ToPeer(view.member.host, notice))
         is_missing = self.is_store_reachable() and not view.is_stored
         ping = Ping(self.zone, view.member.version, is_missing)
         self.effects.append(ToPeer(view.member.host, ping))
--- a/fuchsiapin/flows/placement.py
+++ b/fuchsiapin/flows/placement.py
@@ -4,7 +4,7 @@
 members or reasons.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from xxhash import xxh3_64_intdigest
 
@@ -57,13 +57,17 @@
 
 
 def usable_views(
-    now: int, views: Sequence[MemberView], tried: Sequence[str] = ()
+    now: int,
+    views: Sequence[MemberView],
+    tried: Sequence[str] = (),
+    evacuated: Collection[str] = (),
 ) -> list[MemberView]:
     """Return the members that a new flow may be offered to.
 
     Members that are suspect, or were never heard, are used only if there are no others.
     If all are suspect, it is more likely that this balancer itself is cut off. One that
-    was never heard may be listed in the store although it left.
+    was never heard may be listed in the store although it left. Those of evacuated
+    zones are never used.
     """
     ready = [
         view
@@ -71,6 +75,7 @@
         if view.member.state == "ready"
         and view.refused_until <= now
         and view.member.host not in tried
+        and view.member.zone not in evacuated
     ]
     responsive = [view for view in ready if view.was_heard and not view.is_suspect(now)]
     return responsive or ready
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -14,7 +14,7 @@
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.members import FlowMember
-from fuchsiapin.flows.messages import Forward, Ping
+from fuchsiapin.flows.messages import Evacuation, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
 from fuchsiapin.flows.sidestate import SideSettings, SideState
 from fuchsiapin.flows.storage import MEMBERS, StoreResult
@@ -75,6 +75,7 @@
         self.handlers: dict[type, Callable[[int, str, Any], None]] = {
             Forward: self.delivery.on_forward,
             Ping: self.on_ping,
+            Evacuation: self.on_evacuation,
         }
 
     def start(self, now: int) -> None:
@@ -111,6 +112,8 @@
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
+            "zone_evacuated": {"": int(self.state.is_evacuated)},
+            "open_flows": {"": self.held.open_count()},
             "answer_ms_bucket": self.held.answer_ms.cumulative_counts(),
         }
 
@@ -265,6 +268,23 @@
             self.counts["rewritten"] += 1
             self.write_member(now)
 
+    def on_evacuation(self, now: int, host: str, message: Evacuation) -> None:
+        """Learn from a balancer whether the zone of this VM is evacuated.
+
+        Queued new flows are returned at once, so that they are offered in other zones.
+        """
+        if message.zone != self.record.zone:
+            return
+        if not self.state.zones.put(now, message.zone, message.version):
+            return
+        flows = self.held.open_count()
+        if self.state.is_evacuated:
+            self.report(6210, zone=message.zone, flows=flows)
+        else:
+            self.report(6211, zone=message.zone, flows=flows)
+        self.delivery.review_queue(now)
+        self.announcer.report_status(now)
+
     def tick(self, now: int) -> None:
         """Run the periodic checks, and schedule the next ones."""
         self.state.update_mean_waiting()
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiapin.flows.evacuations import EvacuatedZones
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import HeldFlows
 from fuchsiapin.flows.members import Load
@@ -64,6 +65,8 @@
         Flows that the upstream holds.
     queue : OpeningQueue
         New flows that wait for room.
+    zones : EvacuatedZones
+        What balancers told of the zone of this VM.
     lost_flows : FlowCache
         Flows that were open when an incarnation of the upstream ended.
     mean_waiting : float
@@ -87,10 +90,20 @@
         self.mean_waiting = 0.0
         self.started_at = 0
         self.is_stopping = False
+        self.zones = EvacuatedZones()
 
     def refusal_reason(self, now: int) -> str:
         """Return why no new flows are taken, empty if they are."""
-        return "stopping" if self.is_stopping else self.upstream.refusal_reason(now)
+        if self.is_stopping:
+            return "stopping"
+        if self.is_evacuated:
+            return "its zone is evacuated"
+        return self.upstream.refusal_reason(now)
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the zone of this VM is evacuated."""
+        return self.record.zone in self.zones.evacuated
 
     def load(self, now: int) -> Load:
         """Return the current load of the upstream."""
--- a/fuchsiapin/flows/storage.py
+++ b/fuchsiapin/flows/storage.py
@@ -9,6 +9,7 @@
     "CONFIGURATION",
     "CREATE",
     "DELETE",
+    "EVACUATIONS",
     "LIST",
     "MEMBERS",
     "REPLACE",
@@ -22,6 +23,7 @@
 CONFIGURATION = "configuration"
 MEMBERS = "members"
 BALANCERS = "balancers"
+EVACUATIONS = "evacuations"
 
 
 LIST = "list"
--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -61,6 +61,8 @@
         Routes in the first configuration; one route if empty.
     zones : tuple of str
         Availability zones, given to balancers and to members in turn.
+    evacuates : bool
+        Whether zones may be evacuated.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         service_ms: int = 30,
         routes: tuple[FlowRoute, ...] = (),
         zones: tuple[str, ...] = ("z",),
+        evacuates: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 1_000
@@ -79,6 +82,7 @@
         self.call_count = 0
         self.incarnations = 0
         self.zones = zones
+        self.evacuates = evacuates
         self.zone_by_host: dict[str, str] = {}
         self.loss_rate = 0.0
         self.cut_links: set[tuple[str, str]] = set()
@@ -107,6 +111,14 @@
         configuration = FlowConfiguration(version, tuple(self.routes), 15_000)
         self.store.put(storage.CONFIGURATION, "main", configuration)
 
+    def evacuate(self, zone: str) -> None:
+        """Write the evacuation of a zone to the store."""
+        self.store.put(storage.EVACUATIONS, zone, {})
+
+    def reinstate(self, zone: str) -> None:
+        """Remove the evacuation of a zone from the store."""
+        self.store.delete(storage.EVACUATIONS, zone)
+
     def start_balancer(self, host: str) -> None:
         """Start or restart a balancer process."""
         record = BalancerRecord(
@@ -114,7 +126,12 @@
         )
         seeds = self.balancer_hosts[:2] if hasattr(self, "balancer_hosts") else []
         core = make_flow_balancer_core(
-            record, list(seeds), self.packets, self.reporter(host), self.rng
+            record,
+            list(seeds),
+            self.packets,
+            self.reporter(host),
+            self.rng,
+            self.evacuates,
         )
         self.start(host, core)
 
