Run the tests in several processes

Change: runtests starts workers that each load all tests and run their classes; it prints the ten slowest tests and the same closing line.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -2,10 +2,16 @@
 
 import doctest
 import importlib
+import io
+import multiprocessing
 import pkgutil
 import sys
+import time
 import unittest
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import defopt
 
@@ -14,6 +20,12 @@
 __all__ = ["known_red", "load_tests", "main"]
 
 KNOWN_RED = Path("KNOWN-RED.txt")
+DEFAULT_WORKERS = 6
+SLOWEST = 10
+"""Number of tests whose durations are printed."""
+LONG_GROUPS: frozenset[str] = frozenset()
+"""Groups of tests that take longest; they start first, so that none of them runs alone
+at the end."""
 
 
 def known_red() -> dict[str, str]:
@@ -49,23 +61,130 @@
     return tests
 
 
-def run(*names: str) -> None:
+class TimedResult(unittest.TextTestResult):
+    """Result that records how long each test takes.
+
+    Attributes
+    ----------
+    durations : list of tuple
+        Duration in seconds and id of each test.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.durations: list[tuple[float, str]] = []
+        self.started_at = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:
+        """Record the start of a test."""
+        self.started_at = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:
+        """Record the duration of a test."""
+        super().stopTest(test)
+        self.durations.append((time.monotonic() - self.started_at, test.id()))
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Outcome of some tests.
+
+    Parameters
+    ----------
+    count, failed : int
+        Number of tests that ran, and of those that failed.
+    report : str
+        Text of the failures, empty if there are none.
+    durations : list of tuple
+        Duration in seconds and id of each test.
+    """
+
+    count: int
+    failed: int
+    report: str
+    durations: list[tuple[float, str]]
+
+
+def run_tests(tests: list[unittest.TestCase]) -> Outcome:
+    """Run tests in this process."""
+    stream = io.StringIO()
+    runner = unittest.TextTestRunner(stream, verbosity=0, resultclass=TimedResult)
+    result = runner.run(unittest.TestSuite(tests))
+    assert isinstance(result, TimedResult)
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    report = "" if result.wasSuccessful() else stream.getvalue()
+    return Outcome(result.testsRun, failed, report, result.durations)
+
+
+GROUPS: dict[str, list[unittest.TestCase]] = {}
+"""Tests of this process by the name of their class, so that fixtures are shared."""
+
+
+def group_name(test: unittest.TestCase) -> str:
+    """Return the name of the group that a test runs in."""
+    kind = type(test)
+    if kind.__module__ == "doctest":
+        return "doctests"
+    return f"{kind.__module__}.{kind.__qualname__}"
+
+
+def load_groups() -> None:
+    """Load all tests that aren't known to fail.
+
+    Each worker loads all of them: what Hypothesis draws depends on the modules that are
+    imported, so a worker with fewer would run other examples.
+    """
+    red = known_red()
+    for test in flatten(load_tests([])):
+        if test.id() not in red:
+            GROUPS.setdefault(group_name(test), []).append(test)
+
+
+def run_group(name: str) -> Outcome:
+    """Run one group of tests in a worker."""
+    return run_tests(GROUPS[name])
+
+
+def run_parallel(workers: int) -> list[Outcome]:
+    """Run all tests in several processes, long groups first."""
+    load_groups()
+    long_first = sorted(GROUPS, key=lambda name: name not in LONG_GROUPS)
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(workers, context, initializer=load_groups) as pool:
+        outcomes = []
+        for outcome in pool.map(run_group, long_first):
+            print(outcome.report or ".", end="", flush=True)
+            outcomes.append(outcome)
+    print()
+    return outcomes
+
+
+def run(*names: str, workers: int = DEFAULT_WORKERS) -> None:
     """Run tests and print a summary line.
 
     Parameters
     ----------
     names : str
         Names of tests; all tests if there are none.
+    workers : int
+        Number of processes that run all tests.
     """
-    red = {} if names else known_red()
-    tests = flatten(load_tests(list(names)))
-    chosen = [test for test in tests if test.id() not in red]
-    result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(chosen))
-    for entry in red.values():
-        print(f"known red, not run: {entry}")
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    print(f"{result.testsRun - failed} passed, {failed} failed")
-    sys.exit(0 if result.wasSuccessful() and result.testsRun else 1)
+    if names:
+        outcomes = [run_tests(flatten(load_tests(list(names))))]
+        print(outcomes[0].report, end="")
+    else:
+        outcomes = run_parallel(workers)
+        for entry in known_red().values():
+            print(f"known red, not run: {entry}")
+    slowest = sorted((d for o in outcomes for d in o.durations), reverse=True)
+    for seconds, name in slowest[:SLOWEST]:
+        print(f"{seconds:6.1f} s  {name}")
+    count = sum(outcome.count for outcome in outcomes)
+    failed = sum(outcome.failed for outcome in outcomes)
+    print(f"{count - failed} passed, {failed} failed")
+    is_green = count and not any(outcome.report for outcome in outcomes)
+    sys.exit(0 if is_green else 1)
 
 
 def main() -> None:
