Run each test as a task of its own, long ones first

Cause: two tests of one class took 146 s on one worker. Change: tests whose class has no fixture are distributed one by one; long ones start first.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -23,9 +23,16 @@
 DEFAULT_WORKERS = 6
 SLOWEST = 10
 """Number of tests whose durations are printed."""
-LONG_GROUPS: frozenset[str] = frozenset()
-"""Groups of tests that take longest; they start first, so that none of them runs alone
-at the end."""
+LONG_TESTS = (
+    "fuchsiapin.tests.test_fuzz.FuzzTest",
+    "fuchsiapin.tests.test_ctl.CommandLineTest",
+    "fuchsiapin.tests.test_measure.MeasureTest",
+    "fuchsiapin.tests.test_processes",
+    "fuchsiapin.tests.test_flowstate.StoredMemberTest",
+    "fuchsiapin.tests.test_flowresets.RandomTest",
+)
+"""Prefixes of the tests that take longest; they start first, so that none of them runs
+alone at the end."""
 
 
 def known_red() -> dict[str, str]:
@@ -118,15 +125,19 @@
 
 
 GROUPS: dict[str, list[unittest.TestCase]] = {}
-"""Tests of this process by the name of their class, so that fixtures are shared."""
+"""Tests of this process by the name of their group."""
 
 
 def group_name(test: unittest.TestCase) -> str:
-    """Return the name of the group that a test runs in."""
+    """Return the name of the group that a test runs in.
+
+    Tests of a class with a fixture of its own run together, any other test alone.
+    """
     kind = type(test)
     if kind.__module__ == "doctest":
         return "doctests"
-    return f"{kind.__module__}.{kind.__qualname__}"
+    has_fixture = "setUpClass" in vars(kind)
+    return f"{kind.__module__}.{kind.__qualname__}" if has_fixture else test.id()
 
 
 def load_groups() -> None:
@@ -149,7 +160,7 @@
 def run_parallel(workers: int) -> list[Outcome]:
     """Run all tests in several processes, long groups first."""
     load_groups()
-    long_first = sorted(GROUPS, key=lambda name: name not in LONG_GROUPS)
+    long_first = sorted(GROUPS, key=lambda name: not name.startswith(LONG_TESTS))
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(workers, context, initializer=load_groups) as pool:
         outcomes = []
