Move the commands that read state to a module of their own

Change: status, explain and members move to readcommands.py, Command to operations.py; no change of behaviour.

--- a/fuchsiapin/daemons/ctl.py
+++ b/fuchsiapin/daemons/ctl.py
@@ -2,7 +2,6 @@
 
 import getpass
 import sys
-from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -14,7 +13,6 @@
 from twisted.internet.task import react
 
 from fuchsiapin.applying import Change
-from fuchsiapin.coap.explain import explain as explain_snapshot
 from fuchsiapin.configuring import (
     Proposal,
     accept,
@@ -28,48 +26,24 @@
     change_result,
     diff_result,
     faults_result,
-    members_result,
-    status_result,
 )
-from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
-from fuchsiapin.daemons.flowgathering import gather_flow_snapshot, load_adapter
-from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.operations import (
-    Operation,
+    Command,
     api_url,
-    deployment_name,
     leaving_operation,
     make_change,
     read_configuration,
 )
+from fuchsiapin.daemons.readcommands import explain, members, status
 from fuchsiapin.exceptions import SettingsError
-from fuchsiapin.snapshot import DeploymentSnapshot
 from fuchsiapin.stories import build_story, find_flows, read_log
 
 __all__ = ["COMMANDS", "main"]
 
-METRICS_PORT = 9102
-"""Default metrics port of the processes that carry packet flows."""
 NO_EXPECTED_NUMBER = -1
 """Value of `--expect` when the option is not given."""
 
 
-class Command:
-    """A parsed command.
-
-    Parameters
-    ----------
-    operation : callable
-        Runs the command with the reactor; returns its result.
-    json : bool
-        Whether to print JSON.
-    """
-
-    def __init__(self, operation: Operation, json: bool) -> None:
-        self.operation = operation
-        self.json = json
-
-
 def check(register: Path, rules: Path, *, json: bool = False) -> Command:
     """Check an asset register and rules; list all faults.
 
@@ -247,106 +221,6 @@
     return Command(operation, json)
 
 
-READ_ONLY_COMMAND_HELP = """{summary}
-
-Parameters
-----------
-deployment : str
-    Deployment; else that of FUCHSIAPIN_DEPLOYMENT.
-object_api : str
-    URL of the object API; else that of FUCHSIAPIN_OBJECT_API.
-via : list[str]
-    Admin addresses, host:port, of processes whose known peers are read too; useful
-    while the object API is unreachable.
-store : str
-    For a deployment of packet flows: host:port of the platform's store.
-adapter : Path
-    Folder of the adapter for that platform.
-metrics_port : int
-    Metrics port of the processes that carry packet flows.
-json : bool
-    Print JSON.
-"""
-
-
-def read_only_command(
-    name: str, summary: str, render: Callable[[DeploymentSnapshot], CommandResult]
-) -> Callable[..., Command]:
-    """Return a read-only command that renders the state of a deployment."""
-
-    def command(
-        *,
-        deployment: str = "",
-        object_api: str = "",
-        via: list[str] = [],  # noqa: B006 - the command line's parser copies it
-        store: str = "",
-        adapter: Path = Path("platform"),
-        metrics_port: int = METRICS_PORT,
-        json: bool = False,
-    ) -> Command:
-        if store:
-            address = parse_store_address(store)
-            render_flows = FLOW_RESULTS[name]
-
-            async def flow_operation(reactor: Any) -> CommandResult:
-                loaded = load_adapter(adapter)
-                return render_flows(gather_flow_snapshot(loaded, address, metrics_port))
-
-            return Command(flow_operation, json)
-        wanted = deployment_name(deployment)
-        url = api_url(object_api)
-
-        async def operation(reactor: Any) -> CommandResult:
-            return render(await gather_snapshot(reactor, url, wanted, via))
-
-        return Command(operation, json)
-
-    command.__name__ = name
-    command.__doc__ = READ_ONLY_COMMAND_HELP.format(summary=summary)
-    return command
-
-
-def parse_store_address(text: str) -> tuple[str, int]:
-    """Return the host and port of a store.
-
-    Raises
-    ------
-    SettingsError
-        If the text is not of the form host:port.
-    """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"store {text!r} is not of the form host:port")
-    return host, int(port)
-
-
-def explain_result(snapshot: DeploymentSnapshot) -> CommandResult:
-    """Return the result of `explain`."""
-    explanation = explain_snapshot(snapshot)
-    values = {
-        "headline": explanation.headline,
-        "sections": [
-            {"title": section.title, "lines": section.lines}
-            for section in explanation.sections
-        ],
-    }
-    code = ExitCode.DONE if explanation.is_healthy else ExitCode.BEHIND
-    return CommandResult(code, explanation.text(), values)
-
-
-status = read_only_command(
-    "status", "Show what is in force on each process.", status_result
-)
-explain = read_only_command(
-    "explain",
-    "Explain the state of a deployment and why callers were served as they were.",
-    explain_result,
-)
-members = read_only_command(
-    "members", "List the processes that announced themselves.", members_result
-)
-
-
 def story(
     flow: str,
     logs: list[Path],
--- a/fuchsiapin/daemons/operations.py
+++ b/fuchsiapin/daemons/operations.py
@@ -19,6 +19,7 @@
 from fuchsiapin.messages import Configuration
 
 __all__ = [
+    "Command",
     "Operation",
     "api_url",
     "deployment_name",
@@ -35,6 +36,22 @@
 """Runs a command with the reactor; returns its result."""
 
 
+class Command:
+    """A parsed command.
+
+    Parameters
+    ----------
+    operation : callable
+        Runs the command with the reactor; returns its result.
+    json : bool
+        Whether to print JSON.
+    """
+
+    def __init__(self, operation: Operation, json: bool) -> None:
+        self.operation = operation
+        self.json = json
+
+
 def resolve_option(value: str, variable: str, option: str) -> str:
     """Return the value of an option or, without one, of its environment variable.
 
