Evacuate and reinstate zones from the command line, and explain their progress

Cause: operators had to write evacuations with calls of their own, and could see neither where one is in force nor when a zone is empty. A zone is called empty only if each of its side processes said so.

--- a/fuchsiapin/daemons/commandresults.py
+++ b/fuchsiapin/daemons/commandresults.py
@@ -55,8 +55,8 @@
     ExitCode.RACE: "another change came first; nothing was changed",
     ExitCode.UNREACHABLE: "the object API can't be reached; nothing was changed",
     ExitCode.UNKNOWN: "the change may have been accepted; the message tells what to do",
-    ExitCode.MISSING: "no such upstream or deployment, or a service would have no "
-    "upstream left; nothing was changed",
+    ExitCode.MISSING: "no such upstream, zone or deployment, or a service would "
+    "have no upstream left; nothing was changed",
     ExitCode.DIFFERENT: "diff only: register and rules differ from what is accepted",
     ExitCode.BEHIND: "status and explain: something is missing, not up to date "
     "or unreachable",
--- a/fuchsiapin/daemons/ctl.py
+++ b/fuchsiapin/daemons/ctl.py
@@ -35,6 +35,7 @@
     read_configuration,
 )
 from fuchsiapin.daemons.readcommands import explain, members, status
+from fuchsiapin.daemons.zonecommands import evacuate, reinstate
 from fuchsiapin.exceptions import SettingsError
 from fuchsiapin.stories import build_story, find_flows, read_log
 
@@ -285,6 +286,8 @@
     "leave": leave,
     "return": return_upstream,
     "members": members,
+    "evacuate": evacuate,
+    "reinstate": reinstate,
     "story": story,
 }
 
--- a/fuchsiapin/daemons/flowcommandresults.py
+++ b/fuchsiapin/daemons/flowcommandresults.py
@@ -1,9 +1,15 @@
 """Results of the read-only commands for a deployment of packet flows."""
 
+from dataclasses import asdict
 from typing import Any
 
 from fuchsiapin.daemons.commandresults import CommandResult, ExitCode, format_table
-from fuchsiapin.flowsnapshot import FlowDeploymentSnapshot, explain_flows
+from fuchsiapin.flowsnapshot import (
+    FlowDeploymentSnapshot,
+    describe_evacuations,
+    explain_flows,
+    find_evacuations,
+)
 from fuchsiapin.lightclasses import astuple, fields
 
 __all__ = ["FLOW_RESULTS"]
@@ -59,6 +65,7 @@
         key = (member.service, member.state)
         states[key] = states.get(key, 0) + 1
     lines += [f"{s}: {count} {state}" for (s, state), count in sorted(states.items())]
+    lines += describe_evacuations(snapshot)
     is_behind = bool(explain_flows(snapshot))
     code = ExitCode.BEHIND if is_behind else ExitCode.DONE
     values = {
@@ -71,6 +78,7 @@
             }
             for item in snapshot.balancers
         ],
+        **evacuation_values(snapshot),
     }
     return CommandResult(
         code, "\n".join([*lines, format_table(BALANCER_HEADER, rows)]), values
@@ -78,13 +86,28 @@
 
 
 def flow_explain_result(snapshot: FlowDeploymentSnapshot) -> CommandResult:
-    """Return the result of `explain`: every deviation from normal operation."""
+    """Return the result of `explain`: evacuations, and every deviation from normal.
+
+    An evacuation that has reached all processes is no deviation.
+    """
     if snapshot.error:
         return unreachable_result(snapshot)
-    lines = explain_flows(snapshot)
-    code = ExitCode.BEHIND if lines else ExitCode.DONE
-    text = "\n".join(lines) or "every route is served, and every balancer is up to date"
-    return CommandResult(code, text, {"lines": lines})
+    problems = explain_flows(snapshot)
+    code = ExitCode.BEHIND if problems else ExitCode.DONE
+    lines = [*describe_evacuations(snapshot), *problems]
+    healthy = "every route is served, and every balancer is up to date"
+    text = "\n".join(lines if problems else [*lines, healthy])
+    values = {"lines": lines, **evacuation_values(snapshot)}
+    return CommandResult(code, text, values)
+
+
+def evacuation_values(snapshot: FlowDeploymentSnapshot) -> dict[str, Any]:
+    """Return the state of evacuations for JSON."""
+    return {
+        "evacuations": [asdict(item) for item in find_evacuations(snapshot)],
+        "evacuation_resets": snapshot.evacuation_resets,
+        "evacuations_error": snapshot.evacuations_error,
+    }
 
 
 FLOW_RESULTS = {
--- a/fuchsiapin/daemons/flowgathering.py
+++ b/fuchsiapin/daemons/flowgathering.py
@@ -1,7 +1,7 @@
 """Reads the state of a packet-flow deployment from the store and from metrics."""
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from importlib import import_module
 from pathlib import Path
 from typing import Any
@@ -16,29 +16,50 @@
 from fuchsiapin.flows.storage import (
     BALANCERS,
     CONFIGURATION,
+    EVACUATIONS,
     LIST,
     MEMBERS,
     StoreCall,
+    StoredItem,
     StoreResult,
 )
 from fuchsiapin.flowsnapshot import (
     BalancerMetrics,
     FlowDeploymentSnapshot,
+    SideMetrics,
     parse_metrics,
 )
 from fuchsiapin.timers import Timers
 
-__all__ = ["gather_flow_snapshot", "load_adapter"]
+__all__ = [
+    "BlockingClient",
+    "StoreUnreachable",
+    "gather_flow_snapshot",
+    "load_adapter",
+]
 
 ADAPTER_MODULE = "fuchsiapin_platform.adapter"
 STORE_TIMEOUT_MS = 3_000
 """Timeout of a call to the store; an operator waits for it."""
 METRICS_TIMEOUT_MS = 1_000
-"""Timeout of a scrape; a reachable balancer answers within milliseconds."""
+"""Timeout of a scrape; a reachable process answers within milliseconds."""
+MAX_SCRAPES = 32
+"""Scrapes at a time. In a zone that is evacuated because it failed, each lasts until
+its timeout."""
 
 
 class StoreUnreachable(Exception):
-    """The store gave no usable response."""
+    """The store gave no usable response.
+
+    Parameters
+    ----------
+    result : StoreResult
+        Outcome of the call.
+    """
+
+    def __init__(self, result: StoreResult) -> None:
+        super().__init__(f"{result.outcome} ({result.detail})")
+        self.result = result
 
 
 def load_adapter(folder: Path) -> Any:
@@ -61,7 +82,7 @@
 
 
 class BlockingClient:
-    """Reads the store and metrics with blocking HTTP calls, one at a time.
+    """Calls the store and reads metrics, and waits for the answers.
 
     Parameters
     ----------
@@ -69,73 +90,126 @@
         The platform.
     store : tuple of str and int
         Address of its store.
-    metrics_port : int
-        Metrics port of the processes.
     """
 
-    def __init__(self, adapter: Any, store: tuple[str, int], metrics_port: int) -> None:
+    def __init__(self, adapter: Any, store: tuple[str, int]) -> None:
         self.adapter = adapter
         self.store = store
-        self.metrics_port = metrics_port
         self.loop = EventLoop(SystemClock(), Timers())
 
-    def call(
-        self, address: tuple[str, int], method: str, path: str, timeout_ms: int
-    ) -> HttpResponse:
-        """Make a call and wait for the response."""
-        answers: list[HttpResponse] = []
+    def start(
+        self,
+        address: tuple[str, int],
+        request: tuple[str, str, bytes],
+        timeout_ms: int,
+        on_done: Callable[[HttpResponse], None],
+    ) -> None:
+        """Make a call with method, path and body over a connection of its own."""
         client = HttpClient(self.loop, *address)
-        client.call(method, path, b"", timeout_ms, answers.append)
-        while not answers:
+
+        def done(response: HttpResponse) -> None:
+            for connection in list(client.idle):
+                connection.close()
+            on_done(response)
+
+        client.call(*request, timeout_ms, done)
+
+    def execute(self, call: StoreCall) -> StoreResult:
+        """Make a call to the store and return its outcome."""
+        request = self.adapter.store.build_request(call)
+        responses: list[HttpResponse] = []
+        self.start(self.store, request, STORE_TIMEOUT_MS, responses.append)
+        while not responses:
             self.loop.run_once()
-        for connection in list(client.idle):
-            connection.close()
-        return answers[0]
+        response = responses[0]
+        if not response.status:
+            return StoreResult("unreachable", detail=response.error)
+        return self.adapter.store.parse_response(
+            call, response.status, response.body, response.headers or {}
+        )
 
-    def read_objects(self, kind: str, read: Callable[[Any], Any]) -> list[Any]:
-        """Return all valid objects of a kind.
+    def list_items(self, kind: str) -> list[StoredItem]:
+        """Return all objects of a kind.
 
         Raises
         ------
         StoreUnreachable
             If the store can't list them.
         """
-        found, after = [], ""
+        found: list[StoredItem] = []
         while True:
-            page = self.read_page(StoreCall(LIST, kind, after))
-            for item in page.items:
-                try:
-                    found.append(read(item.value))
-                except (ValueError, TypeError, MalformedObject):
-                    continue  # malformed, by another program; balancers skip it too
+            after = found[-1].name if found else ""
+            page = self.execute(StoreCall(LIST, kind, after))
+            if page.outcome != "done":
+                raise StoreUnreachable(page)
+            found += page.items
             if not page.has_more or not page.items:
                 return found
-            after = page.items[-1].name
 
-    def read_page(self, call: StoreCall) -> StoreResult:
-        """Return one page of a list."""
-        method, path, _ = self.adapter.store.build_request(call)
-        response = self.call(self.store, method, path, STORE_TIMEOUT_MS)
-        if not response.status:
-            raise StoreUnreachable(response.error)
-        page = self.adapter.store.parse_response(
-            call, response.status, response.body, response.headers or {}
-        )
-        if page.outcome != "done":
-            raise StoreUnreachable(f"{page.outcome} ({page.detail})")
-        return page
-
-    def read_metrics(self, record: BalancerRecord) -> BalancerMetrics:
-        """Scrape the metrics of a balancer."""
-        address = (record.host, self.metrics_port)
-        response = self.call(
-            address, "GET", self.adapter.metrics_path, METRICS_TIMEOUT_MS
-        )
-        if response.status != 200:
-            return BalancerMetrics(
-                record, response.error or f"status {response.status}"
-            )
-        return BalancerMetrics(record, "", parse_metrics(response.body.decode()))
+    def read_objects(self, kind: str, read: Callable[[Any], Any]) -> list[Any]:
+        """Return all valid objects of a kind.
+
+        Raises
+        ------
+        StoreUnreachable
+            If the store can't list them.
+        """
+        found = []
+        for item in self.list_items(kind):
+            try:
+                found.append(read(item.value))
+            except (ValueError, TypeError, MalformedObject):
+                continue  # malformed, by another program; balancers skip it too
+        return found
+
+    def read_members(self) -> list[FlowMember]:
+        """Return the upstreams; see `list_items` for errors."""
+        return self.read_objects(MEMBERS, read_member)
+
+    def read_balancers(self) -> list[BalancerRecord]:
+        """Return the balancers; see `list_items` for errors."""
+        return self.read_objects(BALANCERS, read_balancer)
+
+    def read_evacuations(self) -> list[str]:
+        """Return the evacuated zones; see `list_items` for errors."""
+        items = self.list_items(EVACUATIONS)
+        return sorted(item.name for item in items if not item.is_deleted)
+
+    def read_metrics(
+        self, hosts: Sequence[str], port: int
+    ) -> list[tuple[str, dict[tuple[str, str], float]]]:
+        """Scrape processes; return the error, empty for none, and the values of each.
+
+        Parameters
+        ----------
+        hosts : sequence of str
+            Addresses of the processes.
+        port : int
+            Their metrics port.
+        """
+        request = ("GET", self.adapter.metrics_path, b"")
+        responses: dict[int, HttpResponse] = {}
+        started = 0
+        while len(responses) < len(hosts):
+            while started < min(len(hosts), len(responses) + MAX_SCRAPES):
+                self.start(
+                    (hosts[started], port),
+                    request,
+                    METRICS_TIMEOUT_MS,
+                    lambda response, index=started: responses.update({index: response}),
+                )
+                started += 1
+            self.loop.run_once()
+        return [read_response(responses[index]) for index in range(len(hosts))]
+
+
+def read_response(
+    response: HttpResponse,
+) -> tuple[str, dict[tuple[str, str], float]]:
+    """Return the error, empty for none, and the values of a scrape."""
+    if response.status != 200:
+        return response.error or f"status {response.status}", {}
+    return "", parse_metrics(response.body.decode(errors="replace"))
 
 
 def gather_flow_snapshot(
@@ -143,6 +217,8 @@
 ) -> FlowDeploymentSnapshot:
     """Return the state of a deployment of packet flows.
 
+    Of the side processes only those in evacuated zones are read.
+
     Parameters
     ----------
     adapter : FlowAdapter
@@ -152,20 +228,39 @@
     metrics_port : int
         Metrics port of the processes.
     """
-    blocking_client = BlockingClient(adapter, store, metrics_port)
+    client = BlockingClient(adapter, store)
+    evacuations, evacuations_error = [], ""
     try:
-        found = blocking_client.read_objects(CONFIGURATION, lambda value: value)
+        found = client.read_objects(CONFIGURATION, lambda value: value)
         configurations = [v for v in found if isinstance(v, FlowConfiguration)]
-        members: list[FlowMember] = blocking_client.read_objects(MEMBERS, read_member)
-        records = blocking_client.read_objects(BALANCERS, read_balancer)
+        members = client.read_members()
+        records = sorted(client.read_balancers(), key=lambda record: record.name)
+        try:
+            evacuations = client.read_evacuations()
+        except StoreUnreachable as error:
+            if error.result.outcome != "missing":
+                raise
+            evacuations_error = str(error)  # a platform without this kind
     except StoreUnreachable as error:
         return FlowDeploymentSnapshot(str(error))
+    members.sort(key=lambda member: (member.service, member.id))
+    inside = [member for member in members if member.zone in evacuations]
+    hosts = [record.host for record in records] + [member.host for member in inside]
+    metrics = client.read_metrics(hosts, metrics_port)
+    read_at = client.loop.clock.now()
     return FlowDeploymentSnapshot(
         "",
         max(configurations, key=lambda item: item.version, default=None),
-        tuple(sorted(members, key=lambda member: (member.service, member.id))),
+        tuple(members),
+        tuple(
+            BalancerMetrics(record, *values)
+            for record, values in zip(records, metrics[: len(records)], strict=True)
+        ),
+        tuple(evacuations),
+        evacuations_error,
         tuple(
-            blocking_client.read_metrics(r)
-            for r in sorted(records, key=lambda r: r.name)
+            SideMetrics(member, *values)
+            for member, values in zip(inside, metrics[len(records) :], strict=True)
         ),
+        read_at,
     )
--- a/fuchsiapin/daemons/operations.py
+++ b/fuchsiapin/daemons/operations.py
@@ -25,6 +25,7 @@
     "deployment_name",
     "leaving_operation",
     "make_change",
+    "parse_store_address",
     "propose_leaving",
     "read_configuration",
 ]
@@ -79,6 +80,20 @@
     return resolve_option(value, DEPLOYMENT_VARIABLE, "--deployment")
 
 
+def parse_store_address(text: str) -> tuple[str, int]:
+    """Return the host and port of a store.
+
+    Raises
+    ------
+    SettingsError
+        If the text is not of the form host:port.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"store {text!r} is not of the form host:port")
+    return host, int(port)
+
+
 def leaving_operation(
     upstream: str,
     leaving: bool,
--- a/fuchsiapin/daemons/readcommands.py
+++ b/fuchsiapin/daemons/readcommands.py
@@ -14,11 +14,15 @@
 from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
 from fuchsiapin.daemons.flowgathering import gather_flow_snapshot, load_adapter
 from fuchsiapin.daemons.gathering import gather_snapshot
-from fuchsiapin.daemons.operations import Command, api_url, deployment_name
-from fuchsiapin.exceptions import SettingsError
+from fuchsiapin.daemons.operations import (
+    Command,
+    api_url,
+    deployment_name,
+    parse_store_address,
+)
 from fuchsiapin.snapshot import DeploymentSnapshot
 
-__all__ = ["METRICS_PORT", "explain", "members", "parse_store_address", "status"]
+__all__ = ["explain", "members", "status"]
 
 METRICS_PORT = 9102
 """Default metrics port of the processes that carry packet flows."""
@@ -82,20 +86,6 @@
     return command
 
 
-def parse_store_address(text: str) -> tuple[str, int]:
-    """Return the host and port of a store.
-
-    Raises
-    ------
-    SettingsError
-        If the text is not of the form host:port.
-    """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"store {text!r} is not of the form host:port")
-    return host, int(port)
-
-
 def explain_result(snapshot: DeploymentSnapshot) -> CommandResult:
     """Return the result of `explain`."""
     explanation = explain_snapshot(snapshot)
--- a/fuchsiapin/tests/test_flowsnapshot.py
+++ b/fuchsiapin/tests/test_flowsnapshot.py
@@ -14,14 +14,17 @@
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.metrics import render_counts
+from fuchsiapin.flows.opening import ZONES_EVACUATED
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.flowsnapshot import (
     BalancerMetrics,
     FlowDeploymentSnapshot,
+    SideMetrics,
     explain_flows,
     parse_metrics,
 )
 from fuchsiapin.lightclasses import astuple
+from fuchsiapin.lightclasses import replace as replace_member
 from fuchsiapin.tests.flowactors import make_route
 from soak.store import StoreStandIn
 
@@ -101,6 +104,97 @@
         self.assertIn("no configuration", lines[0])
 
 
+def evacuated(known: dict[str, int], *sides: dict[str, int]) -> FlowDeploymentSnapshot:
+    """Return a deployment whose zone is evacuated, with values of side processes.
+
+    `known` is for how long the balancer has known each evacuated zone, in ms.
+    """
+    return replace(
+        snapshot(evacuated_zone_ms=known),
+        evacuations=("z",),
+        members=(
+            *MEMBERS,
+            *(replace_member(m, id=f"o{m.id}", zone="o") for m in MEMBERS),
+        ),
+        balancers=snapshot(evacuated_zone_ms=known, members={"desk": 4}).balancers,
+        sides=tuple(
+            SideMetrics(member, "" if values else "timeout", as_values(values))
+            for member, values in zip(MEMBERS, sides, strict=True)
+        ),
+        read_at=1_796_380_867_000,
+    )
+
+
+def as_values(values: dict[str, int]) -> dict[tuple[str, str], float]:
+    """Return the metrics of a side process by series and label."""
+    return {(name, ""): float(value) for name, value in values.items()}
+
+
+class EvacuationTest(unittest.TestCase):
+    """Progress and problems of evacuated zones."""
+
+    def test_evacuation_in_force_is_no_problem(self) -> None:
+        # Planned work in order would otherwise look like a fault to scripts.
+        side = {"zone_evacuated": 1, "open_flows": 3}
+        found = evacuated({"z": 75_300}, side, side)
+        self.assertEqual(explain_flows(found), [])
+        for command in ("status", "explain"):
+            result = FLOW_RESULTS[command](found)
+            self.assertEqual(result.code, ExitCode.DONE)
+            self.assertIn(
+                "zone z is evacuated since 2026-12-04 10:39:51 UTC or earlier (75 s); "
+                "6 open flows at 2 upstreams there",
+                result.text,
+            )
+
+    def test_zone_is_called_empty_only_if_each_side_process_said_so(self) -> None:
+        # An operator who trusts it switches the zone off.
+        side = {"zone_evacuated": 1, "open_flows": 0}
+        empty = FLOW_RESULTS["explain"](evacuated({"z": 9_000}, side, side))
+        self.assertIn("no flow is open any more at 2 upstreams there", empty.text)
+        for other, reason in (({}, "timeout"), ({"held_flows": 0}, "no such metric")):
+            unknown = FLOW_RESULTS["explain"](evacuated({"z": 9_000}, side, other))
+            self.assertNotIn("no flow is open any more", unknown.text)
+            self.assertIn("0 open flows at 1 of 2 upstreams there", unknown.text)
+            self.assertIn(
+                f"u2 at 10.0.1.2 in evacuated zone z aren't known: {reason}",
+                unknown.text,
+            )
+            self.assertEqual(unknown.code, ExitCode.BEHIND)
+
+    def test_processes_that_it_has_not_reached(self) -> None:
+        side = {"zone_evacuated": 0, "open_flows": 1}
+        lines = explain_flows(evacuated({}, side, side))
+        self.assertIn("evacuation of zone z isn't in force at entry-1;", lines[0])
+        self.assertIn(
+            "side processes of zone z still take new flows: u1 and u2", lines[1]
+        )
+        text = FLOW_RESULTS["status"](evacuated({}, side, side)).text
+        self.assertIn("in the store, but at no balancer that can be read", text)
+
+    def test_balancer_that_missed_the_removal(self) -> None:
+        [line] = explain_flows(snapshot(evacuated_zone_ms={"z": 90_000}))
+        self.assertIn("entry-1 still has zone z evacuated, the store doesn't", line)
+
+    def test_service_with_upstreams_in_evacuated_zones_only(self) -> None:
+        side = {"zone_evacuated": 1, "open_flows": 0}
+        alone = replace(evacuated({"z": 9}, side, side), members=MEMBERS)
+        self.assertIn(
+            "service desk has no ready upstream outside evacuated zones: new flows",
+            explain_flows(alone)[0],
+        )
+        one_left = replace_member(MEMBERS[0], id="u3", zone="y")
+        rest = replace(alone, members=(*MEMBERS, one_left))
+        self.assertIn("only one ready upstream outside evac", explain_flows(rest)[0])
+
+    def test_refused_new_flows_are_counted(self) -> None:
+        counts = {f"reset: {ZONES_EVACUATED}": 3, "reset: held nowhere": 2}
+        text = FLOW_RESULTS["status"](snapshot(decisions_total=counts)).text
+        self.assertIn(
+            f"3 new flows refused since the balancers' start: {ZONES_EVACUATED}", text
+        )
+
+
 class CommandTest(unittest.TestCase):
     """`status`, `explain` and `members` with a stand-in store and rendered metrics."""
 
@@ -141,15 +235,15 @@
         body = json.dumps({"meta": {"Name": name}, "spec": value}).encode()
         self.store.answer("POST", f"/fuchsiapin/objects/{kind}", body)
 
-    def run_command(self, name: str) -> tuple[int, str]:
-        """Return status and output of a command."""
+    def run_command(self, name: str, zone: str = "") -> tuple[int, str]:
+        """Return status and output of a command, of one on a zone if that is given."""
         port = self.store.server.server_address[1]
         done = subprocess.run(
             [
                 *(sys.executable, "-m", "fuchsiapin.daemons.ctl", name),
                 *("--store", f"127.0.0.1:{port}"),
                 *("--adapter", str(ROOT / "platform")),
-                *("--metrics-port", str(self.metrics)),
+                *([zone] if zone else ["--metrics-port", str(self.metrics)]),
             ],
             capture_output=True,
             text=True,
@@ -174,6 +268,21 @@
         self.assertEqual(code, 8, text)
         self.assertIn("entry-1 has configuration 0 in force, the store holds 7", text)
 
+    def test_evacuation_is_written_and_explained(self) -> None:
+        code, text = self.run_command("evacuate", "z")
+        self.assertEqual(code, 0, text)
+        self.assertIn("desk; new flows to them are refused at once", text)
+        side = {"zone_evacuated": {"": 1}, "open_flows": {"": 4}}
+        known = {**SERIES, "evacuated_zone_ms": {"z": 12_000}}
+        self.text = render_counts("any", "z", {**known, **side}).encode()
+        for member in MEMBERS:
+            here = replace_member(member, host="127.0.0.1")
+            self.store.put("fuchsiapin-members", member.id, list(astuple(here)))
+        code, text = self.run_command("explain")
+        self.assertEqual(code, 8, text)
+        self.assertRegex(text, r"zone z is evacuated since .*; 8 open flows at 2 ups")
+        self.assertIn("desk has no ready upstream outside evacuated zones", text)
+
     def test_store_error_is_reported(self) -> None:
         self.store.fault.mode = "busy"
         code, text = self.run_command("status")
