--- a/fuchsiapin/tests/test_flowsnapshot.py
+++ b/fuchsiapin/tests/test_flowsnapshot.py
@@ -118,18 +118,17 @@
         ),
         balancers=snapshot(evacuated_zone_ms=known, members={"desk": 4}).balancers,
         sides=tuple(
-            SideMetrics(member, "" if values else "timeout", as_values(values))
+            SideMetrics(
+                member,
+                "" if values else "timeout",
+                {(name, ""): value for name, value in values.items()},
+            )
             for member, values in zip(MEMBERS, sides, strict=True)
         ),
         read_at=1_796_380_867_000,
     )
 
 
-def as_values(values: dict[str, int]) -> dict[tuple[str, str], float]:
-    """Return the metrics of a side process by series and label."""
-    return {(name, ""): float(value) for name, value in values.items()}
-
-
 class EvacuationTest(unittest.TestCase):
     """Progress and problems of evacuated zones."""
 
--- a/fuchsiapin/tests/test_zonecommands.py
+++ b/fuchsiapin/tests/test_zonecommands.py
@@ -117,7 +117,3 @@
         found = gather_flow_snapshot(adapter, self.address, 1)
         self.assertEqual((found.error, len(found.members)), ("", 2))
         self.assertEqual(found.evacuations_error, "missing (status 404)")
-
-
-if __name__ == "__main__":
-    unittest.main()
