--- a/fuchsiapin/daemons/operations.py
+++ b/fuchsiapin/daemons/operations.py
@@ -19,11 +19,13 @@
 from fuchsiapin.messages import Configuration
 
 __all__ = [
+    "Command",
     "Operation",
     "api_url",
     "deployment_name",
     "leaving_operation",
     "make_change",
+    "parse_store_address",
     "propose_leaving",
     "read_configuration",
 ]
@@ -35,6 +37,22 @@
 """Runs a command with the reactor; returns its result."""
 
 
+class Command:
+    """A parsed command.
+
+    Parameters
+    ----------
+    operation : callable
+        Runs the command with the reactor; returns its result.
+    json : bool
+        Whether to print JSON.
+    """
+
+    def __init__(self, operation: Operation, json: bool) -> None:
+        self.operation = operation
+        self.json = json
+
+
 def resolve_option(value: str, variable: str, option: str) -> str:
     """Return the value of an option or, without one, of its environment variable.
 
@@ -62,6 +80,20 @@
     return resolve_option(value, DEPLOYMENT_VARIABLE, "--deployment")
 
 
+def parse_store_address(text: str) -> tuple[str, int]:
+    """Return the host and port of a store.
+
+    Raises
+    ------
+    SettingsError
+        If the text is not of the form host:port.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"store {text!r} is not of the form host:port")
+    return host, int(port)
+
+
 def leaving_operation(
     upstream: str,
     leaving: bool,
