Decode the cold rates of services and the bounds of cold upstreams

Cause: a cold upstream shall get no more openings than its service's rate and two bounds of the settings allow; neither was decoded. Change: FlowConfiguration.cold_rates, from `Services`; FlowSettings.cold_overage and cold_slack, 0 when the template renders an empty text. Malformed `Services` leave the routes in force and are named in cold_rates_error. pack_configuration keeps its three values, which the previous build expects.

--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -48,6 +48,9 @@
         Time between the stop signal and the exit.
     metrics_port : int
         Port of the metrics, 0 for none.
+    cold_overage, cold_slack : float
+        Bounds of the openings that a cold upstream gets: a factor of the rate that it
+        bears, and openings a second in addition. 0 without the bound.
     """
 
     name: str
@@ -68,6 +71,8 @@
     flow_ms: int
     grace_ms: int
     metrics_port: int
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -66,15 +66,36 @@
 
 @dataclass(frozen=True)
 class FlowConfiguration:
-    """All routes under one version; versions only increase."""
+    """All routes under one version; versions only increase.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    routes : tuple of FlowRoute
+        The routes.
+    idle_timeout_ms : int
+        Time after which an idle flow ends.
+    cold_rates : tuple of (str, float)
+        Services, and the requests a second that an upstream of each bears while it is
+        cold. Services without a rate are left out. Balancers exchange the rates apart
+        from the configuration (`coldrates`).
+    cold_rates_error : str
+        Why the rates can't be read, empty if they can.
+    """
 
     version: int
     routes: tuple[FlowRoute, ...]
     idle_timeout_ms: int
+    cold_rates: tuple[tuple[str, float], ...] = ()
+    cold_rates_error: str = ""
 
 
 def pack_configuration(configuration: FlowConfiguration) -> bytes:
-    """Return a configuration as bytes, for other processes."""
+    """Return a configuration as bytes, for other processes.
+
+    Processes of earlier builds read exactly these three values.
+    """
     routes = [astuple(route) for route in configuration.routes]
     return msgpack.packb((configuration.version, routes, configuration.idle_timeout_ms))
 
