Replicate cold rates, and send the limit to cold members

Cause: side processes don't read the configuration; balancers have to tell them the limit, and not all balancers read the store. Change: the object coldrates/current with the configuration's version, replicated if a service has a rate, or to end an earlier one; ColdLimit before a ping to a member that reports that it is cold, and at once when it first does; the hook Pinger.notices; a cold member whose limit is used up by own placements comes after the others.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -10,6 +10,7 @@
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpserving import Reply
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
+from fuchsiapin.flows.coldrates import ColdBounds
 from fuchsiapin.flows.gossip import BalancerRecord
 
 if TYPE_CHECKING:
@@ -38,7 +39,10 @@
                 settings.name, self.clock.now(), settings.host, settings.zone
             )
             seeds = list(settings.seeds)
-            return make_flow_balancer_core(record, seeds, adapter.packets, report, rng)
+            bounds = ColdBounds(settings.cold_overage, settings.cold_slack)
+            return make_flow_balancer_core(
+                record, seeds, adapter.packets, report, rng, bounds
+            )
 
         super().__init__(adapter, settings, "balancer", make_core)
         open_udp_socket(self.loop, *settings.callers, self.on_packet)
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -11,6 +11,7 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.balancerstate import BalancerState
+from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
@@ -160,6 +161,8 @@
             },
             "balancers_heard": {"": len(self.state.gossip.live_hosts(now))},
             "remembered_flows": {"": len(self.holders)},
+            "cold_members": {"": sum(view.load.cold_ms > 0 for view in views)},
+            "cold_limits": {**self.state.cold_rates.limits},
         }
 
     def take_effects(self) -> list[Any]:
@@ -304,6 +307,7 @@
     packet_format: PacketFormat,
     report: Callable[..., None],
     rng: random.Random,
+    cold_bounds: ColdBounds = NO_BOUNDS,
 ) -> FlowBalancerCore:
     """Return the core of a balancer.
 
@@ -319,7 +323,9 @@
         Takes the number and the fields of an event.
     rng : random.Random
         Source of all random numbers.
+    cold_bounds : ColdBounds
+        Bounds of the openings that cold upstreams get.
     """
     return FlowBalancerCore(
-        BalancerState(record, seeds, report, rng), packet_format, report
+        BalancerState(record, seeds, report, rng, cold_bounds), packet_format, report
     )
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -5,6 +5,12 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.coldrates import (
+    COLD_RATES_KEY,
+    NO_BOUNDS,
+    ColdBounds,
+    ColdRates,
+)
 from fuchsiapin.flows.departures import Departures, is_departure
 from fuchsiapin.flows.erakeeping import EraKeeper
 from fuchsiapin.flows.eras import StoreEra
@@ -82,6 +88,8 @@
         Takes the number and the fields of an event.
     rng : random.Random
         Source of all random numbers.
+    cold_bounds : ColdBounds
+        Bounds of the openings that cold upstreams get.
     """
 
     def __init__(
@@ -90,6 +98,7 @@
         seeds: list[str],
         report: Callable[..., None],
         rng: random.Random,
+        cold_bounds: ColdBounds = NO_BOUNDS,
     ) -> None:
         self.record = record
         self.report = report
@@ -112,6 +121,7 @@
             self.is_store_reachable,
             self.era,
         )
+        self.cold_rates = ColdRates(self.gossip, cold_bounds, report)
         self.departures = Departures(
             self.table, self.gossip, self.timers, self.effects, report
         )
@@ -155,6 +165,7 @@
             self.is_store_reachable,
             self.remove_dead,
         )
+        self.pinger.notices = self.cold_rates.notices
 
     def make_follower(
         self,
@@ -301,6 +312,7 @@
         """Apply a configuration from the store."""
         if isinstance(item.value, FlowConfiguration):
             self.apply_configuration(item.value, "store")
+            self.cold_rates.apply_stored(item.name, item.value)
             self.note_stored_configuration(item.value.version)
 
     def apply_configuration(
@@ -401,7 +413,10 @@
                 silent_ms=now - max(view.last_message_at, view.added_at),
                 unanswered_pings=view.unanswered_pings,
             )
+        was_cold = view.load.cold_ms > 0
         view.note_message(now, load)
+        if not was_cold and self.cold_rates.notices(now, view):
+            self.pinger.ping(now, view)  # tells it the limit before its first flows
         view.refused_until = 0 if message.takes_flows else now + REPORTED_REFUSAL_MS
 
     def remove_absent(self, now: int, host: str, found_at: int) -> None:
@@ -485,6 +500,8 @@
         """Apply an object if it is newer; return whether to replicate it further."""
         if key == CONFIGURATION_KEY:
             return self.apply_configuration(unpack_configuration(value), "peer")
+        if key == COLD_RATES_KEY:
+            return self.cold_rates.apply_copy(version, value)
         if key.startswith("members/"):
             return self.apply_member(now, unpack_member(value), "peer")
         if key.startswith("balancers/"):
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -29,7 +29,7 @@
 ]
 
 CONFIGURATION_KEY = "configuration/current"
-ALL_PREFIXES = ["balancers/", "configuration/", "members/"]
+ALL_PREFIXES = ["balancers/", "coldrates/", "configuration/", "members/"]
 DIGEST_MS = 400
 """Maximum time between two digests to other balancers."""
 DIGEST_PEERS = 8
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -250,7 +250,8 @@
                 )
             return
         zone = self.state.record.zone
-        view = self.order_members(packet.flow, views, zone, route.target_latency_ms)[0]
+        ordered = self.order_members(packet.flow, views, zone, route.target_latency_ms)
+        view = self.state.cold_rates.first_choice(ordered)
         view.placed_since_report += 1
         opening.host = view.member.host
         opening.offered_at = now
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -46,6 +46,9 @@
     ----------
     silent_members : int
         Members that had left `MIN_SILENT_PINGS` pings unanswered at the last round.
+    notices : callable
+        Takes the time and the view of a member that is about to be pinged, and returns
+        the messages to send to it before the ping.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self.next_index = 0
         self.round_due_at = 0
         self.silent_members = 0
+        self.notices: Callable[[int, MemberView], list] = lambda now, view: []
 
     def start(self, now: int) -> None:
         """Start to ping members."""
@@ -114,10 +118,12 @@
             view.has_unanswered_opening = False
 
     def ping(self, now: int, view: MemberView) -> None:
-        """Send a ping to one member."""
+        """Send a ping to one member, after the messages that go with it."""
         if not view.unanswered_since:
             view.unanswered_since = now
         view.unanswered_pings += 1
+        for notice in self.notices(now, view):
+            self.effects.append(ToPeer(view.member.host, notice))
         is_missing = self.is_store_reachable() and not view.is_stored
         ping = Ping(self.zone, view.member.version, is_missing)
         self.effects.append(ToPeer(view.member.host, ping))
