Limit the openings that a cold upstream gets

Cause: an upstream that has just started got as many openings as any other one. Change: fuchsiapin/flows/coldstart.py, a sliding window over the openings given to the upstream, retransmissions included. Openings without room wait in the queue; those that can't get room within its longest wait are returned at the next check. Event 6218 and metrics.

--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -202,6 +202,22 @@
         "If it lasts, start the upstream, or take the VM away.",
         (Field("probes", "integer"),),
     ),
+    Event(
+        6218,
+        "new flow waits for cold limit",
+        "info",
+        "An opening packet waits because the upstream has started a short time ago and "
+        "got as many openings within the last second as the limit of its service "
+        "allows. `waiting` is the number of opening packets that wait.",
+        "If it persists: start upstreams earlier, or fewer at a time.",
+        (
+            FLOW,
+            Field("openings_per_s", "integer"),
+            Field("waiting", "integer"),
+            CONFIGURATION,
+        ),
+        is_rate_limited=True,
+    ),
     Event(
         6301,
         "message refused",
--- /dev/null
+++ b/fuchsiapin/flows/coldstart.py
@@ -0,0 +1,153 @@
+"""Enforces the limit of the openings that a cold upstream gets.
+
+All paths to an upstream converge at its side process, which therefore holds the limit
+for all balancers together. Balancers send it with their pings (`coldrates`).
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+from fuchsiapin.flows.messages import ColdLimit
+from fuchsiapin.flows.upstreams import UpstreamState
+
+__all__ = ["SPAN_MS", "ColdStart", "OpeningWindow"]
+
+SPAN_MS = 1_000
+SEND_DELAY_MS = 20
+"""Longest time assumed between the decision on an opening and its datagram: the process
+sends after it has handled all datagrams that it found. A late batch followed by one in
+time would otherwise reach the upstream closer together than decided."""
+RENEWAL_MS = 1_500
+"""A limit that no balancer has repeated for this long while the upstream is cold has
+ended. Each side process gets about six pings a second at any deployment size."""
+
+
+class OpeningWindow:
+    """Times of the openings given to an upstream within the last second.
+
+    In any span of `SPAN_MS`, both ends included, are at most `limit` openings that
+    `has_room` allowed. Times usually come from a clock that never steps back; one
+    before the latest opening is refused.
+
+    Examples
+    --------
+    >>> window = OpeningWindow()
+    >>> window.note(0)
+    >>> window.has_room(900, 1), window.has_room(900, 2), window.has_room(1_100, 1)
+    (False, True, True)
+    """
+
+    def __init__(self) -> None:
+        self.times: deque[int] = deque()
+
+    def note(self, now: int) -> None:
+        """Record an opening."""
+        times = self.times
+        times.append(max(now, times[-1]) if times else now)
+        while times[0] + SPAN_MS + SEND_DELAY_MS < times[-1]:
+            times.popleft()
+
+    def count(self, now: int) -> int:
+        """Return how many openings at `now` have to be counted, with later ones."""
+        start = now - SPAN_MS - SEND_DELAY_MS
+        return sum(time >= start for time in self.times)
+
+    def has_room(self, now: int, limit: int) -> bool:
+        """Return whether another opening at `now` keeps the limit, which is above 0."""
+        times = self.times
+        if not times:
+            return True
+        if now < times[-1]:
+            return False
+        return len(times) < limit or times[-limit] + SPAN_MS + SEND_DELAY_MS < now
+
+
+class ColdStart:
+    """The limit of one upstream while it is cold.
+
+    A process that doesn't know a limit yet applies none.
+
+    Parameters
+    ----------
+    upstream : UpstreamState
+        State of the upstream.
+    report : callable
+        Takes the number and the fields of an event.
+
+    Attributes
+    ----------
+    configuration : int
+        Version of the configuration that the limit comes from, 0 for none.
+    limit : int
+        Openings in any span of one second, 0 for no limit.
+    window : OpeningWindow
+        Openings given to the upstream, whether it was cold or not.
+    """
+
+    def __init__(self, upstream: UpstreamState, report: Callable[..., None]) -> None:
+        self.upstream = upstream
+        self.report = report
+        self.configuration = 0
+        self.limit = 0
+        self.renewed_at = 0
+        self.was_cold = False
+        self.window = OpeningWindow()
+
+    def on_message(self, now: int, host: str, message: ColdLimit) -> None:
+        """Apply a limit from a balancer unless it comes from an older configuration.
+
+        Balancers whose settings differ may send different limits of one configuration;
+        the last one received is in force.
+        """
+        if message.openings_per_s < 0:
+            error = f"limit of openings is {message.openings_per_s}"
+            self.report(6301, host=host, error=error)
+            return
+        if message.configuration < self.configuration:
+            return
+        self.configuration = message.configuration
+        self.limit = message.openings_per_s
+        self.renewed_at = now
+
+    def limit_at(self, now: int) -> int:
+        """Return the limit in force, 0 for none, as while the upstream is warm."""
+        if not self.limit or not self.upstream.cold_ms(now):
+            return 0
+        return self.limit
+
+    def has_room(self, now: int) -> bool:
+        """Return whether the upstream may be given another opening now."""
+        limit = self.limit_at(now)
+        return not limit or self.window.has_room(now, limit)
+
+    def room_within(self, now: int, duration: int) -> int | None:
+        """Return how many openings the limit allows up to some time from now.
+
+        Returns
+        -------
+        int or None
+            None if the limit doesn't bind them: there is none, or the upstream is warm
+            by then.
+        """
+        limit = self.limit_at(now)
+        end = now + duration
+        if not limit or not self.upstream.cold_ms(end):
+            return None
+        return max(0, limit - self.window.count(end))
+
+    def note_opening(self, now: int) -> None:
+        """Record an opening packet that is given to the upstream."""
+        self.window.note(now)
+
+    def review(self, now: int) -> None:
+        """Drop a limit that balancers no longer repeat.
+
+        They send nothing for a service without a limit. The limit of an earlier cold
+        time stays in force when the upstream starts again, until it could be repeated.
+        """
+        is_cold = self.upstream.cold_ms(now) > 0
+        if is_cold and not self.was_cold:
+            self.renewed_at = max(self.renewed_at, now)
+        self.was_cold = is_cold
+        if is_cold and now - self.renewed_at > RENEWAL_MS:
+            self.limit = 0
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -12,6 +12,7 @@
 from fuchsiapin.flows.members import pack_load
 from fuchsiapin.flows.messages import Forward, Held, Returned
 from fuchsiapin.flows.packets import Packet, PacketFormat, caller_host, flow_name
+from fuchsiapin.flows.queueing import MAX_WAIT_MS
 from fuchsiapin.flows.sidestate import SideState
 from fuchsiapin.lightclasses import replace
 
@@ -43,6 +44,10 @@
 
     Attributes
     ----------
+    waiting_copies : dict
+        Retransmitted opening packets of flows that the upstream was given, which wait
+        for its limit while it is cold: the time when each was received, in ms, and the
+        packet, by flow.
     last_forward_at : int
         When the last packet was forwarded to this process, by a balancer or another
         side process, in ms, 0 for never.
@@ -58,6 +63,7 @@
         self.zone_of = zone_of
         self.record = state.record
         self.upstream = state.upstream
+        self.cold_start = state.cold_start
         self.held = state.held
         self.queue = state.queue
         self.counts = state.counts
@@ -65,6 +71,7 @@
         self.effects = state.effects
         self.packet_format = packet_format
         self.tentative_messages = FlowCache(MAX_TENTATIVE_FLOWS, TENTATIVE_MS)
+        self.waiting_copies: dict[bytes, tuple[int, bytes]] = {}
         self.last_forward_at = 0
 
     def on_forward(self, now: int, host: str, message: Forward) -> None:
@@ -101,27 +108,68 @@
                 now, packet.flow, message, message.priority, packet.acknowledged
             )
             self.let_in(now)
+            if packet.flow in self.queue.queued and not self.cold_start.has_room(now):
+                self.note_cold_wait(now, packet.flow)
             return
         flow.origin = message.origin
+        if self.cold_start.has_room(now):
+            self.give_opening(now, packet.data)
+        else:
+            self.waiting_copies[packet.flow] = now, packet.data
+            self.note_cold_wait(now, packet.flow)
+
+    def give_opening(self, now: int, data: bytes) -> None:
+        """Give an opening packet to the upstream."""
         self.upstream.note_opening(now)
-        self.effects.append(ToUpstream(packet.data))
+        self.cold_start.note_opening(now)
+        self.effects.append(ToUpstream(data))
+
+    def note_cold_wait(self, now: int, flow: bytes) -> None:
+        """Count and report an opening packet that waits for the limit while cold."""
+        self.counts["waited for cold limit"] += 1
+        self.report(
+            6218,
+            flow=flow_name(flow),
+            openings_per_s=self.cold_start.limit_at(now),
+            waiting=len(self.queue) + len(self.waiting_copies),
+            configuration=self.cold_start.configuration,
+        )
+
+    def let_in_copies(self, now: int) -> None:
+        """Give waiting retransmissions to the upstream while its limit has room.
+
+        One of a flow that is open meanwhile, or that the upstream doesn't hold any
+        more, is dropped: the flow was returned, or lost with its incarnation.
+        """
+        for key, (received_at, data) in list(self.waiting_copies.items()):
+            flow = self.held.get(key)
+            if flow is None or flow.is_open or now - received_at >= MAX_WAIT_MS:
+                self.counts["cold copy dropped"] += 1
+            elif self.cold_start.has_room(now):
+                self.give_opening(now, data)
+            else:
+                continue
+            del self.waiting_copies[key]
 
     def let_in(self, now: int) -> None:
         """Give queued new flows to the upstream while it has room."""
-        while len(self.queue) and self.state.has_room():
+        if self.waiting_copies:
+            self.let_in_copies(now)
+        while (
+            len(self.queue) and self.state.has_room() and self.cold_start.has_room(now)
+        ):
             item = self.queue.take()
             assert item is not None
             self.held.track(now, item.flow, item.message.origin)
             self.held.reserved[item.flow] = now
             self.counts["offered"] += 1
-            self.upstream.note_opening(now)
             self.report(
                 6208,
                 flow=flow_name(item.flow),
                 waited_ms=now - item.queued_at,
                 waiting=self.held.unanswered_requests,
             )
-            self.effects.append(ToUpstream(item.message.packet))
+            self.give_opening(now, item.message.packet)
 
     def review_queue(self, now: int) -> None:
         """Return queued flows that can't be given to the upstream in time.
@@ -130,6 +178,9 @@
         """
         returned = self.queue.take_expired(now)
         returned += self.queue.take_excess(self.state.slots, self.held.service_ms)
+        cold_room = self.cold_start.room_within(now, MAX_WAIT_MS)
+        if cold_room is not None:
+            returned += self.queue.shorten(cold_room)
         if self.state.refusal_reason(now):
             returned += self.queue.clear()
         for item in returned:
--- a/fuchsiapin/flows/queueing.py
+++ b/fuchsiapin/flows/queueing.py
@@ -135,15 +135,23 @@
         """Remove and return the flows of a queue that is too long.
 
         At most as many flows are kept as the upstream can serve within `MAX_WAIT_MS`,
-        and at least one for each slot. Those with the most retransmissions are removed
-        first, among them the oldest, whatever the order.
+        and at least one for each slot.
         """
-        max_waiting = max(int(slots * MAX_WAIT_MS / max(service_ms, 1.0)), slots)
+        return self.shorten(max(int(slots * MAX_WAIT_MS / max(service_ms, 1.0)), slots))
+
+    def shorten(self, max_waiting: int) -> list[WaitingOpening]:
+        """Remove and return the flows beyond a length of the queue.
+
+        Those with the most retransmissions are removed first, among them the oldest,
+        whatever the order.
+        """
+        if len(self.queued) <= max_waiting:
+            return []
         oldest = sorted(
             self.queued.values(),
             key=lambda item: (-item.retransmissions, item.queued_at),
         )
-        extra = oldest[: max(0, len(oldest) - max_waiting)]
+        extra = oldest[: len(oldest) - max_waiting]
         for item in extra:
             del self.queued[item.flow]
         return extra
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -14,7 +14,7 @@
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.members import FlowMember
-from fuchsiapin.flows.messages import Forward, Ping
+from fuchsiapin.flows.messages import ColdLimit, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
 from fuchsiapin.flows.sidestate import SideSettings, SideState
 from fuchsiapin.flows.storage import MEMBERS, StoreResult
@@ -75,6 +75,7 @@
         self.handlers: dict[type, Callable[[int, str, Any], None]] = {
             Forward: self.delivery.on_forward,
             Ping: self.on_ping,
+            ColdLimit: self.state.cold_start.on_message,
         }
 
     def start(self, now: int) -> None:
@@ -111,6 +112,9 @@
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
+            "cold_ms": {"": self.upstream.cold_ms(now)},
+            "cold_limit": {"": self.state.cold_start.limit_at(now)},
+            "openings_last_s": {"": self.state.cold_start.window.count(now)},
             "answer_ms_bucket": self.held.answer_ms.cumulative_counts(),
         }
 
@@ -270,6 +274,7 @@
         self.state.update_mean_waiting()
         self.announcer.tick(now)
         self.check_upstream(now)
+        self.state.cold_start.review(now)
         self.held.expire(now, self.record.flow_ms)
         self.delivery.let_in(now)
         self.delivery.review_queue(now)
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiapin.flows.coldstart import ColdStart
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import HeldFlows
 from fuchsiapin.flows.members import Load
@@ -60,6 +61,8 @@
     ----------
     upstream : UpstreamState
         State of the upstream, from its heartbeats and packets.
+    cold_start : ColdStart
+        Limit of the openings that the upstream gets while it is cold.
     held : HeldFlows
         Flows that the upstream holds.
     queue : OpeningQueue
@@ -80,6 +83,7 @@
         self.upstream = UpstreamState(
             record.host, record.service, record.zone, record.interval_ms
         )
+        self.cold_start = ColdStart(self.upstream, report)
         self.held = HeldFlows()
         self.queue = OpeningQueue()
         self.lost_flows = FlowCache(MAX_LOST_FLOWS, record.flow_ms)
