Merge the limit of cold upstreams

With the merge, evacuated zones and cold rates are left out of the digests, which would differ for as long as a build runs that refuses them; one of them is repeated with each round, and all with each answer to a pull.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -10,6 +10,7 @@
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpserving import Reply
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
+from fuchsiapin.flows.coldrates import ColdBounds
 from fuchsiapin.flows.gossip import BalancerRecord
 
 if TYPE_CHECKING:
@@ -39,8 +40,9 @@
             )
             seeds = list(settings.seeds)
             evacuates = settings.evacuation_ms > 0
+            bounds = ColdBounds(settings.cold_overage, settings.cold_slack)
             return make_flow_balancer_core(
-                record, seeds, adapter.packets, report, rng, evacuates
+                record, seeds, adapter.packets, report, rng, evacuates, bounds
             )
 
         super().__init__(adapter, settings, "balancer", make_core)
--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -51,6 +51,9 @@
     evacuation_ms : int
         Time within which an evacuated zone gets no new flows any more, 0 if zones
         can't be evacuated.
+    cold_overage, cold_slack : float
+        Bounds of the openings that a cold upstream gets: a factor of the rate that it
+        bears, and openings a second in addition. 0 without the bound.
     """
 
     name: str
@@ -72,6 +75,8 @@
     grace_ms: int
     metrics_port: int
     evacuation_ms: int = 0
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -11,6 +11,7 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.balancerstate import BalancerState
+from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
@@ -166,6 +167,8 @@
                 zone: now - self.state.zones.changed_at[zone]
                 for zone in sorted(self.state.zones.evacuated)
             },
+            "cold_members": {"": sum(view.load.cold_ms > 0 for view in views)},
+            "cold_limits": {**self.state.cold_rates.limits},
         }
 
     def take_effects(self) -> list[Any]:
@@ -311,6 +314,7 @@
     report: Callable[..., None],
     rng: random.Random,
     evacuates: bool = False,
+    cold_bounds: ColdBounds = NO_BOUNDS,
 ) -> FlowBalancerCore:
     """Return the core of a balancer.
 
@@ -328,6 +332,8 @@
         Source of all random numbers.
     evacuates : bool
         Whether zones may be evacuated in this deployment.
+    cold_bounds : ColdBounds
+        Bounds of the openings that cold upstreams get.
     """
-    state = BalancerState(record, seeds, report, rng, evacuates)
+    state = BalancerState(record, seeds, report, rng, evacuates, cold_bounds)
     return FlowBalancerCore(state, packet_format, report)
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -14,7 +14,6 @@
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
-from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
 from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.replicas import BUCKETS, Replicas, bucket_of, unpack_value
@@ -30,7 +29,11 @@
 ]
 
 CONFIGURATION_KEY = "configuration/current"
-ALL_PREFIXES = ["balancers/", "configuration/", EVACUATIONS_PREFIX, "members/"]
+ALL_PREFIXES = ["balancers/", "configuration/", "members/"]
+"""Prefixes of the objects that digests compare."""
+REPEATED_PREFIXES = ["coldrates/", "evacuations/"]
+"""Prefixes of the few objects that the previous build refuses. They are left out of
+digests, which would differ for as long as both builds run, and sent again instead."""
 DIGEST_MS = 400
 """Maximum time between two digests to other balancers."""
 DIGEST_PEERS = 8
@@ -179,7 +182,9 @@
         watches or from other balancers, in ms. While the last calls were answered it
         is the current time, although a watch may have gone silent since.
     was_in_step : bool
-        Whether another balancer's digest has matched the objects here.
+        Whether another balancer's digest has matched the objects here. A balancer that
+        starts gets there by pulls, which are answered with the objects that digests
+        leave out, too.
     """
 
     def __init__(
@@ -289,6 +294,9 @@
             targets = [*targets, *self.seeds]
         for host in dict.fromkeys(targets):
             self.effects.append(ToPeer(host, self.digest(now)))
+        repeated = [key for key, _ in self.replicas.in_scope(REPEATED_PREFIXES)]
+        if repeated and targets:
+            self.send_copy(targets[0], self.rng.choice(repeated))
         if self.era.current and targets:
             self.effects.append(ToPeer(targets[0], Era(self.era.current)))
 
@@ -373,6 +381,8 @@
         self.note_message(now, host)
         theirs = dict(zip(message.keys, message.versions, strict=False))
         withheld = self.withheld(now)
+        for key, _ in self.replicas.in_scope(REPEATED_PREFIXES):
+            self.send_copy(host, key)
         sent = 0
         for key, replica in self.replicas.in_buckets(
             ALL_PREFIXES, message.places
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.members import MemberTable, MemberView
@@ -42,14 +41,14 @@
         Returns whether this balancer follows the store and the store answers it.
     on_dead : callable
         Called with the time and the view of a dead member.
-    notices : callable
-        Takes the time and a view, and returns messages that are sent to the member
-        before each ping.
 
     Attributes
     ----------
     silent_members : int
         Members that had left `MIN_SILENT_PINGS` pings unanswered at the last round.
+    notices : callable
+        Takes the time and the view of a member that is about to be pinged, and returns
+        the messages to send to it before the ping.
     """
 
     def __init__(
@@ -61,7 +60,6 @@
         rng: random.Random,
         is_store_reachable: Callable[[], bool],
         on_dead: Callable[[int, MemberView], None],
-        notices: Callable[[int, MemberView], list[Any]] = lambda now, view: [],
     ) -> None:
         self.zone = zone
         self.table = table
@@ -70,10 +68,10 @@
         self.rng = rng
         self.is_store_reachable = is_store_reachable
         self.on_dead = on_dead
-        self.notices = notices
         self.next_index = 0
         self.round_due_at = 0
         self.silent_members = 0
+        self.notices: Callable[[int, MemberView], list] = lambda now, view: []
 
     def start(self, now: int) -> None:
         """Start to ping members."""
@@ -120,7 +118,7 @@
             view.has_unanswered_opening = False
 
     def ping(self, now: int, view: MemberView) -> None:
-        """Send a ping to one member."""
+        """Send a ping to one member, after the messages that go with it."""
         if not view.unanswered_since:
             view.unanswered_since = now
         view.unanswered_pings += 1
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -14,7 +14,7 @@
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.members import FlowMember
-from fuchsiapin.flows.messages import Evacuation, Forward, Ping
+from fuchsiapin.flows.messages import ColdLimit, Evacuation, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
 from fuchsiapin.flows.sidestate import SideSettings, SideState
 from fuchsiapin.flows.storage import MEMBERS, StoreResult
@@ -76,6 +76,7 @@
             Forward: self.delivery.on_forward,
             Ping: self.on_ping,
             Evacuation: self.on_evacuation,
+            ColdLimit: self.state.cold_start.on_message,
         }
 
     def start(self, now: int) -> None:
@@ -114,6 +115,9 @@
             "subscribers": {"": len(self.announcer.subscribers)},
             "zone_evacuated": {"": int(self.state.is_evacuated)},
             "open_flows": {"": self.held.open_count()},
+            "cold_ms": {"": self.upstream.cold_ms(now)},
+            "cold_limit": {"": self.state.cold_start.limit_at(now)},
+            "openings_last_s": {"": self.state.cold_start.window.count(now)},
             "answer_ms_bucket": self.held.answer_ms.cumulative_counts(),
         }
 
@@ -290,6 +294,7 @@
         self.state.update_mean_waiting()
         self.announcer.tick(now)
         self.check_upstream(now)
+        self.state.cold_start.review(now)
         self.held.expire(now, self.record.flow_ms)
         self.delivery.let_in(now)
         self.delivery.review_queue(now)
