Ignore evacuations with malformed zone names

A zone name that can't be encoded as UTF-8 raised in the callback of the store's answer, after which the follower made no further call: every later evacuation was missed until a restart. A name longer than a datagram made the pulls of its bucket unsendable between balancers.

Names that are empty, can't be encoded or exceed 255 bytes are reported (6305 from the store, 6301 from a peer) and ignored.

--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuations import (
     EvacuatedZones,
@@ -10,6 +11,7 @@
     evacuation_version,
     is_evacuation,
     removal_version,
+    zone_error,
 )
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import Gossip
@@ -20,6 +22,8 @@
 
 __all__ = ["EvacuationKeeper"]
 
+MAX_REPORTED_CHARACTERS = 80
+"""Characters of a malformed name in the log."""
 REWRITE_MS = 5_000
 """Time that the operator has, after the store came back from an older copy, to write an
 evacuation again that the copy lacks. Until then the zone stays evacuated."""
@@ -116,8 +120,15 @@
                 self.put(now, zone, self.listed_version, "store")
 
     def apply_change(self, now: int, item: StoredItem) -> None:
-        """Apply a written or removed evacuation from the store."""
+        """Apply a written or removed evacuation from the store.
+
+        One with a malformed name is reported and ignored.
+        """
         self.note_revision(now)
+        if error := zone_error(item.name):
+            name = ascii(item.name[:MAX_REPORTED_CHARACTERS])
+            self.report(6305, key=evacuation_key(name), error=error)
+            return
         era = self.follower.era
         make_version = removal_version if item.is_deleted else evacuation_version
         self.put(now, item.name, make_version(era, item.revision), "store")
@@ -146,7 +157,14 @@
 
         An evacuation that the store no longer held when it was read here is outdated;
         its sender is told so with the replicated removal.
+
+        Raises
+        ------
+        MalformedObject
+            If the name of the zone is malformed.
         """
+        if error := zone_error(zone):
+            raise MalformedObject(error)
         if is_evacuation(version) and version < self.listed_version:
             is_same_era = era_of(version) == era_of(self.listed_version)
             if is_same_era or now - self.era_began_at > REWRITE_MS:
--- a/fuchsiapin/flows/evacuations.py
+++ b/fuchsiapin/flows/evacuations.py
@@ -12,6 +12,7 @@
     "evacuation_version",
     "is_evacuation",
     "removal_version",
+    "zone_error",
 ]
 
 EVACUATIONS_PREFIX = "evacuations/"
@@ -19,6 +20,28 @@
 """Bits below the store's era in a version; revisions are far below 2**43."""
 ERA_MASK = 0x7FFFF
 """Bits of the era; messages carry numbers of up to 64 bits, the sign included."""
+MAX_ZONE_BYTES = 255
+"""Longest name of a zone. Messages between balancers name all zones of a bucket, and
+must fit in a datagram."""
+
+
+def zone_error(zone: str) -> str:
+    """Return why a text can't be the name of a zone, empty if it can.
+
+    Examples
+    --------
+    >>> zone_error("zone-a"), zone_error("")
+    ('', 'the name of the zone is empty')
+    """
+    if not zone:
+        return "the name of the zone is empty"
+    try:
+        size = len(zone.encode())
+    except UnicodeEncodeError as error:
+        return f"the name of the zone can't be encoded: {error.reason}"
+    if size > MAX_ZONE_BYTES:
+        return f"the name of the zone has {size} bytes, more than {MAX_ZONE_BYTES}"
+    return ""
 
 
 def evacuation_version(era: int, revision: int) -> int:
--- /dev/null
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -0,0 +1,48 @@
+"""Evacuations reach every process and end everywhere, whatever fails meanwhile."""
+
+import unittest
+from typing import Any
+
+from fuchsiapin.flows import storage
+from fuchsiapin.flows.evacuations import evacuation_key
+from fuchsiapin.flows.messages import Copy
+from fuchsiapin.replicas import pack_value
+from fuchsiapin.tests.test_evacuations import open_everywhere, zoned_world
+
+LONE_SURROGATE = "\ud800"
+"""A name that JSON can carry and that has no encoding as UTF-8."""
+
+
+class MalformedZoneTest(unittest.TestCase):
+    """A malformed zone doesn't keep other zones from being evacuated."""
+
+    def assert_others_stay_in_force(self, name: str) -> None:
+        """Evacuate a malformed zone and then zone b, and look for zone b only."""
+        world = zoned_world()
+        world.evacuate(name)
+        world.run(300)
+        world.evacuate("b")
+        world.run(1_000)
+        self.assertGreater(world.event_counts[6305], 0)
+        for index in range(6):
+            self.assertEqual(world.balancer(index).state.zones.evacuated, {"b"})
+        self.assertNotIn("b", open_everywhere(world))
+
+    def test_name_that_can_not_be_encoded(self) -> None:
+        # Its hash failed after a list or watch was answered, and no call followed.
+        self.assert_others_stay_in_force(LONE_SURROGATE)
+
+    def test_name_that_fits_in_no_datagram(self) -> None:
+        # Each message that names the keys of its bucket would be too long as well.
+        self.assert_others_stay_in_force("z" * 70_000)
+
+    def test_copy_with_a_malformed_name(self) -> None:
+        world = zoned_world()
+        copy = Copy(evacuation_key(""), 9, pack_value(b""))
+        world.balancer(0).on_message(world.now, world.balancer_hosts[1], copy)
+        self.assertEqual(world.event_counts[6301], 1)
+        self.assertFalse(world.balancer(0).state.zones.evacuated)
+
+
+if __name__ == "__main__":
+    unittest.main()
