Don't take ignorance of two balancers for knowledge of evacuated zones

A balancer that restarted was ready as soon as its digest matched that of another one, also when both had just started and knew no evacuation: with the store refusing the list of evacuations for a moment they placed flows in an evacuated zone.

A match counts only if the other balancer's age of the store's state shows that it comes from the store. That age now includes the follower of the evacuations, where they are followed; so others also watch the store soon when only that follower fails. No message changes.

The new test failed before and passes now.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -115,7 +115,7 @@
             rng,
             self.apply_object,
             self.table.unheard_keys,
-            self.is_store_reachable,
+            self.is_store_followed,
             self.era,
         )
         self.departures = Departures(
@@ -253,6 +253,17 @@
         followers = (self.configuration_follower, self.member_follower)
         return all(f.is_active and f.is_reachable for f in followers)
 
+    def is_store_followed(self) -> bool:
+        """Return whether the store answers the calls for all followed state.
+
+        That includes the evacuations, where zones may be evacuated.
+        """
+        evacuations = self.evacuations.follower
+        return self.is_store_reachable() and (
+            not self.evacuations.is_followed
+            or (evacuations.is_active and evacuations.is_reachable)
+        )
+
     def has_read_members(self) -> bool:
         """Return whether a list of members was read, or at least one member is known.
 
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -179,7 +179,8 @@
         watches or from other balancers, in ms. While the last calls were answered it
         is the current time, although a watch may have gone silent since.
     was_in_step : bool
-        Whether another balancer's digest has matched the objects here.
+        Whether the digest of another balancer that knows the store's state, from its
+        own calls or from others, has matched the objects here.
     """
 
     def __init__(
@@ -349,7 +350,10 @@
         )
         peer.configuration = message.configuration
         is_in_step = message.total == self.total(now)
-        self.was_in_step = self.was_in_step or is_in_step
+        # The age that a balancer without knowledge of the store reports is the time
+        # since the epoch.
+        knows_store = now - message.store_age_ms > self.record.started // 2
+        self.was_in_step = self.was_in_step or (is_in_step and knows_store)
         if not is_in_step:
             self.effects.append(ToPeer(host, Buckets(self.buckets(now))))
         if is_new:
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -6,6 +6,7 @@
 from fuchsiapin.flows import storage
 from fuchsiapin.flows.evacuations import evacuation_key
 from fuchsiapin.flows.messages import Copy
+from fuchsiapin.flows.storage import StoreResult
 from fuchsiapin.replicas import pack_value
 from fuchsiapin.tests.test_evacuations import open_everywhere, zoned_world
 
@@ -44,5 +45,36 @@
         self.assertFalse(world.balancer(0).state.zones.evacuated)
 
 
+class StartTest(unittest.TestCase):
+    """A process that just started doesn't use an evacuated zone."""
+
+    def restarted_world(self) -> Any:
+        """Return a world that restarts while the store lists no evacuations."""
+        world = zoned_world()
+        world.evacuate("a")
+        world.run(1_000)
+        answer = world.store.answer
+
+        def answer_others(call: Any, done: Any) -> Any:
+            if call.kind == storage.EVACUATIONS:
+                return StoreResult("busy", detail="status 429")
+            return answer(call, done)
+
+        world.store.answer = answer_others
+        for host in [*world.balancer_hosts, *world.upstreams]:
+            world.kill(host)
+        world.run(200)
+        for host in [*world.balancer_hosts, *world.upstreams]:
+            starts = world.start_balancer, world.start_side
+            starts[host in world.upstreams](host)
+        return world
+
+    def test_agreement_of_balancers_that_know_nothing_is_no_knowledge(self) -> None:
+        world = self.restarted_world()
+        world.run(1_200)
+        for index in range(6):
+            self.assertTrue(world.balancer(index).not_ready(world.now))
+
+
 if __name__ == "__main__":
     unittest.main()
