Place no new flow before the evacuated zones are known

Not being ready only keeps new packets away once routers have probed the balancer; a balancer that restarts within a second gets packets at once, and placed them as soon as it knew routes and members. After a restart of all processes, side processes know no evacuation either, and flows opened in the evacuated zone.

Openings that arrive earlier are dropped and counted, as those that arrive before a configuration is known; callers retransmit. It lasts until the evacuations are listed, another informed balancer agrees, or 1.5 s after the start.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -235,7 +235,11 @@
         reason, the flow is reset unless another balancer knows it, provided that the
         members were read and the flow can't be open (`Opening.cannot_be_open`). A flow
         that may still be queued or open at a member isn't reset; its caller times out.
+        Nothing is offered before the evacuated zones are known; callers retransmit.
         """
+        if self.state.evacuations.not_ready(now):
+            self.sender.counts["evacuated zones not known"] += 1
+            return
         service = route.service_of(packet.flow)
         members = self.table.by_service(service)
         evacuated = self.state.zones.evacuated
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -69,6 +69,14 @@
             starts[host in world.upstreams](host)
         return world
 
+    def test_new_flows_wait_until_the_zones_are_known(self) -> None:
+        # Routers send packets to a restarted balancer until a second probe fails.
+        world = self.restarted_world()
+        self.assertEqual(open_everywhere(world, 20), [])
+        self.assertTrue(world.balancer(0).counts["evacuated zones not known"])
+        world.run(1_000)
+        self.assertEqual(len(open_everywhere(world, 20)), 20)
+
     def test_agreement_of_balancers_that_know_nothing_is_no_knowledge(self) -> None:
         world = self.restarted_world()
         world.run(1_200)
