Don't end an evacuation at side processes while it may be written again

A balancer that started after the store came back from an older copy lists no evacuation there. It told each side process that took no flows that its zone was in use again, with a version of the new era, so the side processes ended the evacuation at once instead of 5 s later, and refused every notice of the evacuation from the other balancers.

The list counts as proof towards side processes only 5 s after the balancer first read the era; a store without eras isn't affected.

--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -193,7 +193,9 @@
     def notices(self, now: int, view: MemberView) -> list[Evacuation]:
         """Return what to tell a member of its zone together with a ping.
 
-        One that takes no flows may have missed that its zone is in use again.
+        One that takes no flows may have missed that its zone is in use again. A list
+        without the zone proves that only once the operator has had the time to write a
+        lost evacuation again.
         """
         zone = view.member.zone
         version = self.zones.version(zone)
@@ -201,7 +203,8 @@
         is_recent = changed_at is not None and now - changed_at <= REMOVAL_NOTICE_MS
         if zone in self.zones.evacuated or is_recent:
             return [Evacuation(zone, version)]
-        known = max(version, self.listed_version)
-        if self.is_followed and known and view.refused_until > now:
-            return [Evacuation(zone, known)]
+        if now - self.era_began_at > REWRITE_MS:
+            version = max(version, self.listed_version)
+        if self.is_followed and version and view.refused_until > now:
+            return [Evacuation(zone, version)]
         return []
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -84,5 +84,30 @@
             self.assertTrue(world.balancer(index).not_ready(world.now))
 
 
+class NoticeTest(unittest.TestCase):
+    """Side processes learn the end of an evacuation, and not before it."""
+
+    def test_fresh_balancer_ends_no_evacuation_that_is_written_again(self) -> None:
+        # A new era: the store lost the evacuation, which stays in force for a while.
+        world = zoned_world(era=1)
+        world.store.keep_copies(500)
+        world.run(2_500)
+        world.evacuate("a")
+        world.run(1_000)
+        fresh = world.balancer_hosts[0]
+        world.kill(fresh)
+        world.store.restore(2_000)
+        links = {(fresh, h) for h in world.balancer_hosts[1:]}
+        world.cut_links |= links | {(y, x) for x, y in links}
+        world.run(100)
+        world.start_balancer(fresh)
+        world.run(2_000)
+        for host in [h for h in world.upstreams if world.zone_by_host[h] == "a"]:
+            self.assertTrue(world.side(host).state.is_evacuated)
+        world.run(6_000)
+        for host in world.upstreams:
+            self.assertFalse(world.side(host).state.is_evacuated)
+
+
 if __name__ == "__main__":
     unittest.main()
