Tell a side process of a removed evacuation when it reports that it refuses

A side process that missed the end of its zone's evacuation for more than 60 s was told with the next ping only if that came within 2 s of its report. With 38,000 members a balancer pings each one every 16 minutes, so the report had expired before each ping and the side process refused new flows for good.

A balancer now answers the report itself, at most once every 2 s a member besides its pings. Deployments without evacuations send nothing more.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -6,6 +6,7 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.departures import Departures, is_departure
+from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.erakeeping import EraKeeper
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuating import EvacuationKeeper
@@ -433,7 +434,12 @@
                 unanswered_pings=view.unanswered_pings,
             )
         view.note_message(now, load)
+        was_refusing = view.refused_until > now
         view.refused_until = 0 if message.takes_flows else now + REPORTED_REFUSAL_MS
+        if not message.takes_flows and not was_refusing:
+            # With many members, the next ping from here comes much later.
+            for notice in self.evacuations.notices(now, view):
+                self.effects.append(ToPeer(host, notice))
 
     def remove_absent(self, now: int, host: str, found_at: int) -> None:
         """Remove the member at an address whose side process finds no upstream there.
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from fuchsiapin.flows import storage
-from fuchsiapin.flows.evacuations import evacuation_key
+from fuchsiapin.flows.evacuating import REMOVAL_NOTICE_MS
+from fuchsiapin.flows.evacuations import EvacuatedZones, evacuation_key
 from fuchsiapin.flows.messages import Copy
 from fuchsiapin.flows.storage import StoreResult
 from fuchsiapin.replicas import pack_value
@@ -108,6 +109,28 @@
         for host in world.upstreams:
             self.assertFalse(world.side(host).state.is_evacuated)
 
+    def test_side_process_that_missed_a_removal_is_told_in_a_large_deployment(
+        self,
+    ) -> None:
+        # There the next ping of a balancer comes after minutes.
+        world = zoned_world()
+        world.evacuate("a")
+        world.run(1_000)
+        host = next(h for h in world.upstreams if world.zone_by_host[h] == "a")
+        evacuated = world.side(host).state.zones.version("a")
+        world.reinstate("a")
+        world.run(REMOVAL_NOTICE_MS + 2_000)
+        for index in range(6):
+            world.balancer(index).state.pinger.ping_round = lambda now: None
+        world.run(400)
+        world.side(host).state.zones = EvacuatedZones()
+        world.side(host).state.zones.put(world.now, "a", evacuated)
+        core = world.balancer(0)
+        core.state.pinger.ping(world.now, core.table.by_host(host))
+        world.run_effects(world.balancer_hosts[0])
+        world.run(100)
+        self.assertFalse(world.side(host).state.is_evacuated)
+
 
 if __name__ == "__main__":
     unittest.main()
