Answer pulls with evacuations first

The answer to a pull ends after 120 kB. A balancer that starts at a large deployment while the store is away lacks more than that of balancer records alone, which were sent before evacuations, so it learned of an evacuation only after several rounds.

Evacuations are now sent first. Without any, the bytes are the same.

The new test failed before and passes now.

--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -30,7 +30,9 @@
 ]
 
 CONFIGURATION_KEY = "configuration/current"
-ALL_PREFIXES = ["balancers/", "configuration/", EVACUATIONS_PREFIX, "members/"]
+ALL_PREFIXES = [EVACUATIONS_PREFIX, "balancers/", "configuration/", "members/"]
+"""Prefixes of all objects, in the order in which a pull is answered: evacuations are
+few and urgent, and the first answers may have no room for all balancers."""
 DIGEST_MS = 400
 """Maximum time between two digests to other balancers."""
 DIGEST_PEERS = 8
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -6,9 +6,9 @@
 from fuchsiapin.flows import storage
 from fuchsiapin.flows.evacuating import REMOVAL_NOTICE_MS
 from fuchsiapin.flows.evacuations import EvacuatedZones, evacuation_key
-from fuchsiapin.flows.messages import Copy
+from fuchsiapin.flows.messages import Copy, Pull
 from fuchsiapin.flows.storage import StoreResult
-from fuchsiapin.replicas import pack_value
+from fuchsiapin.replicas import BUCKETS, pack_value
 from fuchsiapin.tests.test_evacuations import open_everywhere, zoned_world
 
 LONE_SURROGATE = "\ud800"
@@ -132,5 +132,58 @@
         self.assertFalse(world.side(host).state.is_evacuated)
 
 
+class ExchangeTest(unittest.TestCase):
+    """Evacuations reach balancers through the store and other balancers."""
+
+    def test_pull_answers_evacuations_before_many_other_objects(self) -> None:
+        # One answer holds 120 kB; the balancers of a large deployment need more.
+        world = zoned_world()
+        world.evacuate("a")
+        world.run(1_000)
+        gossip = world.balancer(0).state.gossip
+        for number in range(5_000):
+            gossip.replicas.put(f"balancers/{number}", 1, bytes(range(48)))
+        world.balancer(0).take_effects()
+        pull = Pull(list(range(BUCKETS)), [], [])
+        world.balancer(0).on_message(world.now, "10.0.0.2", pull)
+        keys = [effect.message.key for effect in world.balancer(0).take_effects()]
+        self.assertLess(len(keys), 5_000)
+        self.assertIn(evacuation_key("a"), keys)
+
+    def test_evacuation_written_while_answers_tell_no_era(self) -> None:
+        # Its version was lower than all of the known era, so it counted as outdated.
+        world = zoned_world(era=3)
+        world.evacuate("a")
+        world.run(1_000)
+        world.reinstate("a")
+        world.run(1_000)
+        world.store.era = 0
+        world.run(4_000)
+        world.evacuate("a")
+        world.run(5_000)
+        for index in range(6):
+            self.assertEqual(world.balancer(index).state.zones.evacuated, {"a"})
+        world.reinstate("a")
+        world.run(5_000)
+        for index in range(6):
+            self.assertFalse(world.balancer(index).state.zones.evacuated)
+
+    def test_evacuations_are_read_while_the_configuration_is_not(self) -> None:
+        # The follower waited for the configuration's before it repeated a failed call.
+        world = zoned_world()
+        answer = world.store.answer
+
+        def fail_configuration(call: Any, done: Any) -> Any:
+            is_failed = call.kind == storage.CONFIGURATION or world.now < 8_000
+            return StoreResult("busy") if is_failed else answer(call, done)
+
+        world.store.answer = fail_configuration
+        world.run(7_000)
+        world.evacuate("a")
+        world.run(5_000)
+        for index in range(6):
+            self.assertEqual(world.balancer(index).state.zones.evacuated, {"a"})
+
+
 if __name__ == "__main__":
     unittest.main()
