Keep evacuations in order while the store's answers tell no era

While answers lack a readable era, versions were built with era 0: an evacuation written then was lower than all records of the known era, so it was refused as outdated by each balancer and never came into force.

Such answers now count as of the newest known era.

--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -102,6 +102,14 @@
 
     # The store
 
+    @property
+    def store_era(self) -> int:
+        """Return the era of the latest answer; one without an era belongs to the newest.
+
+        Otherwise what it tells would count as older than all that is known.
+        """
+        return self.follower.era or self.era.current
+
     def apply_list(self, now: int, items: list[StoredItem]) -> None:
         """Apply a complete list of evacuations from the store.
 
@@ -129,13 +137,12 @@
             name = ascii(item.name[:MAX_REPORTED_CHARACTERS])
             self.report(6305, key=evacuation_key(name), error=error)
             return
-        era = self.follower.era
         make_version = removal_version if item.is_deleted else evacuation_version
-        self.put(now, item.name, make_version(era, item.revision), "store")
+        self.put(now, item.name, make_version(self.store_era, item.revision), "store")
 
     def note_revision(self, now: int) -> None:
         """Record up to which revision the store's evacuations are known."""
-        version = removal_version(self.follower.era, self.follower.revision)
+        version = removal_version(self.store_era, self.follower.revision)
         if era_of(version) > era_of(self.listed_version):
             self.era_began_at = now
         self.listed_version = max(self.listed_version, version)
