Read evacuations while the configuration can't be read

After a failed call, the follower of the evacuations waited until the one of the configuration succeeded. If that one kept failing, evacuations were not read again, although the store answered calls for them.

It now repeats its calls by itself, as the follower of the members does.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -140,11 +140,11 @@
         self.evacuations = EvacuationKeeper(
             self.zones, self.gossip, self.era, self.timers, report, evacuates
         )
+        # It has no leader: evacuations are read whatever ails the configuration.
         self.evacuations.follower = self.make_follower(
             EVACUATIONS,
             self.evacuations.apply_list,
             self.evacuations.apply_change,
-            self.configuration_follower,
         )
         self.followers: tuple[StoreFollower, ...] = (
             self.configuration_follower,
--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -104,9 +104,10 @@
 
     @property
     def store_era(self) -> int:
-        """Return the era of the latest answer; one without an era belongs to the newest.
+        """Return the era of the latest answer.
 
-        Otherwise what it tells would count as older than all that is known.
+        An answer without one belongs to the newest era. Otherwise what it tells would
+        count as older than all that is known.
         """
         return self.follower.era or self.era.current
 
