--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -12,6 +12,7 @@
     ColdRates,
 )
 from fuchsiapin.flows.departures import Departures, is_departure
+from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.erakeeping import EraKeeper
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuating import EvacuationKeeper
@@ -124,7 +125,7 @@
             rng,
             self.apply_object,
             self.table.unheard_keys,
-            self.is_store_reachable,
+            self.is_store_followed,
             self.era,
         )
         self.cold_rates = ColdRates(self.gossip, cold_bounds, report)
@@ -149,11 +150,11 @@
         self.evacuations = EvacuationKeeper(
             self.zones, self.gossip, self.era, self.timers, report, evacuates
         )
+        # It has no leader: evacuations are read whatever ails the configuration.
         self.evacuations.follower = self.make_follower(
             EVACUATIONS,
             self.evacuations.apply_list,
             self.evacuations.apply_change,
-            self.configuration_follower,
         )
         self.followers: tuple[StoreFollower, ...] = (
             self.configuration_follower,
@@ -266,6 +267,17 @@
         followers = (self.configuration_follower, self.member_follower)
         return all(f.is_active and f.is_reachable for f in followers)
 
+    def is_store_followed(self) -> bool:
+        """Return whether the store answers the calls for all followed state.
+
+        That includes the evacuations, where zones may be evacuated.
+        """
+        evacuations = self.evacuations.follower
+        return self.is_store_reachable() and (
+            not self.evacuations.is_followed
+            or (evacuations.is_active and evacuations.is_reachable)
+        )
+
     def has_read_members(self) -> bool:
         """Return whether a list of members was read, or at least one member is known.
 
@@ -439,7 +451,12 @@
         view.note_message(now, load)
         if not was_cold and self.cold_rates.notices(now, view):
             self.pinger.ping(now, view)  # tells it the limit before its first flows
+        was_refusing = view.refused_until > now
         view.refused_until = 0 if message.takes_flows else now + REPORTED_REFUSAL_MS
+        if not message.takes_flows and not was_refusing:
+            # With many members, the next ping from here comes much later.
+            for notice in self.evacuations.notices(now, view):
+                self.effects.append(ToPeer(host, notice))
 
     def remove_absent(self, now: int, host: str, found_at: int) -> None:
         """Remove the member at an address whose side process finds no upstream there.
--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuations import (
     EvacuatedZones,
@@ -10,6 +11,7 @@
     evacuation_version,
     is_evacuation,
     removal_version,
+    zone_error,
 )
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import Gossip
@@ -20,6 +22,8 @@
 
 __all__ = ["EvacuationKeeper"]
 
+MAX_REPORTED_CHARACTERS = 80
+"""Characters of a malformed name in the log."""
 REWRITE_MS = 5_000
 """Time that the operator has, after the store came back from an older copy, to write an
 evacuation again that the copy lacks. Until then the zone stays evacuated."""
@@ -98,6 +102,15 @@
 
     # The store
 
+    @property
+    def store_era(self) -> int:
+        """Return the era of the latest answer.
+
+        An answer without one belongs to the newest era. Otherwise what it tells would
+        count as older than all that is known.
+        """
+        return self.follower.era or self.era.current
+
     def apply_list(self, now: int, items: list[StoredItem]) -> None:
         """Apply a complete list of evacuations from the store.
 
@@ -116,15 +129,21 @@
                 self.put(now, zone, self.listed_version, "store")
 
     def apply_change(self, now: int, item: StoredItem) -> None:
-        """Apply a written or removed evacuation from the store."""
+        """Apply a written or removed evacuation from the store.
+
+        One with a malformed name is reported and ignored.
+        """
         self.note_revision(now)
-        era = self.follower.era
+        if error := zone_error(item.name):
+            name = ascii(item.name[:MAX_REPORTED_CHARACTERS])
+            self.report(6305, key=evacuation_key(name), error=error)
+            return
         make_version = removal_version if item.is_deleted else evacuation_version
-        self.put(now, item.name, make_version(era, item.revision), "store")
+        self.put(now, item.name, make_version(self.store_era, item.revision), "store")
 
     def note_revision(self, now: int) -> None:
         """Record up to which revision the store's evacuations are known."""
-        version = removal_version(self.follower.era, self.follower.revision)
+        version = removal_version(self.store_era, self.follower.revision)
         if era_of(version) > era_of(self.listed_version):
             self.era_began_at = now
         self.listed_version = max(self.listed_version, version)
@@ -146,7 +165,14 @@
 
         An evacuation that the store no longer held when it was read here is outdated;
         its sender is told so with the replicated removal.
+
+        Raises
+        ------
+        MalformedObject
+            If the name of the zone is malformed.
         """
+        if error := zone_error(zone):
+            raise MalformedObject(error)
         if is_evacuation(version) and version < self.listed_version:
             is_same_era = era_of(version) == era_of(self.listed_version)
             if is_same_era or now - self.era_began_at > REWRITE_MS:
@@ -175,7 +201,9 @@
     def notices(self, now: int, view: MemberView) -> list[Evacuation]:
         """Return what to tell a member of its zone together with a ping.
 
-        One that takes no flows may have missed that its zone is in use again.
+        One that takes no flows may have missed that its zone is in use again. A list
+        without the zone proves that only once the operator has had the time to write a
+        lost evacuation again.
         """
         zone = view.member.zone
         version = self.zones.version(zone)
@@ -183,7 +211,8 @@
         is_recent = changed_at is not None and now - changed_at <= REMOVAL_NOTICE_MS
         if zone in self.zones.evacuated or is_recent:
             return [Evacuation(zone, version)]
-        known = max(version, self.listed_version)
-        if self.is_followed and known and view.refused_until > now:
-            return [Evacuation(zone, known)]
+        if now - self.era_began_at > REWRITE_MS:
+            version = max(version, self.listed_version)
+        if self.is_followed and version and view.refused_until > now:
+            return [Evacuation(zone, version)]
         return []
