Save work on each ping, digest, log line and placement

Cause: a JSON encoder was made for each log line; the digest for up to eight balancers was computed for each of them; ranking asked a cache of functions for each member's seed; the tail of the placement order compared each member with each candidate.

Change: one encoder; one digest a round; the seed is an attribute of a member's view; the order is made of dictionary keys.

--- a/fuchsiapin/daemons/loglines.py
+++ b/fuchsiapin/daemons/loglines.py
@@ -23,6 +23,7 @@
 """Buffered lines that the reader hasn't taken; more are dropped and counted."""
 FLUSH_INTERVAL_MS = 250
 MS_PER_S = 1_000
+ENCODER = json.JSONEncoder(default=str)
 
 
 class LogLines:
@@ -78,7 +79,7 @@
         left_out = self.left_out.pop(number, 0)
         if left_out:
             values["left_out"] = left_out
-        self.buffer_line(json.dumps(values, default=str).encode() + b"\n")
+        self.buffer_line(ENCODER.encode(values).encode() + b"\n")
 
     def is_allowed(self, number: int, flow: str | None, now: int) -> bool:
         """Return whether the rate limit of an event or sampled flows allows a line."""
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -283,9 +283,12 @@
         targets = self.rng.sample(hosts, min(len(hosts), DIGEST_PEERS))
         if not self.live_hosts(now):
             targets = [*targets, *self.seeds]
+        if not targets:
+            return
+        digest = self.digest(now)
         for host in dict.fromkeys(targets):
-            self.effects.append(ToPeer(host, self.digest(now)))
-        if self.era.current and targets:
+            self.effects.append(ToPeer(host, digest))
+        if self.era.current:
             self.effects.append(ToPeer(targets[0], Era(self.era.current)))
 
     def store_age(self, now: int) -> int:
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -197,6 +197,8 @@
 
     Attributes
     ----------
+    rank_seed : int
+        Seed of its hashes in rankings for flows.
     added_at : int
         When the member was added to the table, in ms.
     last_message_at : int
@@ -218,6 +220,7 @@
 
     def __init__(self, member: FlowMember, now: int) -> None:
         self.member = member
+        self.rank_seed = hash_seed(member.id)
         self.load = Load()
         self.added_at = now
         self.last_message_at = 0
@@ -258,7 +261,10 @@
         """Return whether an opening packet or pings went unanswered."""
         if self.has_unanswered_opening:
             return True
-        return self.unanswered_ms(now) > SUSPECT_MS
+        return (
+            self.unanswered_pings >= MIN_SILENT_PINGS
+            and now - self.unanswered_since > SUSPECT_MS
+        )
 
 
 class MemberTable:
--- a/fuchsiapin/flows/placement.py
+++ b/fuchsiapin/flows/placement.py
@@ -10,7 +10,6 @@
 
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.routes import FlowRoute
-from fuchsiapin.ranking import hash_seed
 from fuchsiapin.registry import Registry
 
 __all__ = ["placement_policies", "rank_views", "refusal_policies", "usable_views"]
@@ -51,7 +50,7 @@
     """
     return sorted(
         views,
-        key=lambda view: xxh3_64_intdigest(flow, hash_seed(view.member.id)),
+        key=lambda view: xxh3_64_intdigest(flow, view.rank_seed),
         reverse=True,
     )
 
@@ -136,7 +135,7 @@
         return wait_ms, expected_load(view, zone)
 
     candidates.sort(key=cost)
-    return [*candidates, *(view for view in ranked if view not in candidates)]
+    return list(dict.fromkeys([*candidates, *ranked]))
 
 
 @placement_policies.register("least loaded of few")
