Compute report intervals and review the queue only when needed

Cause: each tick of a side process, ten a second, counted the subscribers of each zone and sorted the queue, also when the load was reported to all and the queue was empty.

Change: both are left out then.

--- a/fuchsiapin/flows/announcing.py
+++ b/fuchsiapin/flows/announcing.py
@@ -152,13 +152,17 @@
             self.report_status(now)
             return
         load = pack_load(self.state.load(now))[:2]
+        outdated = {
+            host: subscriber
+            for host, subscriber in self.subscribers.items()
+            if load != subscriber.reported_load
+        }
+        if not outdated:
+            return
         own, other = self.report_intervals()
-        for host, subscriber in self.subscribers.items():
+        for host, subscriber in outdated.items():
             interval = own if subscriber.zone == self.state.record.zone else other
-            if (
-                load != subscriber.reported_load
-                and now - subscriber.reported_at >= interval
-            ):
+            if now - subscriber.reported_at >= interval:
                 self.send_status(now, host)
 
     def report_intervals(self) -> tuple[int, int]:
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -128,6 +128,8 @@
 
         If it takes no new flows, the whole queue is returned.
         """
+        if not len(self.queue):
+            return
         returned = self.queue.take_expired(now)
         returned += self.queue.take_excess(self.state.slots, self.held.service_ms)
         if self.state.refusal_reason(now):
