Look closer only at members that left something unanswered

Cause: three times a second a round of pings called two methods for each known member, five times a second so did the search for members that digests leave out, and four times a second the check of readiness looked at all of them.

Change: lists of the members with something unanswered are made first; readiness ends with the first member that answers. The results are the same.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -126,12 +126,11 @@
             return "no configuration is known yet"
         if not self.table.views:
             return "no member is known yet"
-        last_message_at = max(
-            view.last_message_at for view in self.table.views.values()
-        )
-        if now - last_message_at > NO_MEMBER_MS:
-            return "no member answers"
-        return ""
+        heard_after = now - NO_MEMBER_MS
+        # `any` ends with the first member that answers; there may be tens of thousands.
+        if any(v.last_message_at >= heard_after for v in self.table.views.values()):
+            return ""
+        return "no member answers"
 
     def on_suspended(self, now: int) -> None:
         """Read the whole store again after the process was suspended."""
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -387,8 +387,17 @@
 
         They aren't offered to other balancers, which may have dropped them already.
         """
+        # Only members that left something unanswered can be suspect. The others, which
+        # may be tens of thousands, are left out without a call for each of them.
+        candidates = [
+            view
+            for view in self.views.values()
+            if not view.last_message_at
+            or view.unanswered_pings
+            or view.has_unanswered_opening
+        ]
         return [
             f"members/{view.member.id}"
-            for view in self.views.values()
+            for view in candidates
             if not view.was_heard or view.is_suspect(now)
         ]
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -84,7 +84,9 @@
         if now - self.round_due_at > MAX_TIMER_LAG_MS:
             self.clear_unanswered()
         views = list(self.table.views.values())
-        self.silent_members = sum(view.unanswered_ms(now) > 0 for view in views)
+        self.silent_members = sum(
+            view.unanswered_ms(now) > 0 for view in views if view.unanswered_since
+        )
         unanswered = [view for view in views if view.unanswered_since][
             :MAX_REPEATED_PINGS
         ]
