Compute waits for a refusal only when no upstream has a free slot

Cause: for each opening, a balancer computed the wait at each usable member, to see whether the shortest one exceeds the deadline. It is 0 where an upstream has a free slot.

--- a/fuchsiapin/flows/placement.py
+++ b/fuchsiapin/flows/placement.py
@@ -173,6 +173,8 @@
     """
     if not views:
         return "every member refused" if tried else "no member takes flows"
+    if any(view.load.waiting < view.member.slots for view in views):
+        return None  # a free slot: no wait
     waits = [
         max(0, view.load.waiting + 1 - view.member.slots)
         * view.load.service_ms
