Choose the watchers of the store without sorting all balancers

Cause: every 300 ms each balancer sorted all others by hash, to find the first three.

Change: the three smallest are taken from a heap, which gives the same ones.

Measured (us, least of 5): 1,148 and 372 with 5,400 balancers, that is 3.8 and 1.2 ms a second; 0.9 and 2.6 with eight.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -1,5 +1,6 @@
 """State of a balancer: routes, members and other balancers, and their sources."""
 
+import heapq
 import random
 from collections.abc import Callable
 from typing import Any
@@ -190,8 +191,8 @@
         The balancers that come first in hash order watch the store. The others receive
         changes from them, and watch the store themselves when their copy is stale.
         """
-        ranked = sorted([*self.gossip.peers, self.record.host], key=hash_seed)
-        is_first = self.record.host in ranked[:WATCHERS]
+        hosts = [*self.gossip.peers, self.record.host]
+        is_first = self.record.host in heapq.nsmallest(WATCHERS, hosts, key=hash_seed)
         is_active = is_first or self.gossip.store_age(now) > STALE_MS
         for follower in self.followers:
             if is_active:
