--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -293,12 +293,15 @@
         targets = self.rng.sample(hosts, min(len(hosts), DIGEST_PEERS))
         if not self.live_hosts(now):
             targets = [*targets, *self.seeds]
+        if not targets:
+            return
+        digest = self.digest(now)
         for host in dict.fromkeys(targets):
-            self.effects.append(ToPeer(host, self.digest(now)))
+            self.effects.append(ToPeer(host, digest))
         repeated = [key for key, _ in self.replicas.in_scope(REPEATED_PREFIXES)]
-        if repeated and targets:
+        if repeated:
             self.send_copy(targets[0], self.rng.choice(repeated))
-        if self.era.current and targets:
+        if self.era.current:
             self.effects.append(ToPeer(targets[0], Era(self.era.current)))
 
     def store_age(self, now: int) -> int:
