Return new flows early under lasting overload

Change: the side process compares the rates of first opening packets and of admissions. While arrivals have exceeded admissions for longer than a burst of 200 ms, it returns flows that are unlikely to be admitted before their deadline, with the reason `overloaded`. The balancer offers them to a member with room, or to one that isn't known to be overloaded, and else refuses them, with the existing proofs. The route's target latency and deadline travel in the field `priority` of Forward.

--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -202,6 +202,26 @@
         "If it lasts, start the upstream, or take the VM away.",
         (Field("probes", "integer"),),
     ),
+    Event(
+        6212,
+        "new flow returned early",
+        "info",
+        "A new flow was returned to its balancer because this upstream can't serve "
+        "it before its deadline, given those that go ahead of it. The fields give the "
+        "time that it waited, its place in the queue, the flows that still wait, and "
+        "the rates at which flows arrive and are given to the upstream.",
+        "If it persists: the service needs more upstreams.",
+        (
+            FLOW,
+            REASON,
+            Field("waited_ms", "integer"),
+            Field("position", "integer"),
+            Field("waiting", "integer"),
+            Field("arrivals_per_s", "integer"),
+            Field("admissions_per_s", "integer"),
+        ),
+        is_rate_limited=True,
+    ),
     Event(
         6301,
         "message refused",
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -6,12 +6,14 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToUpstream
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import FlowState
 from fuchsiapin.flows.members import pack_load
 from fuchsiapin.flows.messages import Forward, Held, Returned
 from fuchsiapin.flows.packets import Packet, PacketFormat, caller_host, flow_name
+from fuchsiapin.flows.serviceclass import unpack_class
 from fuchsiapin.flows.sidestate import SideState
 from fuchsiapin.lightclasses import replace
 
@@ -60,6 +62,7 @@
         self.upstream = state.upstream
         self.held = state.held
         self.queue = state.queue
+        self.admission = state.admission
         self.counts = state.counts
         self.report = state.report
         self.effects = state.effects
@@ -96,11 +99,24 @@
                 self.report(6202, flow=flow_name(packet.flow), reason=reason)
                 self.pass_on(now, message, "refused")
                 return
+            is_arrival = (
+                packet.flow not in self.queue
+                and packet.acknowledged == 0
+                and message.hops >= 0
+            )
             # The acknowledgement number is the number of the retransmission.
-            self.queue.put(
-                now, packet.flow, message, message.priority, packet.acknowledged
+            item = self.queue.put(
+                now,
+                packet.flow,
+                message,
+                unpack_class(message.priority),
+                packet.acknowledged,
+                max(message.hops, 0),
             )
+            if is_arrival:
+                self.admission.rates.note_arrival(now, item.priority)
             self.let_in(now)
+            self.return_hopeless(now)
             return
         flow.origin = message.origin
         self.upstream.note_opening(now)
@@ -113,6 +129,7 @@
             assert item is not None
             self.held.track(now, item.flow, item.message.origin)
             self.held.reserved[item.flow] = now
+            self.admission.rates.note_admission(now)
             self.counts["offered"] += 1
             self.upstream.note_opening(now)
             self.report(
@@ -123,6 +140,29 @@
             )
             self.effects.append(ToUpstream(item.message.packet))
 
+    def return_hopeless(self, now: int) -> None:
+        """Return queued flows at once that can't be served before their deadline.
+
+        Called after `let_in`, so that none is returned while the upstream has room.
+        """
+        for found in self.admission.find_hopeless(
+            now, self.queue, self.held.service_ms
+        ):
+            item = found.item
+            self.queue.remove(item.flow)
+            self.counts[f"returned early: {found.reason}"] += 1
+            self.report(
+                6212,
+                flow=flow_name(item.flow),
+                reason=found.reason,
+                waited_ms=now - item.queued_at,
+                position=found.position,
+                waiting=len(self.queue),
+                arrivals_per_s=self.admission.rates.arrivals_per_s(now),
+                admissions_per_s=self.admission.rates.admissions_per_s(now),
+            )
+            self.return_packet(now, item.message, OVERLOADED)
+
     def review_queue(self, now: int) -> None:
         """Return queued flows that can't be given to the upstream in time.
 
@@ -137,6 +177,7 @@
             name = flow_name(item.flow)
             self.report(6207, flow=name, waited_ms=now - item.queued_at)
             self.return_packet(now, item.message, "full")
+        self.return_hopeless(now)
 
     def on_open_flow_packet(self, now: int, message: Forward, packet: Packet) -> None:
         """Deliver, return or pass on a packet of an open flow.
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.inquiries import Inquiry
@@ -12,8 +13,10 @@
     refusal_policies,
     usable_views,
 )
+from fuchsiapin.flows.refusing import OVERLOAD, OVERLOADED_MS, views_under_overload
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.sending import NO_ROUTE, PacketSender
+from fuchsiapin.flows.serviceclass import pack_route_class
 from fuchsiapin.lightclasses import dataclass, field, replace
 
 __all__ = ["FlowOpener", "Opening"]
@@ -68,6 +71,9 @@
     saw_first : bool
         Whether this balancer received the first opening packet. Otherwise another
         balancer may have offered the flow to members that aren't in `tried_hosts`.
+    early_returns : int
+        Number of members that returned it early, -1 if one returned it for another
+        reason.
     """
 
     host: str
@@ -78,6 +84,7 @@
     last_copies: dict[str, int] = field(default_factory=dict)
     returned_by: list[str] = field(default_factory=list)
     saw_first: bool = False
+    early_returns: int = 0
 
     def note_sent(self, host: str, packet: Packet) -> None:
         """Record that a copy of the opening packet was sent to a member."""
@@ -189,7 +196,10 @@
         self.pending_resets.remove(packet.flow)
         opening.note_sent(opening.host, packet)
         service = route.service_of(packet.flow)
-        self.sender.forward(packet, service, opening.host, route.priority)
+        service_class = pack_route_class(route)
+        self.sender.forward(
+            packet, service, opening.host, service_class, opening.early_returns
+        )
 
     def should_reoffer(self, now: int, opening: Opening) -> bool:
         """Return whether a retransmission should go to another member.
@@ -237,6 +247,9 @@
         service = route.service_of(packet.flow)
         views = usable_views(now, self.table.by_service(service), opening.tried_hosts)
         reason = self.refusal_reason(route, views, len(opening.tried_hosts))
+        if reason is None and opening.early_returns > 0 and opening.cannot_be_open:
+            views = views_under_overload(now, views)
+            reason = None if views else OVERLOAD
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
             if self.state.has_read_members() and opening.cannot_be_open:
                 self.openings.put(packet.flow, opening, now)
@@ -380,9 +393,15 @@
         view = self.table.by_host(host)
         if view is not None and reason == "refused":
             view.refused_until = now + self.state.refusal_ms
+        if view is not None and reason == OVERLOADED:
+            view.overloaded_until = now + OVERLOADED_MS
         opening = self.openings.get(packet.flow, now) or Opening("", now, [])
         if opening.is_held:
             return
+        if reason != OVERLOADED:
+            opening.early_returns = -1
+        elif opening.early_returns >= 0:
+            opening.early_returns += 1
         if host not in opening.tried_hosts:
             opening.tried_hosts.append(host)
         opening.note_returned(host, packet)
--- a/fuchsiapin/flows/queueing.py
+++ b/fuchsiapin/flows/queueing.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+from fuchsiapin.flows.serviceclass import ServiceClass
 from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.registry import Registry
 
@@ -21,6 +22,8 @@
 EXTRA_IN_FLIGHT = 2
 """Requests given to the upstream beyond its slots: while one ends, the next one is
 there, and another flow that was let in sends its request."""
+COPY_AGES_MS = (0, 200, 600)
+"""Time from the first opening packet to each of its copies, by the copy's number."""
 RESERVED_MS = 100
 """A flow that has sent no request this long after it was given to the upstream doesn't
 count as in flight any more."""
@@ -43,6 +46,13 @@
     retransmissions : int
         Number of the latest retransmission of its opening packet, 0 for the first
         packet. Unlike `queued_at` it tells the age of a flow that waited elsewhere.
+    started_at : int
+        When its caller sent the first opening packet, in ms, as far as the numbers of
+        the received ones tell.
+    target_latency_ms, deadline_ms : int
+        Target latency and deadline of its route, 0 if unknown.
+    returns : int
+        Number of members that returned it early.
     """
 
     flow: bytes
@@ -50,6 +60,10 @@
     queued_at: int
     priority: int
     retransmissions: int = 0
+    started_at: int = 0
+    target_latency_ms: int = 0
+    deadline_ms: int = 0
+    returns: int = 0
 
 
 def max_in_flight(slots: int) -> int:
@@ -105,15 +119,41 @@
         now: int,
         flow: bytes,
         message: Any,
-        priority: int,
+        service_class: ServiceClass | int,
         retransmissions: int = 0,
-    ) -> None:
-        """Add a flow, or replace its message by that of a retransmission."""
+        returns: int = 0,
+    ) -> WaitingOpening:
+        """Add a flow, or replace its message by that of a retransmission; return it.
+
+        An integer as `service_class` is a priority.
+        """
+        if isinstance(service_class, int):
+            service_class = ServiceClass(service_class)
         known = self.queued.get(flow)
-        queued_at = known.queued_at if known is not None else now
-        self.queued[flow] = WaitingOpening(
-            flow, message, queued_at, priority, retransmissions
+        started_at = now - COPY_AGES_MS[min(retransmissions, len(COPY_AGES_MS) - 1)]
+        item = self.queued[flow] = WaitingOpening(
+            flow,
+            message,
+            known.queued_at if known is not None else now,
+            service_class.priority,
+            retransmissions,
+            min(started_at, known.started_at) if known is not None else started_at,
+            service_class.target_latency_ms,
+            service_class.deadline_ms,
+            returns,
         )
+        return item
+
+    def __contains__(self, flow: bytes) -> bool:
+        return flow in self.queued
+
+    def in_order(self) -> list[WaitingOpening]:
+        """Return all flows, the next one first."""
+        return sorted(self.queued.values(), key=self.order_key)
+
+    def remove(self, flow: bytes) -> None:
+        """Remove a flow."""
+        del self.queued[flow]
 
     def take(self) -> WaitingOpening | None:
         """Remove and return the next flow, None if there is none."""
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -50,10 +50,20 @@
         self.state.effects.append(ToPeer(host, message))
 
     def forward(
-        self, packet: Packet, service: str, host: str, priority: int = 0
+        self,
+        packet: Packet,
+        service: str,
+        host: str,
+        priority: int = 0,
+        hops: int = 0,
     ) -> None:
-        """Send a packet to the side process of one member."""
-        forward = Forward(service, self.host, 0, priority, False, [], packet.data)
+        """Send a packet to the side process of one member.
+
+        `priority` is the packed service class of an opening packet's route, see
+        `fuchsiapin.flows.serviceclass`; `hops` is described at
+        `Opening.early_returns`.
+        """
+        forward = Forward(service, self.host, hops, priority, False, [], packet.data)
         self.send(host, forward)
 
     def forward_search(
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -29,6 +29,9 @@
 """Interval of the periodic checks of load, queue and upstream, and of updates of the
 moving average of waiting requests. A fifth of the longest wait in the queue, so that
 expired flows are returned soon."""
+REVIEW_MS = 10
+"""Interval of the checks of the queue under sustained overload; a fraction of the time
+within which a refusal must be told."""
 MIN_REWRITE_INTERVAL_MS = 1_500
 """Minimum time after a write before a balancer's ping makes the side process write the
 member again."""
@@ -72,6 +75,7 @@
         self.writer = ObjectWriter(MEMBERS, self.timers, self.effects, rng)
         self.era = StoreEra()
         self.probed_at = 0
+        self.is_review_scheduled = False
         self.handlers: dict[type, Callable[[int, str, Any], None]] = {
             Forward: self.delivery.on_forward,
             Ping: self.on_ping,
@@ -108,6 +112,12 @@
             "held_flows": {"": len(self.held.flows)},
             "waiting_requests": {"": self.held.unanswered_requests},
             "waiting_flows": {"": len(self.queue)},
+            "arriving_flows_per_s": {
+                "": self.state.admission.rates.arrivals_per_s(now)
+            },
+            "admitted_flows_per_s": {
+                "": self.state.admission.rates.admissions_per_s(now)
+            },
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
@@ -131,6 +141,21 @@
         handler = self.handlers.get(type(message))
         if handler is not None:
             handler(now, host, message)
+        if not self.is_review_scheduled:
+            self.schedule_review(now)
+
+    def schedule_review(self, now: int) -> None:
+        """Schedule a check of the queue if flows wait under sustained overload."""
+        self.is_review_scheduled = len(
+            self.queue
+        ) > 0 and self.state.admission.is_sustained(now)
+        if self.is_review_scheduled:
+            self.timers.add(now + REVIEW_MS, self.review)
+
+    def review(self, now: int) -> None:
+        """Return the queued flows that can't be served before their deadline."""
+        self.delivery.return_hopeless(now)
+        self.schedule_review(now)
 
     # The upstream
 
@@ -273,6 +298,7 @@
         self.held.expire(now, self.record.flow_ms)
         self.delivery.let_in(now)
         self.delivery.review_queue(now)
+        self.state.admission.rates.expire(now)
         self.timers.add(now + TICK_MS, self.tick)
 
     def check_upstream(self, now: int) -> None:
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiapin.flows.admission import AdmissionControl
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import HeldFlows
 from fuchsiapin.flows.members import Load
@@ -64,6 +65,8 @@
         Flows that the upstream holds.
     queue : OpeningQueue
         New flows that wait for room.
+    admission : AdmissionControl
+        Decides which of them are returned early.
     lost_flows : FlowCache
         Flows that were open when an incarnation of the upstream ended.
     mean_waiting : float
@@ -82,6 +85,7 @@
         )
         self.held = HeldFlows()
         self.queue = OpeningQueue()
+        self.admission = AdmissionControl()
         self.lost_flows = FlowCache(MAX_LOST_FLOWS, record.flow_ms)
         self.counts: Counter[str] = Counter()
         self.mean_waiting = 0.0
