--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -222,6 +222,21 @@
         ),
         is_rate_limited=True,
     ),
+    Event(
+        6213,
+        "overload changed",
+        "warning",
+        "More new flows have arrived at this upstream than were given to it, for "
+        "longer than a burst, or this has ended. While it lasts, flows that can't be "
+        "served in time are returned early.",
+        "If it lasts: the service needs more upstreams.",
+        (
+            Field("is_overloaded", "boolean"),
+            Field("waiting", "integer"),
+            Field("arrivals_per_s", "integer"),
+            Field("admissions_per_s", "integer"),
+        ),
+    ),
     Event(
         6301,
         "message refused",
--- a/fuchsiapin/flows/admission.py
+++ b/fuchsiapin/flows/admission.py
@@ -30,8 +30,11 @@
 """Longest burst after which no flow is returned early. It is seen for as long and the
 window of the rates."""
 BREAK_MS = 200
-"""How long arrivals may be seen not to exceed admissions within one overload, because
-of chance."""
+"""How long arrivals may be seen not to exceed admissions, because of chance, before an
+overload is noticed."""
+RELIEF_MS = 1_000
+"""How long arrivals must not exceed admissions until an overload counts as over. Until
+then flows are returned again as soon as they do."""
 MIN_WINDOW_MS = 200
 MAX_WINDOW_MS = 800
 """Bounds of the window of the arrival rate: the estimate must fall soon after arrivals
@@ -46,7 +49,7 @@
 MIN_PROBABILITY = 0.2
 """Flows that are less likely to be admitted in time are returned. At an arrival rate of
 twice the admission rate two flows stay in the queue."""
-WAIT_SHARE = 1 / 10
+WAIT_SHARE = 1 / 8
 """Part of the target latency that a flow may wait for one upstream while more flows of
 its class arrive than are admitted, and half as long at each further one. A refusal may
 take a quarter; the rest is for the way and the questions to other balancers."""
@@ -225,29 +228,29 @@
     rates : AdmissionRates
         Rates of arrivals and admissions.
     exceeded_since, exceeded_at : int
-        When arrivals were first and last seen to exceed admissions, without a break of
-        `BREAK_MS`, in ms.
+        When arrivals were first and last seen to exceed admissions, in ms, with breaks
+        shorter than `BREAK_MS`, in an overload `RELIEF_MS`.
+    is_overloaded : bool
+        Whether this has lasted for longer than a burst.
     """
 
     def __init__(self) -> None:
         self.rates = AdmissionRates()
         self.exceeded_since = 0
         self.exceeded_at = -BREAK_MS
+        self.is_overloaded = False
 
     def update(self, now: int) -> None:
         """Compare the rates."""
-        if now - self.exceeded_at >= BREAK_MS:
+        longest_break_ms = RELIEF_MS if self.is_overloaded else BREAK_MS
+        if now - self.exceeded_at >= longest_break_ms:
             self.exceeded_since = now
+            self.is_overloaded = False
         if self.rates.arrivals_per_ms(now) > self.rates.admissions_per_ms(now):
             self.exceeded_at = now
-
-    def is_sustained(self, now: int) -> bool:
-        """Return whether the overload has lasted for longer than a burst."""
-        return (
-            self.exceeded_at - self.exceeded_since
-            >= BURST_MS + self.rates.window_ms(now)
-            and now - self.exceeded_at < BREAK_MS
-        )
+            lasted_ms = now - self.exceeded_since
+            if lasted_ms >= BURST_MS + self.rates.window_ms(now):
+                self.is_overloaded = True
 
     def find_hopeless(
         self, now: int, queue: OpeningQueue, service_ms: float
@@ -263,14 +266,21 @@
         service_ms : float
             Time from a request to its answer.
         """
+        if not len(queue):
+            return []
         self.update(now)
-        if not self.is_sustained(now):
+        if not self.is_overloaded:
             return []
         admissions = self.rates.admissions_per_ms(now)
+        rates_ahead: dict[int, float] = {}
         found = []
         position = 1
         for item in queue.in_order():
-            arrivals = self.rates.arrivals_per_ms(now, item.priority)
+            if item.priority not in rates_ahead:
+                rates_ahead[item.priority] = self.rates.arrivals_per_ms(
+                    now, item.priority
+                )
+            arrivals = rates_ahead[item.priority]
             reason = hopeless_reason(
                 now, item, position, arrivals, admissions, service_ms
             )
@@ -289,7 +299,13 @@
     admissions_per_ms: float,
     service_ms: float,
 ) -> str:
-    """Return why a waiting flow should be returned at once, empty if it should not."""
+    """Return why a waiting flow should be returned at once, empty if it should not.
+
+    One whose target latency isn't known comes from a balancer of the previous build, or
+    its route has none; it isn't returned early.
+    """
+    if not item.target_latency_ms:
+        return ""
     time_left_ms = item.started_at + GIVE_UP_MS - now
     if item.deadline_ms:
         last_start_at = item.started_at + item.deadline_ms - service_ms
@@ -301,6 +317,6 @@
         return "not before the deadline"
     is_overloaded = arrivals_per_ms >= admissions_per_ms
     longest_wait_ms = item.target_latency_ms * WAIT_SHARE / 2**item.returns
-    if is_overloaded and 0 < longest_wait_ms <= now - item.queued_at:
+    if is_overloaded and longest_wait_ms <= now - item.queued_at:
         return "not near the target latency"
     return ""
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -197,9 +197,8 @@
         opening.note_sent(opening.host, packet)
         service = route.service_of(packet.flow)
         service_class = pack_route_class(route)
-        self.sender.forward(
-            packet, service, opening.host, service_class, opening.early_returns
-        )
+        hops = opening.early_returns if route.target_latency_ms else 0
+        self.sender.forward(packet, service, opening.host, service_class, hops)
 
     def should_reoffer(self, now: int, opening: Opening) -> bool:
         """Return whether a retransmission should go to another member.
@@ -247,11 +246,11 @@
         service = route.service_of(packet.flow)
         views = usable_views(now, self.table.by_service(service), opening.tried_hosts)
         reason = self.refusal_reason(route, views, len(opening.tried_hosts))
-        if reason is None and opening.early_returns > 0 and opening.cannot_be_open:
-            views = views_under_overload(now, views)
+        if reason is None and opening.early_returns > 0 and self.can_refuse(opening):
+            views = views_under_overload(now, views, route.priority)
             reason = None if views else OVERLOAD
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
-            if self.state.has_read_members() and opening.cannot_be_open:
+            if self.can_refuse(opening):
                 self.openings.put(packet.flow, opening, now)
                 # Without a reason of the policy, MAX_OFFERS members returned it.
                 self.reset_unless_known(
@@ -283,6 +282,10 @@
         )
         self.send(packet, route, opening)
 
+    def can_refuse(self, opening: Opening) -> bool:
+        """Return whether a new flow may be reset, as far as this balancer knows."""
+        return self.state.has_read_members() and opening.cannot_be_open
+
     def refuse_unrouted(self, now: int, packet: Packet) -> None:
         """Refuse a new flow that matches no route, once a configuration is known.
 
@@ -394,7 +397,7 @@
         if view is not None and reason == "refused":
             view.refused_until = now + self.state.refusal_ms
         if view is not None and reason == OVERLOADED:
-            view.overloaded_until = now + OVERLOADED_MS
+            view.overloaded_until[route.priority] = now + OVERLOADED_MS
         opening = self.openings.get(packet.flow, now) or Opening("", now, [])
         if opening.is_held:
             return
--- a/fuchsiapin/flows/refusing.py
+++ b/fuchsiapin/flows/refusing.py
@@ -5,7 +5,7 @@
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.queueing import max_in_flight
 
-__all__ = ["OVERLOAD", "OVERLOADED_MS", "has_room", "views_under_overload"]
+__all__ = ["OVERLOAD", "OVERLOADED_MS", "is_overloaded", "views_under_overload"]
 
 OVERLOAD = "no member can serve it before its deadline"
 """Reason of the reset of a flow that is refused early."""
@@ -23,7 +23,17 @@
     return waiting < max_in_flight(view.member.slots)
 
 
-def views_under_overload(now: int, views: Sequence[MemberView]) -> list[MemberView]:
+def is_overloaded(now: int, view: MemberView, priority: int) -> bool:
+    """Return whether a member lately returned a flow early that would go first."""
+    return any(
+        until > now and other <= priority
+        for other, until in view.overloaded_until.items()
+    )
+
+
+def views_under_overload(
+    now: int, views: Sequence[MemberView], priority: int
+) -> list[MemberView]:
     """Return the members that a flow is offered to after an early return.
 
     Members with room come first, then those that aren't known to be overloaded.
@@ -34,6 +44,10 @@
         Time in ms.
     views : sequence of MemberView
         Members that the flow wasn't offered to yet.
+    priority : int
+        Priority of its route.
     """
     with_room = [view for view in views if has_room(view)]
-    return with_room or [view for view in views if view.overloaded_until <= now]
+    return with_room or [
+        view for view in views if not is_overloaded(now, view, priority)
+    ]
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -118,6 +118,7 @@
             "admitted_flows_per_s": {
                 "": self.state.admission.rates.admissions_per_s(now)
             },
+            "overloaded": {"": int(self.state.admission.is_overloaded)},
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
@@ -146,14 +147,15 @@
 
     def schedule_review(self, now: int) -> None:
         """Schedule a check of the queue if flows wait under sustained overload."""
-        self.is_review_scheduled = len(
-            self.queue
-        ) > 0 and self.state.admission.is_sustained(now)
+        self.is_review_scheduled = (
+            len(self.queue) > 0 and self.state.admission.is_overloaded
+        )
         if self.is_review_scheduled:
             self.timers.add(now + REVIEW_MS, self.review)
 
     def review(self, now: int) -> None:
         """Return the queued flows that can't be served before their deadline."""
+        self.delivery.let_in(now)
         self.delivery.return_hopeless(now)
         self.schedule_review(now)
 
@@ -298,7 +300,7 @@
         self.held.expire(now, self.record.flow_ms)
         self.delivery.let_in(now)
         self.delivery.review_queue(now)
-        self.state.admission.rates.expire(now)
+        self.state.review_admission(now)
         self.timers.add(now + TICK_MS, self.tick)
 
     def check_upstream(self, now: int) -> None:
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -91,6 +91,7 @@
         self.mean_waiting = 0.0
         self.started_at = 0
         self.is_stopping = False
+        self.was_overloaded = False
 
     def refusal_reason(self, now: int) -> str:
         """Return why no new flows are taken, empty if they are."""
@@ -124,6 +125,22 @@
             self.held.unanswered_requests - self.mean_waiting
         )
 
+    def review_admission(self, now: int) -> None:
+        """Report when an overload begins or ends."""
+        rates = self.admission.rates
+        rates.expire(now)
+        self.admission.update(now)
+        if self.admission.is_overloaded == self.was_overloaded:
+            return
+        self.was_overloaded = self.admission.is_overloaded
+        self.report(
+            6213,
+            is_overloaded=self.was_overloaded,
+            waiting=len(self.queue),
+            arrivals_per_s=rates.arrivals_per_s(now),
+            admissions_per_s=rates.admissions_per_s(now),
+        )
+
     def lose_flows(self, now: int) -> None:
         """Clear the flows of an ended incarnation, and remember the open ones."""
         for flow, state in self.held.flows.items():
