Offer early returns to four members, those with room first

Cause: a balancer refused a flow once all members without room had returned one of its priority or a higher one early within 200 ms.

Change: no member is marked. An early return is offered to the best member whose load report shows room, else to the best of all, up to four offers.

--- a/fuchsiapin/flows/admission.py
+++ b/fuchsiapin/flows/admission.py
@@ -8,9 +8,11 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from math import erfc, exp, sqrt
 
-from fuchsiapin.flows.queueing import OpeningQueue, WaitingOpening
+from fuchsiapin.flows.members import MemberView
+from fuchsiapin.flows.queueing import OpeningQueue, WaitingOpening, max_in_flight
 from fuchsiapin.lightclasses import dataclass
 
 __all__ = [
@@ -20,6 +22,7 @@
     "AdmissionRates",
     "EventRate",
     "admission_probability",
+    "views_with_room",
 ]
 
 OVERLOADED = "overloaded"
@@ -321,3 +324,16 @@
     if is_overloaded and longest_wait_ms <= now - item.queued_at:
         return "not near the target latency"
     return ""
+
+
+def views_with_room(views: Sequence[MemberView]) -> list[MemberView]:
+    """Return the members whose load reports show room for another request.
+
+    A member without a report shows room.
+    """
+    return [
+        view
+        for view in views
+        if view.load.waiting + view.placed_since_report
+        < max_in_flight(view.member.slots)
+    ]
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -210,9 +210,6 @@
     refused_until : int
         Time until which it is offered no new flows, because it refused one or
         reported that it takes none.
-    overloaded_until : dict
-        Time until which it counts as overloaded, by the priority of a new flow that it
-        returned early.
     has_unanswered_opening : bool
         Whether an opening packet went unanswered and nothing was received since.
     is_stored : bool
@@ -228,7 +225,6 @@
         self.unanswered_pings = 0
         self.placed_since_report = 0
         self.refused_until = 0
-        self.overloaded_until: dict[int, int] = {}
         self.has_unanswered_opening = False
         self.is_stored = False
 
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from fuchsiapin.flows.admission import OVERLOADED
+from fuchsiapin.flows.admission import OVERLOADED, views_with_room
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.inquiries import Inquiry
@@ -13,7 +13,6 @@
     refusal_policies,
     usable_views,
 )
-from fuchsiapin.flows.refusing import OVERLOAD, OVERLOADED_MS, views_under_overload
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.sending import NO_ROUTE, PacketSender
 from fuchsiapin.flows.serviceclass import pack_route_class
@@ -246,11 +245,8 @@
         service = route.service_of(packet.flow)
         views = usable_views(now, self.table.by_service(service), opening.tried_hosts)
         reason = self.refusal_reason(route, views, len(opening.tried_hosts))
-        if reason is None and opening.early_returns > 0 and self.can_refuse(opening):
-            views = views_under_overload(now, views, route.priority)
-            reason = None if views else OVERLOAD
         if reason is not None or len(opening.tried_hosts) >= MAX_OFFERS:
-            if self.can_refuse(opening):
+            if self.state.has_read_members() and opening.cannot_be_open:
                 self.openings.put(packet.flow, opening, now)
                 # Without a reason of the policy, MAX_OFFERS members returned it.
                 self.reset_unless_known(
@@ -261,6 +257,8 @@
                     self.state.balancers_to_ask(now),
                 )
             return
+        if opening.early_returns > 0:
+            views = views_with_room(views) or views
         zone = self.state.record.zone
         view = self.order_members(packet.flow, views, zone, route.target_latency_ms)[0]
         view.placed_since_report += 1
@@ -282,10 +280,6 @@
         )
         self.send(packet, route, opening)
 
-    def can_refuse(self, opening: Opening) -> bool:
-        """Return whether a new flow may be reset, as far as this balancer knows."""
-        return self.state.has_read_members() and opening.cannot_be_open
-
     def refuse_unrouted(self, now: int, packet: Packet) -> None:
         """Refuse a new flow that matches no route, once a configuration is known.
 
@@ -396,8 +390,6 @@
         view = self.table.by_host(host)
         if view is not None and reason == "refused":
             view.refused_until = now + self.state.refusal_ms
-        if view is not None and reason == OVERLOADED:
-            view.overloaded_until[route.priority] = now + OVERLOADED_MS
         opening = self.openings.get(packet.flow, now) or Opening("", now, [])
         if opening.is_held:
             return
--- a/fuchsiapin/tests/test_admission.py
+++ b/fuchsiapin/tests/test_admission.py
@@ -85,7 +85,7 @@
             quarter_ms = make_route().target_latency_ms // 4 + POLL_MS
             told = sum(ms <= quarter_ms for ms in outcome.refusal_ms)
             self.assertGreaterEqual(outcome.in_target, former.in_target)
-            self.assertGreater(told, 0.85 * len(outcome.refusal_ms))
+            self.assertGreater(told, 0.9 * len(outcome.refusal_ms))
             self.assertEqual(outcome.untold, 0)
 
     def test_a_burst_loses_nobody(self) -> None:
