--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -221,6 +221,41 @@
         NO_ACTION,
         (ZONE, Field("flows", "integer")),
     ),
+    Event(
+        6212,
+        "new flow returned early",
+        "info",
+        "A new flow was returned to its balancer because this upstream can't serve "
+        "it before its deadline, given those that go ahead of it. The fields give the "
+        "time that it waited, its place in the queue, the flows that still wait, and "
+        "the rates at which flows arrive and are given to the upstream.",
+        "If it persists: the service needs more upstreams.",
+        (
+            FLOW,
+            REASON,
+            Field("waited_ms", "integer"),
+            Field("position", "integer"),
+            Field("waiting", "integer"),
+            Field("arrivals_per_s", "integer"),
+            Field("admissions_per_s", "integer"),
+        ),
+        is_rate_limited=True,
+    ),
+    Event(
+        6213,
+        "overload changed",
+        "warning",
+        "More new flows have arrived at this upstream than were given to it, for "
+        "longer than a burst, or this has ended. While it lasts, flows that can't be "
+        "served in time are returned early.",
+        "If it lasts: the service needs more upstreams.",
+        (
+            Field("is_overloaded", "boolean"),
+            Field("waiting", "integer"),
+            Field("arrivals_per_s", "integer"),
+            Field("admissions_per_s", "integer"),
+        ),
+    ),
     Event(
         6218,
         "new flow waits for cold limit",
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.flows.admission import OVERLOADED, views_with_room
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.inquiries import Inquiry
@@ -14,6 +15,7 @@
 )
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.sending import NO_ROUTE, PacketSender
+from fuchsiapin.flows.serviceclass import pack_route_class
 from fuchsiapin.lightclasses import dataclass, field, replace
 
 __all__ = ["FlowOpener", "Opening"]
@@ -70,6 +72,9 @@
     saw_first : bool
         Whether this balancer received the first opening packet. Otherwise another
         balancer may have offered the flow to members that aren't in `tried_hosts`.
+    early_returns : int
+        Number of members that returned it early, -1 if one returned it for another
+        reason.
     """
 
     host: str
@@ -80,6 +85,7 @@
     last_copies: dict[str, int] = field(default_factory=dict)
     returned_by: list[str] = field(default_factory=list)
     saw_first: bool = False
+    early_returns: int = 0
 
     def note_sent(self, host: str, packet: Packet) -> None:
         """Record that a copy of the opening packet was sent to a member."""
@@ -191,7 +197,9 @@
         self.pending_resets.remove(packet.flow)
         opening.note_sent(opening.host, packet)
         service = route.service_of(packet.flow)
-        self.sender.forward(packet, service, opening.host, route.priority)
+        service_class = pack_route_class(route)
+        hops = opening.early_returns if route.target_latency_ms else 0
+        self.sender.forward(packet, service, opening.host, service_class, hops)
 
     def should_reoffer(self, now: int, opening: Opening) -> bool:
         """Return whether a retransmission should go to another member.
@@ -259,6 +267,8 @@
                     self.state.balancers_to_ask(now),
                 )
             return
+        if opening.early_returns > 0:
+            views = views_with_room(views) or views
         zone = self.state.record.zone
         ordered = self.order_members(packet.flow, views, zone, route.target_latency_ms)
         view = self.state.cold_rates.first_choice(ordered)
@@ -394,6 +404,10 @@
         opening = self.openings.get(packet.flow, now) or Opening("", now, [])
         if opening.is_held:
             return
+        if reason != OVERLOADED:
+            opening.early_returns = -1
+        elif opening.early_returns >= 0:
+            opening.early_returns += 1
         if host not in opening.tried_hosts:
             opening.tried_hosts.append(host)
         opening.note_returned(host, packet)
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiapin.flows.admission import AdmissionControl
 from fuchsiapin.flows.coldstart import ColdStart
 from fuchsiapin.flows.evacuations import EvacuatedZones
 from fuchsiapin.flows.flowcache import FlowCache
@@ -70,6 +71,8 @@
         New flows that wait for room.
     zones : EvacuatedZones
         What balancers told of the zone of this VM.
+    admission : AdmissionControl
+        Decides which of them are returned early.
     lost_flows : FlowCache
         Flows that were open when an incarnation of the upstream ended.
     mean_waiting : float
@@ -89,12 +92,14 @@
         self.cold_start = ColdStart(self.upstream, report)
         self.held = HeldFlows()
         self.queue = OpeningQueue()
+        self.admission = AdmissionControl()
         self.lost_flows = FlowCache(MAX_LOST_FLOWS, record.flow_ms)
         self.counts: Counter[str] = Counter()
         self.mean_waiting = 0.0
         self.started_at = 0
         self.is_stopping = False
         self.zones = EvacuatedZones()
+        self.was_overloaded = False
 
     def refusal_reason(self, now: int) -> str:
         """Return why no new flows are taken, empty if they are."""
@@ -137,6 +142,22 @@
             self.held.unanswered_requests - self.mean_waiting
         )
 
+    def review_admission(self, now: int) -> None:
+        """Report when an overload begins or ends."""
+        rates = self.admission.rates
+        rates.expire(now)
+        self.admission.update(now)
+        if self.admission.is_overloaded == self.was_overloaded:
+            return
+        self.was_overloaded = self.admission.is_overloaded
+        self.report(
+            6213,
+            is_overloaded=self.was_overloaded,
+            waiting=len(self.queue),
+            arrivals_per_s=rates.arrivals_per_s(now),
+            admissions_per_s=rates.admissions_per_s(now),
+        )
+
     def lose_flows(self, now: int) -> None:
         """Clear the flows of an ended incarnation, and remember the open ones."""
         for flow, state in self.held.flows.items():
