Learn service times apart from waits, and place flows by them

Cause: service_ms mixed the wait for a slot with the service time, and placement compared waits alone, so an idle upstream that is 2.2 times slower got as many flows as the others.

Change: flows/speeds.py takes the service time from the moment when a slot became free to the start of the answer; the policy 'own zone first' sorts members by one cost in ms. The median for FAST_RATIO is that of the whole service: among four candidates of which two were slow, healthy ones looked too fast. The queue bound and 'past the deadline' multiply the service time by the requests ahead, which the former average counted twice.

--- a/fuchsiapin/flows/heldflows.py
+++ b/fuchsiapin/flows/heldflows.py
@@ -5,6 +5,7 @@
 from fuchsiapin.flows.metrics import LatencyHistogram
 from fuchsiapin.flows.packets import Packet, is_sequence_after, sequence_distance
 from fuchsiapin.flows.queueing import RESERVED_MS
+from fuchsiapin.flows.speeds import ServiceTimes
 
 __all__ = ["FlowState", "HeldFlows"]
 
@@ -16,10 +17,6 @@
 PENDING_MS = 2_500
 """A request without an answer for this long is no longer counted: its caller has given
 up, and an upstream need not answer callers that gave up."""
-SERVICE_MS_SMOOTHING = 0.1
-"""Weight of the newest service time in the moving average."""
-INITIAL_SERVICE_MS = 30.0
-"""Service time assumed before the first answer."""
 
 
 class FlowState:
@@ -110,16 +107,15 @@
         they were given.
     pending : dict
         Flows whose request isn't answered yet, with the time of the request.
-    service_ms : float
-        Moving average of the time from a complete request to the start of its
-        answer, or to a reset by the upstream.
+    times : ServiceTimes
+        Service times of the upstream; an answer or a reset ends a request.
     """
 
     def __init__(self) -> None:
         self.flows: OrderedDict[bytes, FlowState] = OrderedDict()
         self.reserved: dict[bytes, int] = {}
         self.pending: dict[bytes, int] = {}
-        self.service_ms = INITIAL_SERVICE_MS
+        self.times = ServiceTimes()
         self.answer_ms = LatencyHistogram()
 
     def clear(self) -> None:
@@ -127,7 +123,12 @@
         self.flows.clear()
         self.reserved.clear()
         self.pending.clear()
-        self.service_ms = INITIAL_SERVICE_MS
+        self.times.clear()
+
+    @property
+    def service_ms(self) -> float:
+        """Return the mean service time, without the time that requests waited."""
+        return self.times.average_ms
 
     def get(self, flow: bytes) -> FlowState | None:
         """Return the state of a flow, None if it isn't held."""
@@ -146,6 +147,12 @@
         self.flows.pop(flow, None)
         self.reserved.pop(flow, None)
         self.pending.pop(flow, None)
+        self.times.forget(flow)
+
+    def drop_request(self, now: int, flow: bytes) -> None:
+        """Stop waiting for the answer to the request of a flow."""
+        if self.pending.pop(flow, None) is not None:
+            self.times.note_dropped(now, flow)
 
     def note_inbound(self, now: int, state: FlowState, packet: Packet) -> None:
         """Update the state of a flow with a packet to the upstream."""
@@ -153,7 +160,7 @@
         state.acknowledged = packet.acknowledged
         state.is_open = state.is_open or not packet.resets
         if packet.resets or packet.ends:
-            self.pending.pop(packet.flow, None)
+            self.drop_request(now, packet.flow)
         if not packet.length:
             return
         end = packet.sequence + packet.length
@@ -165,8 +172,9 @@
         self.reserved.pop(packet.flow, None)
         if packet.is_full:
             return  # more of the request follows: the upstream can't run it yet
-        if not packet.ends:
-            self.pending.setdefault(packet.flow, now)
+        if not packet.ends and packet.flow not in self.pending:
+            self.pending[packet.flow] = now
+            self.times.note_request(now, packet.flow)
 
     def note_outbound(self, now: int, state: FlowState, packet: Packet) -> None:
         """Update the state of a flow with a packet from the upstream."""
@@ -185,11 +193,11 @@
             state.outbound_end = end
         since = self.pending.get(packet.flow)
         if since is not None and (is_answer or packet.resets):
-            elapsed = now - since
-            self.answer_ms.observe(elapsed)
-            self.service_ms += SERVICE_MS_SMOOTHING * (elapsed - self.service_ms)
-        if is_answer or packet.ends or packet.resets:
-            self.pending.pop(packet.flow, None)
+            del self.pending[packet.flow]
+            self.answer_ms.observe(now - since)
+            self.times.note_answer(now, packet.flow, since)
+        elif packet.ends:
+            self.drop_request(now, packet.flow)
 
     @property
     def unanswered_requests(self) -> int:
@@ -218,7 +226,7 @@
             flow, since = next(iter(self.pending.items()))
             if now - since < PENDING_MS:
                 break
-            del self.pending[flow]
+            self.drop_request(now, flow)
         while self.flows:
             flow, state = next(iter(self.flows.items()))
             if now - state.used_at <= max_idle_ms:
--- a/fuchsiapin/flows/placement.py
+++ b/fuchsiapin/flows/placement.py
@@ -10,6 +10,7 @@
 
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.routes import FlowRoute
+from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.ranking import hash_seed
 from fuchsiapin.registry import Registry
 
@@ -21,6 +22,9 @@
 LOAD_RANKS = 4
 """Number of first ranks among which load decides, in the balancer's availability zone
 and among all members; searches ask these first."""
+SERVICE_WEIGHT = 0.5
+"""Weight of the service time in the cost of a member, relative to a wait. With the whole
+service time slow upstreams stay idle until the others have a queue."""
 MEAN_WAITING_WEIGHT = 0.5
 """Weight of the mean number of waiting requests over about a second, relative to the
 current number."""
@@ -91,51 +95,102 @@
     return waiting / view.member.slots
 
 
-def expected_wait_ms(view: MemberView) -> float:
+def expected_wait_ms(view: MemberView, service_ms: float) -> float:
     """Return how long the next request would wait for a slot, in ms."""
     slots = view.member.slots
     waiting = float(view.load.waiting + view.placed_since_report)
     if view.load.cold_ms > 0:
         waiting += COLD_REQUESTS
-    return max(0.0, waiting + 1 - slots) * view.load.service_ms / slots
+    return max(0.0, waiting + 1 - slots) * service_ms / slots
 
 
 def typical_service_ms(views: Sequence[MemberView]) -> float:
-    """Return the median time to an answer, 0 with too few members to compare."""
+    """Return the median service time, 0 with too few members to compare."""
     times = sorted(view.load.service_ms for view in views if view.was_heard)
     return times[len(times) // 2] if len(times) >= MIN_COMPARED else 0
 
 
+@dataclass(frozen=True)
+class Cost:
+    """What a new flow would cost its caller at one member.
+
+    Parameters
+    ----------
+    view : MemberView
+        The member.
+    service_ms, wait_ms : float
+        Service time of its upstream, and expected wait for a slot.
+    mean_wait_ms : float
+        Part of the mean wait over about a second that counts.
+    """
+
+    view: MemberView
+    service_ms: float
+    wait_ms: float
+    mean_wait_ms: float
+
+    @property
+    def total_ms(self) -> float:
+        """Return the cost in ms."""
+        return SERVICE_WEIGHT * self.service_ms + self.wait_ms + self.mean_wait_ms
+
+
+def member_cost(view: MemberView, typical_ms: float, is_trial: bool) -> Cost:
+    """Return what a new flow would cost its caller at a member.
+
+    Parameters
+    ----------
+    view : MemberView
+        The member.
+    typical_ms : float
+        Median service time of its service, 0 if it isn't known.
+    is_trial : bool
+        Whether members are compared as if all upstreams had that service time.
+    """
+    service_ms = max(float(view.load.service_ms), 1.0)
+    is_too_fast = service_ms * FAST_RATIO < typical_ms
+    if is_trial and typical_ms:
+        service_ms = typical_ms
+    wait_ms = expected_wait_ms(view, service_ms)
+    if is_too_fast and not is_trial:
+        wait_ms += FAST_WAIT_FACTOR * typical_ms
+    mean_waiting = view.load.mean_waiting_thousandths / THOUSANDTHS
+    mean_wait_ms = MEAN_WAITING_WEIGHT * mean_waiting * service_ms / view.member.slots
+    return Cost(view, service_ms, wait_ms, mean_wait_ms)
+
+
 @placement_policies.register("own zone first")
 def own_zone_first(
     flow: bytes, views: Sequence[MemberView], zone: str, target_latency_ms: int
 ) -> list[MemberView]:
     """Return members to offer a flow to, the best first.
 
-    Intended where traffic between availability zones is dear. A member of the own zone
-    is preferred while a request would wait there for less than a small part of the
-    target latency; beyond that, the wait decides, so that an uneven load spreads over
-    the zones. Among members without a wait the least loaded one is first.
+    The best one has the lowest cost to the caller: service time, expected wait for a
+    slot and a part of the mean wait. Where traffic between availability zones is dear,
+    a member of the own zone is preferred while a request would wait there for less than
+    a small part of the time that the target latency leaves; beyond that, the cost
+    decides, so that an uneven load spreads over the zones.
 
     An upstream that fails its requests at once looks idle. One that answers far faster
-    than the others therefore gets new flows only once the others have a wait.
+    than the others therefore gets new flows only once the others have a wait. A few
+    flows are placed without regard to service times, so that upstreams whose speed has
+    changed are noticed.
     """
     ranked = rank_views(flow, views)
     own = [view for view in ranked if view.member.zone == zone]
     candidates = list(dict.fromkeys([*own[:LOAD_RANKS], *ranked[:LOAD_RANKS]]))
-    typical_ms = typical_service_ms(candidates)
+    typical_ms = typical_service_ms(views)
     is_trial = xxh3_64_intdigest(flow) % TRIAL_ONE_IN == 0
 
-    def cost(view: MemberView) -> tuple[float, float]:
-        wait_ms = expected_wait_ms(view)
-        if view.load.service_ms * FAST_RATIO < typical_ms and not is_trial:
-            wait_ms += FAST_WAIT_FACTOR * typical_ms
-        if view.member.zone != zone:
-            spare_ms = max(0, target_latency_ms - view.load.service_ms)
-            wait_ms += OTHER_ZONE_SHARE * spare_ms
-        return wait_ms, expected_load(view, zone)
+    def key(view: MemberView) -> tuple[bool, float, float]:
+        cost = member_cost(view, typical_ms, is_trial)
+        spare_ms = OTHER_ZONE_SHARE * max(0, target_latency_ms - cost.service_ms)
+        load = expected_load(view, zone)
+        if view.member.zone == zone:
+            return cost.wait_ms >= spare_ms, cost.total_ms, load
+        return True, cost.total_ms + spare_ms, load
 
-    candidates.sort(key=cost)
+    candidates.sort(key=key)
     return [*candidates, *(view for view in ranked if view not in candidates)]
 
 
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -109,6 +109,8 @@
             "waiting_requests": {"": self.held.unanswered_requests},
             "waiting_flows": {"": len(self.queue)},
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
+            "service_ms_total": {"": self.held.times.total_ms},
+            "use_mean": {"": round(self.held.times.use, 3)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
             "answer_ms_bucket": self.held.answer_ms.cumulative_counts(),
@@ -140,6 +142,8 @@
         change = self.upstream.apply_heartbeat(now, heartbeat)
         if change in ("started", "changed"):
             self.on_upstream_change(now, change, previous)
+        self.held.times.set_slots(self.state.slots)
+        self.held.times.cold_until = self.upstream.cold_until
         return change
 
     def on_upstream_change(
@@ -268,6 +272,7 @@
     def tick(self, now: int) -> None:
         """Run the periodic checks, and schedule the next ones."""
         self.state.update_mean_waiting()
+        self.held.times.update_use()
         self.announcer.tick(now)
         self.check_upstream(now)
         self.held.expire(now, self.record.flow_ms)
