--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -61,7 +61,8 @@
     cold_ms : int
         Remaining time for which the upstream is slow after its start.
     service_ms : int
-        Mean time from a complete request to the start of its answer.
+        Mean service time, without the wait for a slot. The previous build includes
+        the wait.
     """
 
     waiting: int = 0
--- a/fuchsiapin/flows/placement.py
+++ b/fuchsiapin/flows/placement.py
@@ -10,7 +10,6 @@
 
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.routes import FlowRoute
-from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.ranking import hash_seed
 from fuchsiapin.registry import Registry
 
@@ -22,9 +21,9 @@
 LOAD_RANKS = 4
 """Number of first ranks among which load decides, in the balancer's availability zone
 and among all members; searches ask these first."""
-SERVICE_WEIGHT = 0.5
-"""Weight of the service time in the cost of a member, relative to a wait. With the whole
-service time slow upstreams stay idle until the others have a queue."""
+SERVICE_WEIGHT = 0.4
+"""Weight of the service time in the cost of a member, relative to a wait. With the
+whole service time slow upstreams stay idle until the others have a queue."""
 MEAN_WAITING_WEIGHT = 0.5
 """Weight of the mean number of waiting requests over about a second, relative to the
 current number."""
@@ -110,33 +109,10 @@
     return times[len(times) // 2] if len(times) >= MIN_COMPARED else 0
 
 
-@dataclass(frozen=True)
-class Cost:
-    """What a new flow would cost its caller at one member.
-
-    Parameters
-    ----------
-    view : MemberView
-        The member.
-    service_ms, wait_ms : float
-        Service time of its upstream, and expected wait for a slot.
-    mean_wait_ms : float
-        Part of the mean wait over about a second that counts.
-    """
-
-    view: MemberView
-    service_ms: float
-    wait_ms: float
-    mean_wait_ms: float
-
-    @property
-    def total_ms(self) -> float:
-        """Return the cost in ms."""
-        return SERVICE_WEIGHT * self.service_ms + self.wait_ms + self.mean_wait_ms
-
-
-def member_cost(view: MemberView, typical_ms: float, is_trial: bool) -> Cost:
-    """Return what a new flow would cost its caller at a member.
+def member_cost(
+    view: MemberView, typical_ms: float, is_trial: bool
+) -> tuple[float, float, float]:
+    """Return what a new flow would meet at a member.
 
     Parameters
     ----------
@@ -146,17 +122,29 @@
         Median service time of its service, 0 if it isn't known.
     is_trial : bool
         Whether members are compared as if all upstreams had that service time.
+
+    Returns
+    -------
+    service_ms, wait_ms, cost_ms : float
+        Service time; expected wait for a slot, the longer one of the present wait and
+        that over about a second; cost to the caller, by which members are compared.
     """
     service_ms = max(float(view.load.service_ms), 1.0)
     is_too_fast = service_ms * FAST_RATIO < typical_ms
     if is_trial and typical_ms:
         service_ms = typical_ms
+    slots = view.member.slots
+    mean_waiting = view.load.mean_waiting_thousandths / THOUSANDTHS
     wait_ms = expected_wait_ms(view, service_ms)
+    mean_wait_ms = max(0.0, mean_waiting + 1 - slots) * service_ms / slots
     if is_too_fast and not is_trial:
         wait_ms += FAST_WAIT_FACTOR * typical_ms
-    mean_waiting = view.load.mean_waiting_thousandths / THOUSANDTHS
-    mean_wait_ms = MEAN_WAITING_WEIGHT * mean_waiting * service_ms / view.member.slots
-    return Cost(view, service_ms, wait_ms, mean_wait_ms)
+    cost_ms = (
+        SERVICE_WEIGHT * service_ms
+        + wait_ms
+        + MEAN_WAITING_WEIGHT * mean_waiting * service_ms / slots
+    )
+    return service_ms, max(wait_ms, mean_wait_ms), cost_ms
 
 
 @placement_policies.register("own zone first")
@@ -165,8 +153,8 @@
 ) -> list[MemberView]:
     """Return members to offer a flow to, the best first.
 
-    The best one has the lowest cost to the caller: service time, expected wait for a
-    slot and a part of the mean wait. Where traffic between availability zones is dear,
+    The best one has the lowest cost to the caller: expected wait for a slot and a part
+    of the service time. Where traffic between availability zones is dear,
     a member of the own zone is preferred while a request would wait there for less than
     a small part of the time that the target latency leaves; beyond that, the cost
     decides, so that an uneven load spreads over the zones.
@@ -183,12 +171,12 @@
     is_trial = xxh3_64_intdigest(flow) % TRIAL_ONE_IN == 0
 
     def key(view: MemberView) -> tuple[bool, float, float]:
-        cost = member_cost(view, typical_ms, is_trial)
-        spare_ms = OTHER_ZONE_SHARE * max(0, target_latency_ms - cost.service_ms)
+        service_ms, wait_ms, cost_ms = member_cost(view, typical_ms, is_trial)
+        spare_ms = OTHER_ZONE_SHARE * max(0.0, target_latency_ms - service_ms)
         load = expected_load(view, zone)
         if view.member.zone == zone:
-            return cost.wait_ms >= spare_ms, cost.total_ms, load
-        return True, cost.total_ms + spare_ms, load
+            return wait_ms >= spare_ms, cost_ms, load
+        return True, cost_ms + spare_ms, load
 
     candidates.sort(key=key)
     return [*candidates, *(view for view in ranked if view not in candidates)]
--- a/fuchsiapin/flows/speeds.py
+++ b/fuchsiapin/flows/speeds.py
@@ -63,7 +63,8 @@
         The same as derived from its answers, not lower than reported.
     cold_until : int
         Time until which the upstream is slow after its start, in ms. Samples of
-        requests that started before are discarded with the first one of a later request.
+        requests that started before are discarded with the first one of a later
+        request.
     running : dict
         Flows whose request has a slot, with the time when it got it, in ms, and whether
         it got one of the reported slots on arrival.
