--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -122,6 +122,8 @@
             },
             "overloaded": {"": int(self.state.admission.is_overloaded)},
             "service_ms_mean": {"": round(self.held.service_ms, 1)},
+            "service_ms_total": {"": self.held.times.total_ms},
+            "use_mean": {"": round(self.held.times.use, 3)},
             "heartbeat_age_ms": {"": now - self.upstream.last_heartbeat_at},
             "subscribers": {"": len(self.announcer.subscribers)},
             "zone_evacuated": {"": int(self.state.is_evacuated)},
@@ -174,6 +176,8 @@
         change = self.upstream.apply_heartbeat(now, heartbeat)
         if change in ("started", "changed"):
             self.on_upstream_change(now, change, previous)
+        self.held.times.set_slots(self.state.slots)
+        self.held.times.cold_until = self.upstream.cold_until
         return change
 
     def on_upstream_change(
@@ -319,6 +323,7 @@
     def tick(self, now: int) -> None:
         """Run the periodic checks, and schedule the next ones."""
         self.state.update_mean_waiting()
+        self.held.times.update_use()
         self.announcer.tick(now)
         self.check_upstream(now)
         self.state.cold_start.review(now)
