Ask fewer balancers before an early refusal

Change: within 150 ms of a flow's first packet only those of the own zone are asked, as the caller has sent no copy that another zone could have.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -31,6 +31,9 @@
 """Minimum time after an offer before a retransmission may go to another member."""
 MAX_OFFERS = 4
 """Maximum number of members that one new flow is offered to."""
+MAX_FIRST_PACKET_AGE_MS = 150
+"""Time after a flow's first packet in which its caller has sent no copy; it sends one
+after 200 ms, and the packet itself may have been on the way for some time."""
 PEER_ANSWER_MS = 100
 """Time after which balancers that haven't answered whether they know a flow are asked
 again; many times the round-trip time between availability zones."""
@@ -75,6 +78,8 @@
     early_returns : int
         Number of members that returned it early, -1 if one returned it for another
         reason.
+    received_at : int
+        When its first packet here was received, in ms.
     """
 
     host: str
@@ -86,6 +91,7 @@
     returned_by: list[str] = field(default_factory=list)
     saw_first: bool = False
     early_returns: int = 0
+    received_at: int = 0
 
     def note_sent(self, host: str, packet: Packet) -> None:
         """Record that a copy of the opening packet was sent to a member."""
@@ -182,7 +188,8 @@
             return
         opening = self.openings.get(packet.flow, now)
         if opening is None:
-            opening = Opening("", now, [], saw_first=packet.acknowledged == 0)
+            is_first = packet.acknowledged == 0
+            opening = Opening("", now, [], saw_first=is_first, received_at=now)
             self.place(now, packet, route, opening)
             return
         opening.retransmissions += 1
@@ -264,7 +271,7 @@
                     packet,
                     reason or "every member refused",
                     len(opening.returned_by),
-                    self.state.balancers_to_ask(now),
+                    self.balancers_to_ask(now, opening),
                 )
             return
         if opening.early_returns > 0:
@@ -291,6 +298,19 @@
         )
         self.send(packet, route, opening)
 
+    def balancers_to_ask(self, now: int, opening: Opening) -> list[str]:
+        """Return the addresses of the balancers to ask before a flow is refused.
+
+        Soon after its first packet only those of the own availability zone can have got
+        a copy. To ask all of them for each refusal took most of the processor time and
+        bandwidth of balancers in an overload, until answers came too late.
+        """
+        hosts = self.state.balancers_to_ask(now)
+        if now - opening.received_at >= MAX_FIRST_PACKET_AGE_MS:
+            return hosts
+        peers, zone = self.state.gossip.peers, self.state.record.zone
+        return [host for host in hosts if peers[host].zone == zone] or hosts
+
     def refuse_unrouted(self, now: int, packet: Packet) -> None:
         """Refuse a new flow that matches no route, once a configuration is known.
 
--- a/fuchsiapin/tests/test_inquiries.py
+++ b/fuchsiapin/tests/test_inquiries.py
@@ -74,6 +74,17 @@
             asked, _ = self.asked(peers, near)
             self.assertEqual(len(set(asked)), MAX_ASKED_BALANCERS)
 
+    def test_only_those_of_the_own_zone_are_asked_soon_after_the_first_packet(self):
+        # Questions to all balancers for each refusal filled their links in an overload.
+        balancer = DrivenBalancer(peers=6)
+        opener, state = balancer.core.opener, balancer.core.state
+        for host in balancer.peers[:2]:
+            state.gossip.peers[host].zone = state.record.zone
+        now = balancer.now
+        for age, asked in ((100, balancer.peers[:2]), (200, balancer.peers)):
+            opening = Opening("", now, [], saw_first=True, received_at=now - age)
+            self.assertEqual(opener.balancers_to_ask(now, opening), asked)
+
     def test_all_are_asked_when_there_are_few(self) -> None:
         asked, _ = self.asked(MAX_ASKED_BALANCERS, 1)
         self.assertEqual(len(set(asked)), MAX_ASKED_BALANCERS)
