--- a/fuchsiapin/tests/test_inquiries.py
+++ b/fuchsiapin/tests/test_inquiries.py
@@ -10,6 +10,7 @@
     HOLD_BACK_MS,
     MAX_PEER_QUESTIONS,
     PEER_ANSWER_MS,
+    Opening,
 )
 from fuchsiapin.tests.drivenbalancer import DrivenBalancer
 from fuchsiapin.tests.flowactors import SYN, PlainPacketFormat, make_packet
