--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -172,11 +172,14 @@
         if self.waiting_copies:
             self.let_in_copies(now)
         while (
-            len(self.queue) and self.state.has_room() and self.cold_start.has_room(now)
+            len(self.queue)
+            and self.state.has_room_for_next()
+            and self.cold_start.has_room(now)
         ):
             item = self.queue.take()
             assert item is not None
-            self.held.track(now, item.flow, item.message.origin)
+            flow = self.held.track(now, item.flow, item.message.origin)
+            flow.priority = item.priority
             self.held.reserved[item.flow] = now
             self.admission.rates.note_admission(now)
             self.counts["offered"] += 1
--- a/fuchsiapin/flows/heldflows.py
+++ b/fuchsiapin/flows/heldflows.py
@@ -40,6 +40,8 @@
         Latest acknowledgement number from the caller.
     is_ended : bool
         Whether the upstream ended the flow.
+    priority : int
+        Priority of its route, 0 for the highest or if it isn't known.
     opened_at : int
         When this process began to track the flow, in ms.
     used_at : int
@@ -53,6 +55,7 @@
         "is_open",
         "opened_at",
         "origin",
+        "priority",
         "inbound_end",
         "outbound_end",
         "used_at",
@@ -60,6 +63,7 @@
 
     def __init__(self, origin: str, now: int) -> None:
         self.origin = origin
+        self.priority = 0
         self.opened_at = now
         self.used_at = now
         self.first_sequence: int | None = None
@@ -199,6 +203,11 @@
         elif packet.ends:
             self.drop_request(now, packet.flow)
 
+    def in_flight(self, priority: int) -> int:
+        """Return the requests and reservations of at least this priority."""
+        flows = (self.flows.get(key) for key in (*self.pending, *self.reserved))
+        return sum(flow is None or flow.priority <= priority for flow in flows)
+
     @property
     def unanswered_requests(self) -> int:
         """Return how many requests the upstream hasn't begun to answer."""
--- a/fuchsiapin/flows/queueing.py
+++ b/fuchsiapin/flows/queueing.py
@@ -12,7 +12,14 @@
 from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.registry import Registry
 
-__all__ = ["MAX_WAIT_MS", "OpeningQueue", "WaitingOpening", "orders", "max_in_flight"]
+__all__ = [
+    "MAX_WAIT_MS",
+    "PREFERRED_FACTOR",
+    "OpeningQueue",
+    "WaitingOpening",
+    "max_in_flight",
+    "orders",
+]
 
 orders = Registry("order of waiting flows")
 
@@ -22,6 +29,9 @@
 EXTRA_IN_FLIGHT = 2
 """Requests given to the upstream beyond its slots: while one ends, the next one is
 there, and another flow that was let in sends its request."""
+PREFERRED_FACTOR = 2
+"""Multiple of the usual limit up to which flows are given to the upstream ahead of
+requests of a lower priority; upstreams queue a few requests beside their slots."""
 COPY_AGES_MS = (0, 200, 600)
 """Time from the first opening packet to each of its copies, by the copy's number."""
 RESERVED_MS = 100
@@ -155,6 +165,10 @@
         """Remove a flow."""
         del self.queued[flow]
 
+    def next_priority(self) -> int:
+        """Return the priority of the next flow of a queue that isn't empty."""
+        return min(self.queued.values(), key=self.order_key).priority
+
     def take(self) -> WaitingOpening | None:
         """Remove and return the next flow, None if there is none."""
         if not self.queued:
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -10,7 +10,7 @@
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import HeldFlows
 from fuchsiapin.flows.members import Load
-from fuchsiapin.flows.queueing import OpeningQueue, max_in_flight
+from fuchsiapin.flows.queueing import PREFERRED_FACTOR, OpeningQueue, max_in_flight
 from fuchsiapin.flows.upstreams import UpstreamState
 from fuchsiapin.lightclasses import dataclass
 
@@ -132,9 +132,26 @@
 
     def has_room(self) -> bool:
         """Return whether the upstream can be given another request now."""
-        return self.held.unanswered_requests + len(self.held.reserved) < max_in_flight(
-            self.slots
-        )
+        return self.in_flight < max_in_flight(self.slots)
+
+    def has_room_for_next(self) -> bool:
+        """Return whether the upstream can be given the next queued flow now.
+
+        Requests on open flows reach the upstream without waiting here. While those of
+        lower priorities keep it busy, a flow of a higher priority would not be let in
+        at all, so these don't count for it up to a limit.
+        """
+        if self.has_room():
+            return True
+        limit = max_in_flight(self.slots)
+        if self.in_flight >= PREFERRED_FACTOR * limit:
+            return False
+        return self.held.in_flight(self.queue.next_priority()) < limit
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that the upstream has, and the flows let in for one."""
+        return self.held.unanswered_requests + len(self.held.reserved)
 
     def update_mean_waiting(self) -> None:
         """Update the moving average of waiting requests."""
--- a/fuchsiapin/tests/test_queueing.py
+++ b/fuchsiapin/tests/test_queueing.py
@@ -5,8 +5,14 @@
 
 from fuchsiapin.flows import sidestate
 from fuchsiapin.flows.heldflows import PENDING_MS
-from fuchsiapin.flows.queueing import MAX_WAIT_MS, OpeningQueue, max_in_flight
-from fuchsiapin.tests.flowactors import DATA_BYTES, make_route
+from fuchsiapin.flows.queueing import (
+    MAX_WAIT_MS,
+    PREFERRED_FACTOR,
+    OpeningQueue,
+    max_in_flight,
+)
+from fuchsiapin.flows.sidestate import SideSettings, SideState
+from fuchsiapin.tests.flowactors import DATA_BYTES, SERVICE, make_route
 from fuchsiapin.tests.flowworld import FlowWorld
 
 TARGET_MS = 170
@@ -144,6 +150,29 @@
     return in_time / len(arriving), served / len(sessions)
 
 
+class PreferenceTest(unittest.TestCase):
+    """Requests on open flows keep the upstream busy while new flows wait."""
+
+    def test_a_higher_priority_is_let_in_ahead_of_requests_on_open_flows(self) -> None:
+        # New flows of any priority would wait until open flows leave a gap.
+        record = SideSettings("10.0.1.1", SERVICE, "z", 700, 60_000, [])
+        limit = max_in_flight(1)
+        for requests, priority, is_let_in in (
+            (limit, 2, False),
+            (limit, 1, True),
+            (PREFERRED_FACTOR * limit - 1, 1, True),
+            (PREFERRED_FACTOR * limit, 1, False),
+        ):
+            state = SideState(record, lambda *args, **fields: None)
+            for number in range(requests):
+                flow = bytes([number])
+                state.held.track(0, flow, "").priority = 2
+                state.held.pending[flow] = 0
+            state.queue.put(0, b"new", None, priority)
+            with self.subTest(requests=requests, priority=priority):
+                self.assertEqual(state.has_room_for_next(), is_let_in)
+
+
 class ReturnTest(unittest.TestCase):
     """All callers of an outage return at once, and new ones keep arriving."""
 
