--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -109,7 +109,7 @@
     def stop(self, now: int) -> None:
         """Begin a planned stop: leave the rotation, but keep forwarding packets."""
         self.is_stopping = True
-        self.state.leave(now)
+        self.state.balancers.leave(now)
 
     def zone_of(self, host: str) -> str:
         """Return the availability zone of another process, empty if it isn't known."""
@@ -149,7 +149,9 @@
         views = self.table.views.values()
         return {
             "configuration_version": {"": self.routes.version},
-            "stored_configuration_version": {"": self.state.stored_configuration},
+            "stored_configuration_version": {
+                "": self.state.configurations.stored_version
+            },
             "store_era": {"": self.state.era.current},
             "members": {
                 service: len(members)
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.balancerrecords import BalancerRecords
 from fuchsiapin.flows.coldrates import (
     COLD_RATES_KEY,
     NO_BOUNDS,
     ColdBounds,
     ColdRates,
 )
+from fuchsiapin.flows.configurationkeeping import ConfigurationKeeper
 from fuchsiapin.flows.departures import Departures, is_departure
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.erakeeping import EraKeeper
@@ -23,9 +25,6 @@
     CONFIGURATION_KEY,
     BalancerRecord,
     Gossip,
-    pack_balancer,
-    read_balancer,
-    unpack_balancer,
 )
 from fuchsiapin.flows.members import (
     FlowMember,
@@ -38,12 +37,7 @@
 )
 from fuchsiapin.flows.messages import Copy, Status
 from fuchsiapin.flows.pinging import Pinger
-from fuchsiapin.flows.routes import (
-    FlowConfiguration,
-    RouteTable,
-    pack_configuration,
-    unpack_configuration,
-)
+from fuchsiapin.flows.routes import RouteTable
 from fuchsiapin.flows.storage import (
     BALANCERS,
     CONFIGURATION,
@@ -53,7 +47,7 @@
     StoreResult,
 )
 from fuchsiapin.flows.writing import ObjectWriter
-from fuchsiapin.lightclasses import astuple, replace
+from fuchsiapin.lightclasses import replace
 from fuchsiapin.ranking import hash_seed
 from fuchsiapin.replicas import unpack_value
 from fuchsiapin.timers import Timers
@@ -108,7 +102,6 @@
         evacuates: bool = False,
         cold_bounds: ColdBounds = NO_BOUNDS,
     ) -> None:
-        self.record = record
         self.report = report
         self.rng = rng
         self.effects: list[Any] = []
@@ -117,7 +110,6 @@
         self.table = MemberTable()
         self.refusal_ms = REFUSAL_MS
         self.era = StoreEra()
-        self.stored_configuration = 0
         self.gossip = Gossip(
             record,
             seeds,
@@ -129,22 +121,27 @@
             self.is_store_followed,
             self.era,
         )
+        self.writer = ObjectWriter(BALANCERS, self.timers, self.effects, rng)
+        self.balancers = BalancerRecords(record, self.gossip, self.writer, report)
         self.cold_rates = ColdRates(self.gossip, cold_bounds, report)
+        self.configurations = ConfigurationKeeper(
+            self.routes, self.cold_rates, self.gossip, report
+        )
         self.departures = Departures(
             self.table, self.gossip, self.timers, self.effects, report
         )
         self.configuration_follower = self.make_follower(
             CONFIGURATION,
-            self.apply_configuration_list,
-            self.apply_configuration_change,
+            self.configurations.apply_list,
+            self.configurations.apply_change,
         )
         self.member_follower = self.make_follower(
             MEMBERS, self.apply_member_list, self.apply_member_change
         )
         self.balancer_follower = self.make_follower(
             BALANCERS,
-            self.apply_balancer_list,
-            self.apply_balancer_change,
+            self.balancers.apply_list,
+            self.balancers.apply_change,
             self.configuration_follower,
         )
         self.zones = EvacuatedZones()
@@ -164,7 +161,6 @@
         )
         if evacuates:
             self.followers = (*self.followers, self.evacuations.follower)
-        self.writer = ObjectWriter(BALANCERS, self.timers, self.effects, rng)
         self.eras = EraKeeper(
             self.era,
             self.followers,
@@ -173,7 +169,7 @@
             self.timers,
             rng,
             report,
-            self.announce_again,
+            self.balancers.announce_again,
         )
         self.was_store_reachable = False
         self.pinger = Pinger(
@@ -190,6 +186,11 @@
             *self.cold_rates.notices(now, view),
         ]
 
+    @property
+    def record(self) -> BalancerRecord:
+        """Return the record of this balancer."""
+        return self.balancers.record
+
     def make_follower(
         self,
         kind: str,
@@ -215,7 +216,7 @@
         for follower in self.followers:
             follower.start(now)
         self.gossip.start(now)
-        self.announce(now)
+        self.balancers.announce(now)
         self.pinger.start(now)
         self.timers.add(now + WATCHER_REVIEW_MS, self.review_watching)
 
@@ -238,31 +239,6 @@
             self.resume_followers(now)
         self.timers.add(now + WATCHER_REVIEW_MS, self.review_watching)
 
-    def announce(self, now: int) -> None:
-        """Publish the record of this balancer to the store and to other balancers."""
-        record = self.record
-        self.gossip.put(
-            f"balancers/{record.name}", record.version, pack_balancer(record)
-        )
-        self.writer.put(now, record.name, astuple(record))
-
-    def announce_again(self, now: int) -> None:
-        """Write this balancer's record again unless it is leaving."""
-        if not self.record.is_leaving:
-            self.announce(now)
-
-    def leave(self, now: int) -> None:
-        """Announce to the store and to other balancers that this balancer stops."""
-        record = self.record
-        self.record = BalancerRecord(
-            record.name, record.started, record.host, record.zone, True
-        )
-        self.gossip.record = self.record
-        self.gossip.put(
-            f"balancers/{record.name}", self.record.version, pack_balancer(self.record)
-        )
-        self.writer.delete(now, record.name)
-
     def is_store_reachable(self) -> bool:
         """Return whether this balancer follows the store and the store answers it."""
         followers = (self.configuration_follower, self.member_follower)
@@ -303,16 +279,6 @@
             else:
                 self.report(6303, detail=detail)
 
-    def note_stored_configuration(self, version: int) -> None:
-        """Report a stored configuration that is older than the one in force.
-
-        The one in force stays, as the operator writes the newer one again.
-        """
-        is_reported = version == self.stored_configuration
-        self.stored_configuration = version
-        if version < self.routes.version and not is_reported:
-            self.report(6314, stored=version, in_force=self.routes.version)
-
     def resume_followers(self, now: int) -> None:
         """Repeat the failed calls of the followers of members and balancers now."""
         for follower in self.followers[1:]:
@@ -336,40 +302,6 @@
         has_listed = self.balancer_follower.has_listed
         return has_listed and self.is_store_reachable() and not self.gossip.peers
 
-    # Configuration
-
-    def apply_configuration_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of configurations from the store."""
-        for item in items:
-            self.apply_configuration_change(now, item)
-
-    def apply_configuration_change(self, now: int, item: StoredItem) -> None:
-        """Apply a configuration from the store."""
-        if isinstance(item.value, FlowConfiguration):
-            self.apply_configuration(item.value, "store")
-            self.cold_rates.apply_stored(item.name, item.value)
-            self.note_stored_configuration(item.value.version)
-
-    def apply_configuration(
-        self, configuration: FlowConfiguration, source: str
-    ) -> bool:
-        """Put a configuration in force if it is newer; return whether it was."""
-        if not self.routes.put(configuration):
-            return False
-        self.report(
-            6304,
-            configuration=configuration.version,
-            routes=len(configuration.routes),
-            source=source,
-        )
-        if source == "store":
-            self.gossip.put(
-                CONFIGURATION_KEY,
-                configuration.version,
-                pack_configuration(configuration),
-            )
-        return True
-
     # Members
 
     def apply_member_list(self, now: int, items: list[StoredItem]) -> None:
@@ -482,44 +414,6 @@
         if view.is_stored:
             self.departures.delete_stored(view.member.id)
 
-    # Balancers
-
-    def apply_balancer_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of balancers from the store."""
-        names = {item.name for item in items}
-        for item in items:
-            self.apply_balancer_change(now, item)
-        is_missing = self.record.name not in names and self.writer.is_done
-        if is_missing and not self.record.is_leaving:
-            self.announce(now)
-
-    def apply_balancer_change(self, now: int, item: StoredItem) -> None:
-        """Apply a changed or deleted balancer from the store."""
-        if item.is_deleted:
-            # The deletion of another balancer's record is ignored: that balancer is
-            # removed when it announces that it leaves, or is silent.
-            if item.name == self.record.name and not self.record.is_leaving:
-                self.announce(now)
-            return
-        try:
-            record = read_balancer(item.value)
-        except (ValueError, TypeError) as error:
-            self.report(6305, key=f"balancers/{item.name}", error=repr(error))
-            return
-        self.apply_balancer(now, record)
-
-    def apply_balancer(self, now: int, record: BalancerRecord) -> None:
-        """Apply the record of another balancer."""
-        if record.name == self.record.name:
-            return
-        if record.is_leaving:
-            self.gossip.remove_peer(record.host)
-            return
-        key = f"balancers/{record.name}"
-        if record.version > self.gossip.version(key):
-            self.gossip.ensure_peer(now, record.host)
-            self.gossip.put(key, record.version, pack_balancer(record))
-
     # Objects from other processes
 
     def on_copy(self, now: int, host: str, message: Copy) -> None:
@@ -539,18 +433,13 @@
     def apply_object(self, now: int, key: str, version: int, value: bytes) -> bool:
         """Apply an object if it is newer; return whether to replicate it further."""
         if key == CONFIGURATION_KEY:
-            return self.apply_configuration(unpack_configuration(value), "peer")
+            return self.configurations.apply_copy(value)
         if key == COLD_RATES_KEY:
             return self.cold_rates.apply_copy(version, value)
         if key.startswith("members/"):
             return self.apply_member(now, unpack_member(value), "peer")
         if key.startswith("balancers/"):
-            record = unpack_balancer(value)
-            if record.name != self.record.name and not record.is_leaving:
-                self.gossip.ensure_peer(now, record.host)
-            elif record.is_leaving:
-                self.gossip.remove_peer(record.host)
-            return record.name != self.record.name
+            return self.balancers.apply_copy(now, value)
         if key.startswith(EVACUATIONS_PREFIX):
             zone = key.removeprefix(EVACUATIONS_PREFIX)
             return self.evacuations.apply_copy(now, zone, version)
--- /dev/null
+++ b/fuchsiapin/flows/configurationkeeping.py
@@ -0,0 +1,93 @@
+"""The configuration in force at one balancer, from the store and other balancers."""
+
+from collections.abc import Callable
+
+from fuchsiapin.flows.coldrates import ColdRates
+from fuchsiapin.flows.gossip import CONFIGURATION_KEY, Gossip
+from fuchsiapin.flows.routes import (
+    FlowConfiguration,
+    RouteTable,
+    pack_configuration,
+    unpack_configuration,
+)
+from fuchsiapin.flows.storage import StoredItem
+
+__all__ = ["ConfigurationKeeper"]
+
+
+class ConfigurationKeeper:
+    """Puts configurations in force and replicates those read from the store.
+
+    Parameters
+    ----------
+    routes : RouteTable
+        Routes in force.
+    cold_rates : ColdRates
+        Rates of cold upstreams in force.
+    gossip : Gossip
+        Replicates configurations between balancers.
+    report : callable
+        Takes the number and the fields of an event.
+
+    Attributes
+    ----------
+    stored_version : int
+        Version that the store showed last, 0 before the first.
+    """
+
+    def __init__(
+        self,
+        routes: RouteTable,
+        cold_rates: ColdRates,
+        gossip: Gossip,
+        report: Callable[..., None],
+    ) -> None:
+        self.routes = routes
+        self.cold_rates = cold_rates
+        self.gossip = gossip
+        self.report = report
+        self.stored_version = 0
+
+    def apply_list(self, now: int, items: list[StoredItem]) -> None:
+        """Apply a complete list of configurations from the store."""
+        for item in items:
+            self.apply_change(now, item)
+
+    def apply_change(self, now: int, item: StoredItem) -> None:
+        """Apply a configuration from the store."""
+        if isinstance(item.value, FlowConfiguration):
+            self.apply(item.value, "store")
+            self.cold_rates.apply_stored(item.name, item.value)
+            self.note_stored(item.value.version)
+
+    def apply(self, configuration: FlowConfiguration, source: str) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        if not self.routes.put(configuration):
+            return False
+        self.report(
+            6304,
+            configuration=configuration.version,
+            routes=len(configuration.routes),
+            source=source,
+        )
+        if source == "store":
+            self.gossip.put(
+                CONFIGURATION_KEY,
+                configuration.version,
+                pack_configuration(configuration),
+            )
+        return True
+
+    def note_stored(self, version: int) -> None:
+        """Report a stored configuration that is older than the one in force.
+
+        The one in force stays, as the operator writes the newer one again.
+        """
+        is_reported = version == self.stored_version
+        self.stored_version = version
+        if version < self.routes.version and not is_reported:
+            self.report(6314, stored=version, in_force=self.routes.version)
+
+    def apply_copy(self, value: bytes) -> bool:
+        """Apply a configuration from another process; return whether it was newer."""
+        return self.apply(unpack_configuration(value), "peer")
