Evacuate zones in drawn worlds

A drawn world can evacuate zones and take them into use again, with cold or warm upstreams. A new flow that is given to an upstream of a zone later than 5 s after the store took its evacuation is an error, if the side process and the balancer have had a path to the store for 5 s. Restarts and lost datagrams excuse nothing.

--- a/fuchsiapin/tests/flowactors.py
+++ b/fuchsiapin/tests/flowactors.py
@@ -86,6 +86,7 @@
         self.capacity = 100
         self.is_up = True
         self.is_draining = False
+        self.cold_until = 0
         self.restart()
 
     def restart(self) -> None:
@@ -164,7 +165,7 @@
             "z",
             self.slots,
             self.is_draining,
-            0,
+            max(0, self.cold_until - self.world.now),
         )
 
 
--- a/fuchsiapin/tests/flowchaos.py
+++ b/fuchsiapin/tests/flowchaos.py
@@ -7,10 +7,11 @@
 from functools import partial
 from typing import Any
 
-from fuchsiapin.flows.effects import ToCaller
+from fuchsiapin.flows.effects import ToCaller, ToUpstream
 from fuchsiapin.flows.packets import flow_name
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.tests.chaosactions import actions as registered_actions
+from fuchsiapin.tests.evacuationchaos import Evacuations, WrongFlow
 from fuchsiapin.tests.flowactors import Caller, Upstream, make_route
 from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
 
@@ -24,6 +25,8 @@
 """Waiting inputs that a process handles in one ms after a stall."""
 COPY_MS = 500
 """Interval of the copies of the store's contents."""
+ZONES = ("a", "b", "c")
+"""Availability zones of a world with evacuations."""
 END_MS = 2_500
 """Time after the last action in which callers go on."""
 
@@ -172,6 +175,8 @@
         Number of callers that open their flows during that time.
     drills : int
         Number of times that the store comes back from an older copy.
+    evacuations : int
+        Number of evacuations of zones; a world without any has one zone.
     **options
         Options of `FlowWorld`.
 
@@ -182,6 +187,8 @@
         source, so that a plan hardly depends on their code.
     wrong_resets : list of WrongReset
         Resets of open flows whose upstream holds them.
+    evacuations : Evacuations
+        Evacuated zones, and the new flows that were given to them.
     log : list of tuple
         Time, address, event number and fields of all events; actions have the
         number 0.
@@ -195,11 +202,13 @@
         span_ms: int = 5_000,
         callers: int = 60,
         drills: int = 0,
+        evacuations: int = 0,
         **options: Any,
     ) -> None:
         self.plan = random.Random(f"plan {seed}")
         self.inboxes: dict[str, Inbox] = {}
         self.wrong_resets: list[WrongReset] = []
+        self.evacuations = Evacuations(self, seed)
         self.log: list[tuple[int, str, int, dict[str, Any]]] = []
         self.left_hosts: list[str] = []
         self.rotation: list[str] = []
@@ -210,6 +219,8 @@
             "slots": self.plan.choice((1, 2, 4)),
             "routes": (make_route(), make_route(kind="unsafe", port=444)),
         }
+        if evacuations:
+            defaults |= {"zones": ZONES, "evacuates": True}
         super().__init__(seed, **(defaults | options))
         self.rotation = list(self.balancer_hosts)
         self.run(SETTLE_MS)
@@ -225,6 +236,7 @@
             self.store.keep_copies(COPY_MS)
         for _ in range(drills):
             self.after(self.plan.randrange(span_ms), self.start_drill)
+        self.evacuations.start(evacuations, span_ms)
 
     def start_drill(self) -> None:
         """Let the store be away for a moment, and come back from an older copy."""
@@ -240,13 +252,14 @@
         self.after(self.plan.randint(50, 2_000), self.write_configuration_again)
 
     def write_configuration_again(self) -> None:
-        """Write the operator's newest configuration."""
+        """Write the operator's newest configuration and evacuations."""
         self.configure(max(1, len(self.routes)))
+        self.evacuations.write_again()
 
-    def run_all(self) -> list[WrongReset]:
-        """Run all actions; return the wrong resets."""
+    def run_all(self) -> list[WrongReset | WrongFlow]:
+        """Run all actions; return the wrong resets and the wrong new flows."""
         self.run(self.duration)
-        return self.wrong_resets
+        return [*self.wrong_resets, *self.evacuations.wrong_flows]
 
     # Processes and callers
 
@@ -333,6 +346,11 @@
 
         self.after(duration, end)
 
+    def is_late(self, host: str) -> bool:
+        """Return whether the process at an address, or its link, is late."""
+        inbox = self.inbox(host)
+        return self.now < inbox.stalled_until or bool(inbox.waiting)
+
     def runs_timers(self, host: str) -> bool:
         """Return whether the process at an address runs its timers now."""
         inbox = self.inbox(host)
@@ -358,11 +376,16 @@
                 self.check_reset(sender, flow, fields["reason"], fields["opens"])
 
     def execute(self, host: str, effect: Any) -> None:
-        """Execute one effect, and check it if it is a reset by a side process."""
+        """Execute one effect; check resets by side processes, and new flows."""
         if isinstance(effect, ToCaller) and host in self.upstreams:
             packet = self.packets.read(effect.data, True)
             if packet.resets:
                 self.check_reset(host, packet.flow, "port closed", False)
+        elif isinstance(effect, ToUpstream):
+            packet = self.packets.read(effect.data, False)
+            if packet.opens and packet.flow not in self.upstreams[host].flows:
+                origin = self.side(host).held.flows[packet.flow].origin
+                self.evacuations.check_opening(host, packet.flow, origin)
         super().execute(host, effect)
 
     def check_reset(self, host: str, flow: bytes, reason: str, opens: bool) -> None:
@@ -375,8 +398,6 @@
         for holder, upstream in self.upstreams.items():
             is_held = upstream.is_up and not upstream.is_leaving
             if is_held and flow in upstream.open_flows:
-                inbox = self.inbox(holder)
-                is_late = self.now < inbox.stalled_until or bool(inbox.waiting)
                 self.wrong_resets.append(
                     WrongReset(
                         self.now,
@@ -386,6 +407,6 @@
                         holder,
                         opens,
                         len(self.inbox(host).waiting),
-                        self.processes[holder].is_up and not is_late,
+                        self.processes[holder].is_up and not self.is_late(holder),
                     )
                 )
--- a/fuchsiapin/tests/test_flowresets.py
+++ b/fuchsiapin/tests/test_flowresets.py
@@ -14,6 +14,11 @@
 
 DRILL_SETTLE_MS = 6_000
 """Time after the last fault in which all balancers have the newest configuration."""
+LONGEST_PAUSE_MS = 4_000
+"""Longest time between two answers to a caller in a world without faults."""
+EVACUATED_SETTLE_MS = 11_000
+"""Time in which all processes agree with the store after drills and restarts, which may
+keep an evacuation in force for 5 s more."""
 SMALL = {"span_ms": 2_000, "callers": 15, "members": 3, "balancers": 2}
 """Options of a small world."""
 
@@ -99,6 +104,35 @@
         self.assertEqual(handled, list(range(30)))
 
 
+class UninformedWorld(ChaosWorld):
+    """A world whose balancers and side processes learn of no evacuation."""
+
+    def start(self, host: str, core: FlowBalancerCore | FlowSideCore) -> None:
+        """Start a process at an address."""
+        core.state.zones.put = lambda *record: False
+        super().start(host, core)
+
+
+class EvacuationCheckTest(unittest.TestCase):
+    """The check finds new flows in evacuated zones, and only these."""
+
+    def test_new_flows_in_an_evacuated_zone_are_found(self) -> None:
+        world = UninformedWorld(1, actions=0, evacuations=2, span_ms=9_000)
+        self.assertTrue(world.run_all())
+        self.assertEqual(world.wrong_resets, [])
+
+    def test_open_flows_in_an_evacuated_zone_go_on(self) -> None:
+        world = ChaosWorld(1, actions=0, evacuations=3, span_ms=9_000)
+        self.assertEqual(world.run_all(), [])
+        self.assertEqual(world.resets, [])
+        late = [
+            caller
+            for caller in world.callers.values()
+            if not caller.answers or world.now - caller.answered_at > LONGEST_PAUSE_MS
+        ]
+        self.assertEqual(late, [])
+
+
 class CauseTest(unittest.TestCase):
     """Each seed led to a wrong reset for one cause."""
 
@@ -189,6 +223,21 @@
                 }
                 self.assertEqual(versions, {max(1, len(world.routes))})
 
+    def test_evacuated_zones_get_no_new_flow(self) -> None:
+        for seed in range(1, 7):
+            with self.subTest(seed=seed):
+                options = {"callers": 150, "span_ms": 10_000, "drills": seed % 2}
+                world = ChaosWorld(seed, evacuations=2, **options)
+                self.assertEqual(world.run_all(), [])
+                world.run(EVACUATED_SETTLE_MS)
+                for host, process in world.processes.items():
+                    zones = process.core.state.zones.evacuated
+                    scope = {world.zone_by_host[host]}
+                    if isinstance(process.core, FlowBalancerCore):
+                        scope = set(world.zones)
+                    if process.is_up:
+                        self.assertFalse(zones & scope)
+
 
 if __name__ == "__main__":
     unittest.main()
