Evacuate zones in the soak test

The operator evacuates a zone, the last time until after all faults, and the upstreams are cold or warm then. Violations: a new flow in the zone later than 5 s after the store's answer, unless the store was out of reach in the last 5 s, and a zone that gets no new flow within 3 s after its evacuation. Resets of open flows are checked as before. Objects of the operator no longer lapse with the others.

--- a/fuchsiapin/tests/test_soak.py
+++ b/fuchsiapin/tests/test_soak.py
@@ -17,6 +17,7 @@
 from fuchsiapin.timers import Timers  # noqa: E402
 from soak.__main__ import DRAIN_MS, SETTLE_MS, Soak, regression_seeds  # noqa: E402
 from soak.endpoints import ACK, CallerStandIn, Request, answer_to, make_packet  # noqa: E402
+from soak.evacuations import IN_FORCE_MS, Evacuations  # noqa: E402
 from soak.faults import PLANNED, draw_fault, faults  # noqa: E402
 from soak.store import StoreStandIn  # noqa: E402
 from soak.storelink import StoreLink  # noqa: E402
@@ -63,6 +64,30 @@
         self.soak.check_opening(self.upstream, ROUTE)
         self.assertEqual(self.violation_kinds(), ["work for a leaving upstream"])
 
+    def test_new_flow_in_an_evacuated_zone_is_reported(self) -> None:
+        self.soak.seed = 1
+        evacuations = Evacuations(self.soak, 1)
+        evacuations.zone, evacuations.began_at = "a", 100_000 - IN_FORCE_MS
+        self.upstream.vm = SimpleNamespace(zone="a")
+        evacuations.check_new_flow(self.upstream)
+        self.assertEqual(self.violation_kinds(), [])
+        evacuations.began_at -= 1_000
+        evacuations.check_new_flow(self.upstream)
+        evacuations.away_at = 99_000
+        evacuations.check_new_flow(self.upstream)
+        self.assertEqual(self.violation_kinds(), ["new flow in evacuated zone"])
+
+    def test_zone_that_is_not_used_after_its_evacuation_is_reported(self) -> None:
+        self.soak.seed = 1
+        evacuations = Evacuations(self.soak, 1)
+        evacuations.ended_at["a"] = 95_000
+        evacuations.used_at["a"] = 94_000
+        evacuations.check_use()
+        self.assertEqual(self.violation_kinds(), ["zone not used again"])
+        evacuations.used_at["a"] = 96_000
+        evacuations.check_use()
+        self.assertEqual(len(self.soak.violations), 1)
+
     def test_repeated_and_unsent_requests_are_reported(self) -> None:
         self.soak.requests[b"a/1"] = Request(b"a/1", 0, ROUTE, "desk", False)
         self.soak.check_run(self.upstream, b"a/1")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,9 @@
 from fuchsiapin.daemons.eventloop import EventLoop  # noqa: E402
 from fuchsiapin.flows.packets import endpoint, flow_name  # noqa: E402
 from fuchsiapin.timers import Timers  # noqa: E402
+from soak.drills import Drills  # noqa: E402
 from soak.endpoints import CallerStandIn, Request, UpstreamStandIn  # noqa: E402
+from soak.evacuations import IN_FORCE_MS, Evacuations  # noqa: E402
 from soak.fabric import Fabric, PeerProxy  # noqa: E402
 from soak.faults import PLANNED, draw_fault, faults  # noqa: E402
 from soak.processes import ManagedProcess, Vm  # noqa: E402
@@ -28,6 +30,8 @@
 """Time from the start of the processes to the first traffic."""
 FAULT_FREE_MS = 9_000
 """Time without faults at the end, in which the system must recover."""
+EVACUATED_MS = 3_000
+"""Time in addition with evacuations, the last of which ends after all faults."""
 RECOVERY_SAMPLE_MS = 3_000
 """Length of the period whose requests show whether the system recovered.
 
@@ -47,8 +51,6 @@
     ("198.18.0.1", 444, "desk", "unsafe"),
     ("198.18.0.2", 443, "intake", "upload"),
 )
-COPY_MS = 500
-"""Interval of the copies of the store's contents."""
 SPARE_ROUTE = ("198.18.0.3", 443, "desk", "safe")
 """Route that changes of the configuration add and remove."""
 
@@ -57,13 +59,18 @@
     """Run of one seed: processes, traffic, faults and the violations found."""
 
     def __init__(
-        self, seed: int, seconds: int, balancers: int, sides: int, drills: int = 0
+        self,
+        seed: int,
+        seconds: int,
+        balancers: int,
+        sides: int,
+        drills: int = 0,
+        evacuations: int = 0,
     ) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
-        # Drawn apart, so that a seed's other faults are the same with drills.
-        self.drill_rng = random.Random(f"drills {seed}")
-        self.drills = drills
+        self.drills = Drills(self, drills)
+        self.evacuations = Evacuations(self, evacuations)
         self.seconds = seconds
         # Every third seed injects planned operations only, so that
         # check_planned_operations applies.
@@ -93,9 +100,12 @@
     def start_system(self, balancers: int, sides: int) -> None:
         """Start the processes, the upstreams, the fabric and the callers."""
         self.proxy = PeerProxy(self.loop, 20_720, self.rng)
-        balancer_vms = [self.make_vm("balancer", n, "") for n in range(balancers)]
+        zone_of = self.evacuations.zone_of
+        balancer_vms = [
+            self.make_vm("balancer", n, "", zone_of(n, 1)) for n in range(balancers)
+        ]
         side_vms = [
-            self.make_vm("side", balancers + n, SERVICES[n % 3 == 2])
+            self.make_vm("side", balancers + n, SERVICES[n % 3 == 2], zone_of(n, 3))
             for n in range(sides)
         ]
         seed_hosts = [vm.host for vm in balancer_vms[:3]]
@@ -107,6 +117,7 @@
                 self.proxy.port,
                 seed_hosts,
                 self.folder,
+                IN_FORCE_MS if self.evacuations.count else 0,
             )
             for vm in [*balancer_vms, *side_vms]
         ]
@@ -128,8 +139,8 @@
             for n in range(6)
         ]
 
-    def make_vm(self, role: str, number: int, service: str) -> Vm:
-        """Return name, role and addresses of one VM."""
+    def make_vm(self, role: str, number: int, service: str, zone: str) -> Vm:
+        """Return name, role, zone and addresses of one VM."""
         bind, host = f"{self.network}.2.{number + 1}", f"{self.network}.1.{number + 1}"
         is_side = role == "side"
         return Vm(
@@ -137,6 +148,7 @@
             role,
             host,
             service,
+            zone,
             (bind, CALLER_PORT),
             ("" if is_side else bind, 0 if is_side else 20_167),
             (bind, 20_166),
@@ -160,11 +172,11 @@
         values = {
             "Service": upstream.service,
             "Address": "",
-            "Zone": "z",
+            "Zone": upstream.vm.zone,
             "Version": "v1",
             "Slots": 4,
             "State": state,
-            "ColdLeftMs": 0,
+            "ColdLeftMs": self.evacuations.cold_ms(upstream.vm.zone),
             "Sequence": upstream.sequence,
             "born": upstream.born,
         }
@@ -238,27 +250,6 @@
         }
         self.store.put("config", "main", spec)
 
-    def keep_copies(self) -> None:
-        """Keep a copy of the store's contents at regular intervals."""
-        self.store.keep_copy()
-        self.loop.call_later(COPY_MS, lambda now: self.keep_copies())
-
-    def start_drill(self) -> None:
-        """Let the store be away for a moment, and come back from an older copy."""
-        age_ms = self.drill_rng.randint(500, 10_000)
-        away_ms = self.drill_rng.randint(50, 1_000)
-        self.last_unplanned_at = self.loop.clock.now()
-        self.fault_log.append(f"drill: a copy {age_ms} ms old after {away_ms} ms")
-        self.store.fault.mode = "busy"
-        self.loop.call_later(away_ms, lambda now: self.end_drill(age_ms))
-
-    def end_drill(self, age_ms: int) -> None:
-        """Bring the store back; the operator writes its configuration again."""
-        self.store.restore(age_ms / 1_000)
-        self.store.fault.mode = "up"
-        delay = self.drill_rng.randint(50, 2_000)
-        self.loop.call_later(delay, lambda now: self.write_configuration())
-
     def change_configuration(self) -> None:
         """Store the next version, which adds or removes the spare route."""
         self.version += self.rng.randint(1, 3)
@@ -270,14 +261,13 @@
     def run(self) -> None:
         """Run the seed and check the results."""
         end = WARM_UP_MS + self.seconds * 1_000
+        stop = end + FAULT_FREE_MS + EVACUATED_MS * (self.evacuations.count > 0)
         self.loop.call_later(WARM_UP_MS, lambda now: self.start_flows())
         self.loop.call_later(WARM_UP_MS + 500, lambda now: self.inject_faults())
         self.loop.call_later(end, lambda now: self.end_faults())
-        self.loop.call_later(end + FAULT_FREE_MS, lambda now: self.stop())
-        for _ in range(self.drills):
-            at = WARM_UP_MS + self.drill_rng.randint(500, self.seconds * 1_000)
-            self.loop.call_later(at, lambda now: self.start_drill())
-        self.keep_copies()
+        self.loop.call_later(stop, lambda now: self.stop())
+        self.drills.schedule(WARM_UP_MS, self.seconds * 1_000)
+        self.evacuations.schedule(WARM_UP_MS, end)
         self.restart_processes()
         try:
             self.loop.run()
@@ -346,6 +336,7 @@
             self.add_violation(
                 "no recovery", f"{served} of {len(sampled)} served at the end"
             )
+        self.evacuations.check_use()
         if self.planned_only:
             self.check_planned_operations()
 
@@ -375,9 +366,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_seed(seed: int, seconds: int, balancers: int, sides: int, drills: int) -> int:
+def run_seed(seed: int, *options: int) -> int:
     """Run one seed, print the results, and return the number of violations."""
-    soak = Soak(seed, seconds, balancers, sides, drills)
+    soak = Soak(seed, *options)
     soak.run()
     outcomes = Counter(request.outcome or "open" for request in soak.requests.values())
     print(f"seed {seed}: {dict(outcomes)}, {len(soak.fault_log)} faults, ", end="")
@@ -408,6 +399,7 @@
     balancers: int = 3,
     sides: int = 6,
     drills: int = 0,
+    evacuations: int = 0,
     regressions: bool = False,
 ) -> None:
     """Run the soak test.
@@ -426,6 +418,8 @@
         Number of side processes, each with an upstream.
     drills : int
         Number of times that the store comes back from an older copy.
+    evacuations : int
+        Number of times that one of two zones is evacuated.
     regressions : bool
         Run the seeds that failed in earlier runs.
     """
@@ -433,7 +427,8 @@
     chosen = list(range(int(first), int(last) + 1)) if seeds else [seed]
     if regressions:
         chosen = regression_seeds()
-    failed = [s for s in chosen if run_seed(s, seconds, balancers, sides, drills)]
+    options = seconds, balancers, sides, drills, evacuations
+    failed = [s for s in chosen if run_seed(s, *options)]
     print(f"{len(chosen) - len(failed)} passed, {len(failed)} failed")
     if failed:
         print(f"failed seeds: {failed}")
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -116,6 +116,8 @@
         state = self.flows.get(flow)
         if flags & SYN:
             self.soak.check_opening(self, target)
+            if state is None:
+                self.soak.evacuations.check_new_flow(self)
             state = self.flows.setdefault(
                 flow, {"seq": self.soak.rng.getrandbits(31), "answers": {}}
             )
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -18,12 +18,13 @@
 
 @dataclass(frozen=True)
 class Vm:
-    """Name, role and loopback addresses of one VM."""
+    """Name, role, zone and loopback addresses of one VM."""
 
     name: str
     role: str
     host: str
     service: str
+    zone: str
     callers: tuple[str, int]
     ready: tuple[str, int]
     control: tuple[str, int]
@@ -44,6 +45,8 @@
     ----------
     seed_hosts : list of str
         Hosts of the balancers in the setting `seeds`.
+    evacuation_ms : int
+        Time within which an evacuation is in force, 0 if zones can't be evacuated.
     is_paused : bool
         Whether it is suspended by SIGSTOP.
     should_restart : bool
@@ -56,6 +59,7 @@
     peer_port: int
     seed_hosts: list[str]
     folder: Path
+    evacuation_ms: int = 0
     process: subprocess.Popen | None = None
     is_paused: bool = False
     should_restart: bool = True
@@ -70,7 +74,7 @@
             "role": vm.role,
             "host": vm.host,
             "bind": self.bind,
-            "zone": "z",
+            "zone": vm.zone,
             "callers": format_address(vm.callers),
             "ready": format_address(vm.ready),
             "control": format_address(vm.control),
@@ -85,6 +89,7 @@
             "flow_s": 60,
             "grace_s": 4,
             "metrics_port": 0,
+            "evacuation_ms": str(self.evacuation_ms or ""),
         }
 
     def start(self) -> None:
--- a/soak/store.py
+++ b/soak/store.py
@@ -11,6 +11,8 @@
 __all__ = ["StoreStandIn"]
 
 PREFIX = "/fuchsiapin/objects/"
+OPERATOR_KINDS = ("config", "evacuations")
+"""Kinds of the objects that operators write."""
 SLOW_S = 0.3
 """Delay of each call in mode `slow`."""
 COPIES_S = 15.0
@@ -172,6 +174,12 @@
         with self.changed:
             self.write(kind, name, spec)
 
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object if it is there."""
+        with self.changed:
+            if (kind, name) in self.objects:
+                self.remove(kind, name)
+
     def drop_history(self) -> None:
         """Drop the event history; watches from older revisions get status 410."""
         with self.changed:
@@ -200,9 +208,9 @@
             self.changed.notify_all()
 
     def remove_system_objects(self) -> int:
-        """Remove all objects except the configuration; return how many."""
+        """Remove all objects except those of operators; return how many."""
         with self.changed:
-            names = [key for key in self.objects if key[0] != "config"]
+            names = [key for key in self.objects if key[0] not in OPERATOR_KINDS]
             for kind, name in names:
                 self.remove(kind, name)
             return len(names)
