Keep earlier views in the history while no member is live

Cause: base_view counted a view without live members as active everywhere, because it has no live member that isn't. The next view's history then began with it.

Change: a view whose members are all leaving or down is never the base. A view without any member still is, since its last member was drained.

--- a/fuchsiapin/coap/membership.py
+++ b/fuchsiapin/coap/membership.py
@@ -47,6 +47,10 @@
 def base_view(views: list[View], active_views: dict[str, set[int]]) -> int | None:
     """Return the newest view in which all its live members were active.
 
+    In a view whose members are all leaving or down, they still hold the flows and
+    no one has taken them over, so it is not the base. A view without any member is:
+    the last one left it after it was drained.
+
     Parameters
     ----------
     views : list of View
@@ -61,6 +65,8 @@
     """
     for view in reversed(views):
         live = [member for member in view.members if member.state == "live"]
+        if view.members and not live:
+            continue
         if all(view.number in active_views.get(member.id, ()) for member in live):
             return view.number
     return None
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -129,6 +129,14 @@
         self.assertTrue(self.grow(number, active_views).is_cut)
         self.assertFalse(self.grow(number + 1, active_views).is_cut)
 
+    def test_view_without_live_members_cuts_off_no_earlier_view(self) -> None:
+        live = [make_member("a"), make_member("b", "arada")]
+        leaving = [replace(member, state="leaving") for member in live]
+        stored = None
+        for members in (live, leaving, [*leaving, make_member("c")]):
+            stored = next_membership("swapdesk", stored, members, "x", {})
+        self.assertEqual([view.number for view in stored.history], [1, 2])
+
     def test_flows_of_views_left_out_are_uncertain(self) -> None:
         flow = b"swapdesk|10.0.0.9|4000"
         for count, member in ((HISTORY_LIMIT, ""), (HISTORY_LIMIT + 5, None)):
--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -45,6 +45,19 @@
         self.assertNotIn("swapdesk-3", world.nodes)
         self.assertEqual(world.tally.done, FLOWS * REQUESTS)
 
+    def test_boards_survive_the_replacement_of_all_upstreams_at_once(self) -> None:
+        world = make_busy_world(3)
+        old = [node.name for node in world.nodes.values() if node.service]
+        zones = [world.nodes[name].zone for name in old]
+        for name in old:
+            world.stop(name)
+        # In the meantime, a view without live members is in force.
+        world.run(300)
+        for number, zone in enumerate(zones):
+            world.add_side(f"swapdesk-{10 + number}", zone)
+        self.check(world)
+        self.assertFalse(set(old) & set(world.nodes))
+
     def test_killed_side_process_runs_nothing_twice(self) -> None:
         world = make_busy_world(2)
         world.kill("swapdesk-3")
