Run copies of requests whose own withdrawn record came back

Cause: a request that waits while no upstream of its service is live is withdrawn, and its record with it. The witness still holds the intent. Copies that were taken up again ended at the deadline of the first copy, because the deadline's timer looked for the key and not for the request.

Change: an intent of this incarnation without an open request is deleted when a copy arrives, and the copy is handled as a new request; that is the rule by which on_record_ask already tells other processes that it never ran. The timer of a deadline ends only its own request.

--- a/fuchsiapin/coap/dispatching.py
+++ b/fuchsiapin/coap/dispatching.py
@@ -51,7 +51,7 @@
         if key in self.core.requests:
             return
         record = self.core.table.get(key)
-        if record is not None:
+        if record is not None and not self.core.recorder.drop_unstarted(record):
             self.core.recorder.answer_retransmission(record)
             return
         deadline = self.core.now + self.core.deadline_ms
@@ -374,8 +374,11 @@
             self.give_up(request)
 
     def expire_request(self, request: Request) -> None:
-        """Answer a request at its deadline."""
-        if request.key not in self.core.requests:
+        """Answer a request at its deadline.
+
+        A copy that came after the request was forwarded has its own deadline.
+        """
+        if self.core.requests.get(request.key) is not request:
             return
         if request.origin:
             outcome = "unknown" if request.has_started else "not_run"
--- a/fuchsiapin/coap/recording.py
+++ b/fuchsiapin/coap/recording.py
@@ -49,6 +49,21 @@
             ask = messages.RecordAsk(self.core.service, record.key, record.executor)
             self.core.effects.append(SendPeer(executor.host, executor.port, ask))
 
+    def drop_unstarted(self, record: Record) -> bool:
+        """Delete a record of a request that never ran; return whether it was one.
+
+        This process withdrew the request when its flow had another owner or none,
+        and got its own record back from the witness with the flow. A request that
+        is not open here and has no response never started here, and a later owner
+        that had started it would have replaced the record by its own.
+        """
+        if record.state != "intent" or record.key in self.core.requests:
+            return False
+        if record.executor != member_key(self.core.membership.me):
+            return False
+        self.core.table.drop(record.key)
+        return True
+
     def find_executor(self, executor: str) -> Member | None:
         """Return the member of the newest view with an executor's member key."""
         for member in self.core.ownership.history.members():
--- a/fuchsiapin/tests/test_limits.py
+++ b/fuchsiapin/tests/test_limits.py
@@ -1,14 +1,16 @@
 """Tests of the bounds on how long and how many requests wait."""
 
 import unittest
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from fuchsiapin.coap import datagrams as coap
+from fuchsiapin.coap.dispatching import Dispatcher
 from fuchsiapin.coap.membership import LONE_REMOVAL_MS
 from fuchsiapin.coap.requests import Stage
 from fuchsiapin.coap.sidecore import SideCore
 from fuchsiapin.codec import decode_object
-from fuchsiapin.messages import RecordAck, ServiceMembership
+from fuchsiapin.messages import Record, RecordAck, ServiceMembership
+from fuchsiapin.ranking import flow_key, member_key
 from measure.oracle import Oracle
 from measure.world import World
 from measure.worldparts import WorldOptions
@@ -66,6 +68,45 @@
         self.assertEqual(world.tally.outcomes, told)
 
 
+class WithdrawnTest(unittest.TestCase):
+    """Copies of a request that its owner withdrew before it could run."""
+
+    def test_copy_runs_when_the_witness_returned_the_record(self) -> None:
+        # Guards against silence: nobody but this process could answer the record.
+        world = World(7, WorldOptions(sides=2))
+        world.run(6_000)
+        caller = world.add_caller()
+        caller.post("claims", "claim")
+        [pending] = caller.pending.values()
+        [[host, port]] = world.callers
+        flow = flow_key("swapdesk", host, port)
+        key = coap.request_digest(flow, pending.datagram)
+        head = coap.request_head(pending.datagram)
+        for core in side_cores(world):
+            executor, expires = member_key(core.membership.me), int(world.now) + 99_000
+            core.table.put(
+                Record(key, host, port, head, "intent", executor, b"", expires)
+            )
+        world.run(50_000)
+        self.assertEqual(world.tally.outcomes, {"claim": "done"})
+        self.assertEqual(Oracle(world).execution_counts(), {"claim": 1})
+
+    @patch.object(Dispatcher, "next_startable", return_value=None)
+    def test_copy_is_not_ended_at_the_deadline_of_the_first(self, _: Mock) -> None:
+        world = World(7, WorldOptions(sides=1, deadline_ms=10_000))
+        world.run(6_000)
+        world.add_caller().post("claims", "claim")
+        world.run(1_000)
+        [core] = side_cores(world)
+        [first] = core.requests.values()
+        core.dispatcher.remove_request(first)
+        core.table.drop(first.key)
+        world.run(10_000)
+        self.assertEqual(world.tally.outcomes, {})
+        world.run(10_000)
+        self.assertEqual(world.tally.outcomes, {"claim": "unknown"})
+
+
 class LoneMemberTest(unittest.TestCase):
     """A member that receives no heartbeats from several others."""
 
