Leave the first block of a download to the flow's new owner

Cause: a flow moves while its owner runs a GET whose answer takes several blocks. The caller's copy reaches the new owner, which runs the request too. The former owner then answers with the first block of its run; the caller asks the new owner for the rest and gets it from the other run. The new owner knows nothing of the former one's transfer, which began after the claim.

Change: a process that no longer owns the flow doesn't pass the first block on, but forwards the request to the owner, whose run alone answers it.

Measured: the new test fails without the change (wrong) and passes with it.

--- a/fuchsiapin/coap/dispatching.py
+++ b/fuchsiapin/coap/dispatching.py
@@ -264,6 +264,8 @@
         if request.origin:
             self.core.mover.return_result(request, "done", coap.answer_for_peer(answer))
             return
+        if self.core.transfers.leave_to_owner(request, answer):
+            return
         sequence = None
         if answer.opt.observe is not None and request.message.opt.observe == 0:
             sequence = self.core.observation_manager.open_observation(request, token)
--- a/fuchsiapin/coap/handoffs.py
+++ b/fuchsiapin/coap/handoffs.py
@@ -253,6 +253,8 @@
             return
         if message.outcome == "done":
             answer = coap.parse_datagram(message.payload)
+            if self.core.transfers.leave_to_owner(request, answer):
+                return
             datagram = coap.answer_for_caller(
                 answer, request.message, self.core.allocate_message_id()
             )
--- a/fuchsiapin/coap/transfers.py
+++ b/fuchsiapin/coap/transfers.py
@@ -50,6 +50,24 @@
         self.core.mover.hand_off(request, peer)
         return True
 
+    def leave_to_owner(self, request: Request, answer: Message) -> bool:
+        """Leave the first block of a download to the flow's new owner.
+
+        The new owner doesn't know of this transfer, and may run a copy of the
+        request: the caller would get its later blocks from another body. Returns
+        whether the request was forwarded, so that the answer is not passed on.
+        """
+        block = answer.opt.block2
+        is_first = block is not None and block.more and not block.block_number
+        if not is_first or not coap.is_safe(request.message):
+            return False
+        owner, _ = self.core.ownership.pair(request.flow)
+        if owner is None or self.core.ownership.is_self(owner):
+            return False
+        self.core.dispatcher.remove_request(request)
+        self.core.forward_to_owner(owner, request.host, request.port, request.datagram)
+        return True
+
     def track_transfer(self, request: Request, answer: Message, executor: str) -> None:
         """Store the id of the executor of a transfer, until the transfer ends."""
         tag = coap.transfer_digest(request.flow, request.message)
--- a/fuchsiapin/tests/test_ownership.py
+++ b/fuchsiapin/tests/test_ownership.py
@@ -201,6 +201,22 @@
         self.assertEqual(world.tally.wrong, 0)
         self.assertGreater(world.tally.done, 0)
 
+    def test_first_block_of_a_former_owner_is_left_to_the_new_one(self) -> None:
+        # Guards against a body from two runs, when both owners run the request.
+        for seed in (1, 2):
+            world = World(seed, WorldOptions(sides=2, service_ms=4_000.0, slots=1))
+            world.run(6_000)
+            world.add_caller().get_long("long", "long")
+            world.run(100)
+            [owner] = [
+                node
+                for node in world.nodes.values()
+                if node.service and node.core.requests
+            ]
+            world.stop(owner.name)
+            world.run(60_000)
+            self.assertEqual(world.tally.outcomes, {"long": "done"})
+
     def test_block_received_before_the_claim_answer_joins_its_transfer(self) -> None:
         world = World(1, WorldOptions(sides=3))
         world.run(6_000)
