Let a zone's sole surviving balancer remove the dead ones

Cause: a silent balancer is removed once a second watcher confirms it. When all others of a ring of three to five are dead, there is no second watcher, and the dead ones stayed in the zone's object for good.

Change: a balancer that monitors all others of its ring removes them when none has sent a heartbeat for 6 s, as side processes do. It does so only while it receives messages of other processes, so that one that is cut off removes nobody.

Measured: the first new test fails without the change and passes with it; the second fails without the check for messages.

--- a/fuchsiapin/coap/balancercore.py
+++ b/fuchsiapin/coap/balancercore.py
@@ -145,6 +145,7 @@
 
     def on_peer_message(self, event: messages.PeerMessage) -> None:
         """Dispatch a message from another process to its handler."""
+        self.zone_membership.last_message_at = self.now
         if self.relay.receive(self.now, event.sender, event.message):
             return
         handler = MESSAGE_HANDLERS.get(type(event.message))
--- a/fuchsiapin/coap/zonemembership.py
+++ b/fuchsiapin/coap/zonemembership.py
@@ -32,6 +32,8 @@
 HEARTBEAT_MS = 500
 SILENCE_MS = 2_000
 """A balancer that sends no heartbeat for this time is suspected."""
+LONE_REMOVAL_MS = 3 * SILENCE_MS
+"""Time without any heartbeat after which a balancer removes silent ones alone."""
 GRACE_MS = 3_000
 """Time for a balancer to learn its watchers before it can be suspected."""
 WATCHERS = 4
@@ -96,6 +98,8 @@
         the last heartbeat, or of a restart of the timeout.
     last_check : int
         Time of the last check for silent balancers.
+    last_message_at : int
+        Time of the last message from any process, in ms.
     is_departing : bool
         Whether the removal of this balancer's entry was requested.
     """
@@ -122,6 +126,7 @@
         self.watchers: list[BalancerMember] = []
         self.watched: list[BalancerMember] = []
         self.last_check = 0
+        self.last_message_at = 0
         self.is_departing = False
 
     def updater_of(self, key: str) -> ObjectUpdater:
@@ -287,17 +292,30 @@
     def suspect(self, now: int, member: BalancerMember) -> None:
         """Ask a silent balancer for a heartbeat, and its other watchers to confirm.
 
-        In a ring of two no one can confirm, so the balancer is removed at once.
+        In a ring of two no one can confirm, so the balancer is removed at once. A
+        sole survivor of more removes the others one by one.
         """
         message = Suspect(BALANCER_SERVICE, member.id, member.incarnation)
         self.send(member, message)
-        if len(self.peers()) == 1:
+        if len(self.peers()) == 1 or self.is_sole_survivor(now):
             self.remove(now, member)
             return
         for other in watchers_of(member.id, self.ring):
             if other.id != self.me.id:
                 self.send(other, message)
 
+    def is_sole_survivor(self, now: int) -> bool:
+        """Return whether all others of the ring are silent, and only they.
+
+        It can be told in small rings only, where each balancer monitors all others.
+        Messages of other processes show that this one isn't the one cut off.
+        """
+        if len(self.watched) < len(self.peers()):
+            return False
+        is_cut_off = now - self.last_message_at > SILENCE_MS
+        latest = max(self.last_heartbeat.values(), default=now)
+        return now - latest > LONE_REMOVAL_MS and not is_cut_off
+
     def on_suspect(self, now: int, sender: str, message: Suspect) -> None:
         """Answer whether this process finds a suspected balancer silent too.
 
--- a/fuchsiapin/tests/test_zonemembership.py
+++ b/fuchsiapin/tests/test_zonemembership.py
@@ -54,6 +54,23 @@
             self.assertNotIn("balancer-2", stored_zone(world))
             self.assertEqual(len(stored_zone(world)), balancers - 1)
 
+    def test_sole_survivor_of_a_small_zone_removes_the_others(self) -> None:
+        # Guards against dead balancers that no second watcher is left to confirm.
+        for balancers in (3, 5):
+            world = make_zone(5, balancers)
+            for number in range(2, balancers + 1):
+                world.kill(f"balancer-{number}")
+            world.run(15_000)
+            self.assertEqual(list(stored_zone(world)), ["balancer-1"])
+
+    def test_balancer_of_a_small_zone_that_is_cut_off_removes_nobody(self) -> None:
+        world = make_zone(6, 3)
+        before = stored_zone(world)
+        for name in list(world.nodes):
+            world.links.cuts.add((name, "balancer-1"))
+        world.run(20_000)
+        self.assertEqual(stored_zone(world), before)
+
     def test_one_watcher_without_heartbeats_removes_nobody(self) -> None:
         world = make_zone(2)
         for name in list(world.nodes):
