Repeat late answers, and repeat through another balancer

Cause: a final answer was sent once, on the acknowledgement of the request, and only the caller's later copies could fetch it again. Repeated notifications went to the same balancer each time, dead or not.

Change: an answer that took longer than the time to the caller's first copy, or that answers a copy, is repeated as a separate confirmable response (RFC 7252, section 5.2.2) until the caller acknowledges or resets it, at most four times. The first answer is sent as before. Repeated answers and notifications go through another balancer than the flow last used.

Measured: three of the new tests of answers fail without the repetition, and the one of notifications without its change; all pass with them.

--- a/fuchsiapin/coap/datagrams.py
+++ b/fuchsiapin/coap/datagrams.py
@@ -23,8 +23,10 @@
 __all__ = [
     "EXCHANGE_LIFETIME_MS",
     "acknowledgement",
+    "after_message_id",
     "answer_for_caller",
     "answer_for_peer",
+    "can_be_separate",
     "error_response",
     "is_idempotent",
     "is_safe",
@@ -35,6 +37,7 @@
     "request_for_upstream",
     "request_head",
     "reset",
+    "separate_response",
 ]
 
 EXCHANGE_LIFETIME_MS = 247_000
@@ -47,6 +50,9 @@
 """Observe sequence numbers are taken modulo this [2]_."""
 DIGEST_BYTES = 12
 HEADER_BYTES = 4
+TYPE_SHIFT = 4
+TYPE_BITS = 0b11 << TYPE_SHIFT
+"""Bits of the first byte that hold the type of a message [1]_."""
 
 SAFE_CODES = frozenset({Code.GET, Code.FETCH})
 IDEMPOTENT_CODES = SAFE_CODES | {Code.PUT, Code.DELETE, Code.iPATCH}
@@ -179,6 +185,27 @@
     return copy.encode()
 
 
+def after_message_id(datagram: bytes) -> bytes:
+    """Return a datagram without its header: token, options and payload."""
+    return datagram[HEADER_BYTES:]
+
+
+def can_be_separate(datagram: bytes) -> bool:
+    """Return whether an answer may be sent as a separate response as well.
+
+    It has to be piggybacked on an acknowledgement, and not to open an observation.
+    """
+    message = parse_datagram(datagram)
+    return message.mtype is Type.ACK and message.opt.observe is None
+
+
+def separate_response(datagram: bytes, mid: int) -> bytes:
+    """Return a piggybacked answer as a separate confirmable response [1]_."""
+    first = datagram[0] & ~TYPE_BITS | Type.CON << TYPE_SHIFT
+    head = bytes([first, datagram[1]]) + mid.to_bytes(2, "big")
+    return head + after_message_id(datagram)
+
+
 def notification(
     answer: Message,
     token: bytes,
--- a/fuchsiapin/coap/dispatching.py
+++ b/fuchsiapin/coap/dispatching.py
@@ -286,7 +286,9 @@
         self.remove_request(request)
         self.core.retrier.on_finished(request)
         self.report_end(request, state)
-        self.core.send_to_caller(request.host, request.port, datagram)
+        # By then a caller may have sent its first copy.
+        is_late = self.core.now - request.received_at >= coap.ACK_TIMEOUT_MS
+        self.core.answers.send(request.host, request.port, datagram, is_late)
         if coap.is_safe(request.message) and not is_part:
             return
         record = self.core.recorder.make_record(request, state, datagram)
--- a/fuchsiapin/coap/observationmanager.py
+++ b/fuchsiapin/coap/observationmanager.py
@@ -174,6 +174,7 @@
         observations = self.core.observations
         key = observations.find(host, port, message.mid)
         if key is None:
+            self.core.answers.on_acknowledgement(host, port, message.mid)
             return
         is_reset = message.mtype is Type.RST
         if is_reset or observations.acknowledge(self.core.now, key, message.mid):
@@ -184,8 +185,13 @@
     ) -> None:
         """Send a notification through the balancer that the flow last used.
 
-        If that one is gone, any other is used.
+        If that one is gone, any other is used, and also while a notification is
+        unacknowledged: the balancer may have died without being removed.
         """
+        served = self.core.observations.served.get(observation_key(observation))
+        if served is not None and served.attempts:
+            flow = self.core.flow_store.flow_of(observation)
+            self.core.last_balancers.pop(flow, None)
         self.core.send_to_caller(observation.host, observation.port, datagram)
 
     def close_observation(self, key: ObservationKey) -> None:
--- a/fuchsiapin/coap/observing.py
+++ b/fuchsiapin/coap/observing.py
@@ -243,6 +243,11 @@
         self.by_key[key] = served.observation
         return sequence
 
+    def allocate_message_id(self) -> int:
+        """Return the next message ID of a message that callers acknowledge."""
+        self.last_mid = (self.last_mid + 1) % (1 << 16)
+        return self.last_mid
+
     def notify(self, now: int, key: ObservationKey, answer: Message) -> None:
         """Send a new state, or queue it while a notification is unacknowledged."""
         served = self.served[key]
@@ -263,9 +268,9 @@
         is not in `by_mid`, so that a reset of this message is ignored.
         """
         sequence = self.sequence_for(now, key, answer)
-        self.last_mid = (self.last_mid + 1) % (1 << 16)
+        mid = self.allocate_message_id()
         token = served.observation.token
-        datagram = notification(answer, token, self.last_mid, sequence, False)
+        datagram = notification(answer, token, mid, sequence, False)
         served.sent_at = now
         self.send(served.observation, datagram)
 
@@ -301,8 +306,7 @@
     ) -> None:
         """Encode the queued state as the pending notification."""
         sequence = self.sequence_for(now, key, answer)
-        self.last_mid = (self.last_mid + 1) % (1 << 16)
-        served.mids.append(self.last_mid)
+        served.mids.append(self.allocate_message_id())
         self.by_mid[(key[0], key[1], self.last_mid)] = key
         served.pending = notification(
             answer, served.observation.token, self.last_mid, sequence
--- a/fuchsiapin/coap/recording.py
+++ b/fuchsiapin/coap/recording.py
@@ -40,7 +40,7 @@
     def answer_retransmission(self, record: Record) -> None:
         """Answer a retransmission from its record."""
         if record.response:
-            self.core.send_to_caller(record.host, record.port, record.response)
+            self.core.answers.send(record.host, record.port, record.response, True)
             return
         executor = self.find_executor(record.executor)
         if executor is None:
@@ -114,7 +114,7 @@
         )
         self.core.table.put(replace(record, state="unknown", response=answer))
         self.core.report(3104, host=record.host, port=record.port)
-        self.core.send_to_caller(record.host, record.port, answer)
+        self.core.answers.send(record.host, record.port, answer, True)
 
     def answer_from_record(self, request: Request) -> bool:
         """Answer a request from an earlier owner's record, if there is one.
@@ -236,7 +236,7 @@
         done = replace(record, state="done", response=answer)
         self.core.table.put(done)
         self.send_outcome(self.core.flow_store.flow_of(record), done)
-        self.core.send_to_caller(record.host, record.port, answer)
+        self.core.answers.send(record.host, record.port, answer, True)
 
     def send_outcome(self, flow: bytes, record: Record) -> None:
         """Send the outcome to the witness, and to the owner if the flow has moved."""
--- a/fuchsiapin/coap/sidecore.py
+++ b/fuchsiapin/coap/sidecore.py
@@ -15,6 +15,7 @@
 from fuchsiapin import messages
 from fuchsiapin.coap import datagrams as coap
 from fuchsiapin.coap.admission import Admission
+from fuchsiapin.coap.answers import Answers
 from fuchsiapin.coap.cores import Core
 from fuchsiapin.coap.dispatching import Dispatcher
 from fuchsiapin.coap.flowstore import FlowStore
@@ -85,6 +86,7 @@
         self.service = service
         self.deadline_ms = options.deadline_ms
         self.requests: dict[bytes, Request] = {}
+        self.answers = Answers(self)
         self.dispatcher = Dispatcher(self)
         self.recorder = Recorder(self)
         self.mover = Mover(self, handoff_policies.get(options.policy.move))
--- a/fuchsiapin/coap/sideparts.py
+++ b/fuchsiapin/coap/sideparts.py
@@ -39,7 +39,7 @@
         Open requests by their key.
     last_balancers : OrderedDict
         Name of the balancer that the last datagram came from, by flow key.
-    dispatcher, recorder, mover, retrier, transfers, observation_manager
+    answers, dispatcher, recorder, mover, retrier, transfers, observation_manager
         Parts whose modules import this one; typed as `Any`.
     """
 
@@ -59,6 +59,7 @@
     ownership: Ownership
     table: RecordTable
     tenants: Tenants
+    answers: Any
     dispatcher: Any
     mover: Any
     recorder: Any
