--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -130,5 +130,40 @@
         self.assertEqual(world.tally.done, FLOWS * REQUESTS)
 
 
+class ReplacementTest(unittest.TestCase):
+    """Copies of claims that ran before all upstreams of a service were replaced."""
+
+    def replace_all(self, gap_ms: int) -> World:
+        """Replace all upstreams while answers are lost; copies follow later."""
+        world = World(1, WorldOptions(sides=3), Links(jitter_ms=0))
+        world.run(6_000)
+        for number in range(8):
+            world.add_caller().post("claims", f"claim-{number}")
+        world.run(50)
+        sides = [node for node in world.nodes.values() if node.service]
+        world.links.cuts = {
+            (node.name, "caller") for node in world.nodes.values() if not node.service
+        }
+        world.run(500)
+        for node in sides:
+            world.stop(node.name)
+        world.run(gap_ms)
+        for number, node in enumerate(sides):
+            world.add_side(f"swapdesk-{10 + number}", node.zone)
+        world.run(1_000)
+        world.links.cuts.clear()
+        world.run(70_000)
+        return world
+
+    def test_copies_do_not_run_when_others_join_before_the_last_left(self) -> None:
+        world = self.replace_all(gap_ms=300)
+        self.assertEqual(Oracle(world).find_violations(), [])
+        self.assertEqual(world.tally.done, 8)
+
+    def test_copies_do_not_run_when_others_join_after_the_last_left(self) -> None:
+        world = self.replace_all(gap_ms=3_000)
+        self.assertEqual(Oracle(world).find_violations(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
