--- a/fuchsiapin/coap/dispatching.py
+++ b/fuchsiapin/coap/dispatching.py
@@ -51,7 +51,7 @@
         if key in self.core.requests:
             return
         record = self.core.table.get(key)
-        if record is not None:
+        if record is not None and not self.core.recorder.drop_unstarted(record):
             self.core.recorder.answer_retransmission(record)
             return
         deadline = self.core.now + self.core.deadline_ms
@@ -264,6 +264,8 @@
         if request.origin:
             self.core.mover.return_result(request, "done", coap.answer_for_peer(answer))
             return
+        if self.core.transfers.leave_to_owner(request, answer):
+            return
         sequence = None
         if answer.opt.observe is not None and request.message.opt.observe == 0:
             sequence = self.core.observation_manager.open_observation(request, token)
@@ -284,7 +286,9 @@
         self.remove_request(request)
         self.core.retrier.on_finished(request)
         self.report_end(request, state)
-        self.core.send_to_caller(request.host, request.port, datagram)
+        # By then a caller may have sent its first copy.
+        is_late = self.core.now - request.received_at >= coap.ACK_TIMEOUT_MS
+        self.core.answers.send(request.host, request.port, datagram, is_late)
         if coap.is_safe(request.message) and not is_part:
             return
         record = self.core.recorder.make_record(request, state, datagram)
@@ -374,8 +378,11 @@
             self.give_up(request)
 
     def expire_request(self, request: Request) -> None:
-        """Answer a request at its deadline."""
-        if request.key not in self.core.requests:
+        """Answer a request at its deadline.
+
+        A copy that came after the request was forwarded has its own deadline.
+        """
+        if self.core.requests.get(request.key) is not request:
             return
         if request.origin:
             outcome = "unknown" if request.has_started else "not_run"
--- a/fuchsiapin/coap/recording.py
+++ b/fuchsiapin/coap/recording.py
@@ -40,7 +40,7 @@
     def answer_retransmission(self, record: Record) -> None:
         """Answer a retransmission from its record."""
         if record.response:
-            self.core.send_to_caller(record.host, record.port, record.response)
+            self.core.answers.send(record.host, record.port, record.response, True)
             return
         executor = self.find_executor(record.executor)
         if executor is None:
@@ -49,6 +49,21 @@
             ask = messages.RecordAsk(self.core.service, record.key, record.executor)
             self.core.effects.append(SendPeer(executor.host, executor.port, ask))
 
+    def drop_unstarted(self, record: Record) -> bool:
+        """Delete a record of a request that never ran; return whether it was one.
+
+        This process withdrew the request when its flow had another owner or none,
+        and got its own record back from the witness with the flow. A request that
+        is not open here and has no response never started here, and a later owner
+        that had started it would have replaced the record by its own.
+        """
+        if record.state != "intent" or record.key in self.core.requests:
+            return False
+        if record.executor != member_key(self.core.membership.me):
+            return False
+        self.core.table.drop(record.key)
+        return True
+
     def find_executor(self, executor: str) -> Member | None:
         """Return the member of the newest view with an executor's member key."""
         for member in self.core.ownership.history.members():
@@ -99,7 +114,7 @@
         )
         self.core.table.put(replace(record, state="unknown", response=answer))
         self.core.report(3104, host=record.host, port=record.port)
-        self.core.send_to_caller(record.host, record.port, answer)
+        self.core.answers.send(record.host, record.port, answer, True)
 
     def answer_from_record(self, request: Request) -> bool:
         """Answer a request from an earlier owner's record, if there is one.
@@ -221,7 +236,7 @@
         done = replace(record, state="done", response=answer)
         self.core.table.put(done)
         self.send_outcome(self.core.flow_store.flow_of(record), done)
-        self.core.send_to_caller(record.host, record.port, answer)
+        self.core.answers.send(record.host, record.port, answer, True)
 
     def send_outcome(self, flow: bytes, record: Record) -> None:
         """Send the outcome to the witness, and to the owner if the flow has moved."""
