Move the state of new flows to a module of its own; name the product's setting

Change: moves into openingstate.py; the texts name evacuation_ms. Measured: the tests of openings, evacuations and commands pass.

--- a/fuchsiapin/flowsnapshot.py
+++ b/fuchsiapin/flowsnapshot.py
@@ -29,7 +29,7 @@
 It is the users' requirement for the deployment size that they expect in two years.
 """
 EVACUATION_DEADLINE_MS = 5_000
-"""An evacuation must be in force within this time; the platform's `EvacuateMs`."""
+"""An evacuation must be in force within this time; the default of deployments."""
 MS_PER_S = 1_000
 
 
@@ -349,7 +349,7 @@
                 f"the evacuation of zone {item.zone} isn't in force at "
                 f"{join_first_words(item.pending)}; if this lasts longer than "
                 f"{EVACUATION_DEADLINE_MS} ms, check whether their settings have "
-                "EvacuateMs, and whether they reach the store or other balancers"
+                "evacuation_ms, and whether they reach the store or other balancers"
             )
         if item.unaware:
             yield (
--- a/fuchsiapin/tests/test_flows.py
+++ b/fuchsiapin/tests/test_flows.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fuchsiapin.flows.opening import Opening
+from fuchsiapin.flows.openingstate import Opening
 from fuchsiapin.tests.flowactors import make_packet, make_route
 from fuchsiapin.tests.flowworld import open_flow, settled_world
 
--- a/fuchsiapin/tests/test_inquiries.py
+++ b/fuchsiapin/tests/test_inquiries.py
@@ -10,8 +10,8 @@
     HOLD_BACK_MS,
     MAX_PEER_QUESTIONS,
     PEER_ANSWER_MS,
-    Opening,
 )
+from fuchsiapin.flows.openingstate import Opening
 from fuchsiapin.tests.drivenbalancer import DrivenBalancer
 from fuchsiapin.tests.flowactors import SYN, PlainPacketFormat, make_packet
 
