End an evacuation of a former era that arrives after the list of the new one

A balancer that had listed the store's new era and then got a former era's evacuation from another balancer planned its end before it kept the record. The version didn't match any more when the time came, so the evacuation stayed in force at all balancers and side processes for good.

The record is kept first. The new test failed before and passes now.

--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -173,14 +173,16 @@
         """
         if error := zone_error(zone):
             raise MalformedObject(error)
-        if is_evacuation(version) and version < self.listed_version:
+        is_unlisted = is_evacuation(version) and version < self.listed_version
+        if is_unlisted:
             is_same_era = era_of(version) == era_of(self.listed_version)
             if is_same_era or now - self.era_began_at > REWRITE_MS:
                 if zone not in self.zones.evacuated:
                     self.put(now, zone, self.listed_version, "store")
                 return False
-            self.end_unless_rewritten(now, zone)
         self.note_change(now, zone, version, "peer")
+        if is_unlisted:
+            self.end_unless_rewritten(now, zone)
         return True
 
     def put(self, now: int, zone: str, version: int, source: str) -> None:
--- a/fuchsiapin/tests/test_evacuationfaults.py
+++ b/fuchsiapin/tests/test_evacuationfaults.py
@@ -5,7 +5,11 @@
 
 from fuchsiapin.flows import storage
 from fuchsiapin.flows.evacuating import REMOVAL_NOTICE_MS
-from fuchsiapin.flows.evacuations import EvacuatedZones, evacuation_key
+from fuchsiapin.flows.evacuations import (
+    EvacuatedZones,
+    evacuation_key,
+    evacuation_version,
+)
 from fuchsiapin.flows.messages import Copy, Pull
 from fuchsiapin.flows.storage import StoreResult
 from fuchsiapin.replicas import BUCKETS, pack_value
@@ -185,5 +189,21 @@
             self.assertEqual(world.balancer(index).state.zones.evacuated, {"a"})
 
 
+class RestoredCopyTest(unittest.TestCase):
+    """An evacuation that only a former era of the store held ends."""
+
+    def test_copy_that_arrives_after_the_list_of_the_new_era(self) -> None:
+        world = zoned_world(era=2)
+        host = world.balancer_hosts[1]
+        key, version = evacuation_key("a"), evacuation_version(1, 900)
+        copy = Copy(key, version, pack_value(b""))
+        world.balancer(0).on_message(world.now, host, copy)
+        world.run_effects(world.balancer_hosts[0])
+        self.assertEqual(world.balancer(0).state.zones.evacuated, {"a"})
+        world.run(6_000)
+        for index in range(6):
+            self.assertFalse(world.balancer(index).state.zones.evacuated)
+
+
 if __name__ == "__main__":
     unittest.main()
