--- a/fuchsiapin/tests/test_evacuationmodel.py
+++ b/fuchsiapin/tests/test_evacuationmodel.py
@@ -136,7 +136,7 @@
 
 ExchangeModelTest = ExchangeMachine.TestCase
 ExchangeModelTest.settings = settings(
-    max_examples=30,
+    max_examples=120,
     stateful_step_count=16,
     deadline=None,
     derandomize=True,
