--- a/fuchsiapin/daemons/zonecommands.py
+++ b/fuchsiapin/daemons/zonecommands.py
@@ -34,7 +34,8 @@
         ExitCode.DONE,
         "the evacuation of zone {zone} is written; balancers whose settings have "
         f"evacuation_ms place no new flow there after {EVACUATION_DEADLINE_MS} ms, "
-        "open flows stay; explain shows where it is in force and how many flows are left",
+        "open flows stay; explain shows where it is in force and how many flows are "
+        "left",
     ),
     (CREATE, "exists"): (
         ExitCode.DONE,
