--- a/fuchsiapin/flows/admission.py
+++ b/fuchsiapin/flows/admission.py
@@ -31,8 +31,8 @@
 """How long callers wait for the acceptance of a flow."""
 BURST_MS = 300
 """How much longer than the window of the rates arrivals must exceed admissions before
-flows are returned early. A burst of 200 ms is seen for as long and the window, and a
-little longer with flows that other upstreams returned."""
+flows are returned early. A burst of 200 ms keeps the measured rate high for its own
+length and that of the window, and flows that other upstreams return add a little."""
 BREAK_MS = 200
 """How long arrivals may be seen not to exceed admissions, because of chance, before an
 overload is noticed."""
