Keep the last leaving upstreams until their records are taken over

Cause: a side process departed as soon as every live peer had taken over its flows, also when there was no live peer. With the last one the records of claims that had run were gone, and members that joined later ran copies of them again (7 of 8 claims in test_copies_do_not_run_when_others_join_after_the_last_left).

Change: without a live peer a stopped process stays while it holds records, until a member has joined and claimed them or they have expired (247 s). `explain` says so. A process without records departs at once, as before.

Weighed: records in the store (grow with the claims of 247 s, and the store may be away); flows uncertain after a view without members (every new claim "outcome unknown" for 247 s after a full replacement).

--- a/fuchsiapin/coap/explain.py
+++ b/fuchsiapin/coap/explain.py
@@ -238,10 +238,23 @@
             remaining = (
                 f"{count(open_count, 'request')} to finish, and it gets no new ones"
             )
+            if status.records and not has_live_process(snapshot, service):
+                remaining += (
+                    f"; it keeps {count(status.records, 'record')} of requests until"
+                    " another upstream has joined or no copy can come any more"
+                )
         lines.append(f"{process.name} leaves{reason}: {remaining}.")
     return lines
 
 
+def has_live_process(snapshot: DeploymentSnapshot, service: str) -> bool:
+    """Return whether a live side process of a service could take over its flows."""
+    return any(
+        process.service == service and process.state == "live"
+        for process in snapshot.processes
+    )
+
+
 def configured_services(snapshot: DeploymentSnapshot) -> list[ServiceConfig]:
     """Return the configured services."""
     return snapshot.configuration.services if snapshot.configuration else []
--- a/fuchsiapin/coap/sidecore.py
+++ b/fuchsiapin/coap/sidecore.py
@@ -524,7 +524,12 @@
             self.membership.depart(now)
 
     def is_drained(self) -> bool:
-        """Return whether no work is left and all peers have taken over the flows."""
+        """Return whether no work is left and all peers have taken over the flows.
+
+        Without a live peer nobody takes over the records of requests, and a member that
+        joins later would run their copies again. The process then stays until one has
+        joined or all records have expired.
+        """
         if self.requests or self.admission.running or self.observations.served:
             return False
         view = self.ownership.view
@@ -534,6 +539,8 @@
             for member in members
         )
         others = [m for m in self.membership.peers() if m.state == "live"]
+        if not others and self.flow_store.records():
+            return False
         return is_leaving and all(
             view in self.membership.active_views.get(member.id, ()) for member in others
         )
--- a/fuchsiapin/tests/test_world.py
+++ b/fuchsiapin/tests/test_world.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiapin.coap.datagrams import EXCHANGE_LIFETIME_MS
 from measure.oracle import Oracle
 from measure.world import World
 from measure.worldparts import Links, WorldOptions
@@ -133,10 +134,23 @@
 class ReplacementTest(unittest.TestCase):
     """Copies of claims that ran before all upstreams of a service were replaced."""
 
-    def replace_all(self, gap_ms: int) -> World:
-        """Replace all upstreams while answers are lost; copies follow later."""
+    def make_world(self) -> World:
+        """Return a world with three upstreams that serve."""
         world = World(1, WorldOptions(sides=3), Links(jitter_ms=0))
         world.run(6_000)
+        return world
+
+    def stop_all(self, world: World) -> list[str]:
+        """Stop all upstreams; return the names of the processes that have ended."""
+        names = [name for name, node in world.nodes.items() if node.service]
+        for name in names:
+            world.stop(name)
+        world.run(3_000)
+        return [name for name in names if name not in world.nodes]
+
+    def replace_all(self, gap_ms: int) -> World:
+        """Replace all upstreams while answers are lost; copies follow later."""
+        world = self.make_world()
         for number in range(8):
             world.add_caller().post("claims", f"claim-{number}")
         world.run(50)
@@ -163,6 +177,20 @@
     def test_copies_do_not_run_when_others_join_after_the_last_left(self) -> None:
         world = self.replace_all(gap_ms=3_000)
         self.assertEqual(Oracle(world).find_violations(), [])
+        self.assertEqual(world.tally.done, 8)
+
+    def test_last_upstreams_end_at_once_without_records(self) -> None:
+        """A service without recent claims could not be stopped in seconds."""
+        self.assertEqual(len(self.stop_all(self.make_world())), 3)
+
+    def test_last_upstreams_end_when_their_records_have_expired(self) -> None:
+        """A process that waits for others to take over would never end."""
+        world = self.make_world()
+        world.add_caller().post("claims", "claim-1")
+        world.run(1_000)
+        self.assertLess(len(self.stop_all(world)), 3)
+        world.run(EXCHANGE_LIFETIME_MS)
+        self.assertFalse([node for node in world.nodes.values() if node.service])
 
 
 if __name__ == "__main__":
