--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -20,7 +20,6 @@
 from fuchsiapin.flows.packets import Packet, flow_name
 from fuchsiapin.flows.placement import rank_views
 from fuchsiapin.flows.routes import FlowRoute
-from fuchsiapin.flows.searchretries import SearchRetries
 from fuchsiapin.flows.searchstate import (
     MAX_FIRST_NUMBER,
     FailedSearch,
@@ -91,7 +90,6 @@
         self.failed_searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
         self.open_searches = FlowCache(MAX_SEARCHES, OPEN_SEARCH_MS)
-        self.retries = SearchRetries(state, self.search_anew)
 
     def find_holder(
         self, now: int, packet: Packet, route: FlowRoute, excluded_host: str = ""
@@ -298,12 +296,7 @@
         self.open_searches.remove(packet.flow)
         self.sender.counts["not found"] += 1
         self.report(6105, flow=flow_name(packet.flow), hops=hops)
-        if packet.resets:
-            return
-        missing = self.known_ids(route, search) - search.asked_ids
-        if missing:
-            if len(self.table.views) <= MAX_SEARCHED_MEMBERS:
-                self.retries.schedule_for_new_members(now, packet, missing)
+        if packet.resets or not search.asked_ids >= self.known_ids(route, search):
             return
         failed = self.failed_searches.get(packet.flow, now)
         if failed is not None and self.may_reset(now, failed):
@@ -370,9 +363,6 @@
         if self.may_reset(now, failed):
             self.reset_flow(now, failed)
             return
-        if not hosts:
-            self.retries.schedule(now, packet)
-            return
         self.failed_searches.put(packet.flow, failed, now)
         for host in hosts:
             self.sender.send(host, Ask(packet.flow))
@@ -380,14 +370,6 @@
             now + PROPAGATION_MS, lambda later: self.search_again(later, packet.flow)
         )
 
-    def search_anew(self, now: int, packet: Packet) -> None:
-        """Search for a flow as if its caller had sent a packet again."""
-        route = self.routes.find(packet.flow)
-        is_pending = self.failed_searches.get(packet.flow, now) is not None
-        if route is None or is_pending or self.holders.get(packet.flow, now):
-            return
-        self.find_holder(now, packet, route)
-
     def search_again(self, now: int, flow: bytes) -> None:
         """Search all members again for a flow that none of them held."""
         failed = self.failed_searches.get(flow, now)
--- a/fuchsiapin/tests/test_searching.py
+++ b/fuchsiapin/tests/test_searching.py
@@ -11,7 +11,6 @@
     PROPAGATION_MS,
     SEARCH_MS,
 )
-from fuchsiapin.flows.searchretries import RETRY_MS
 from fuchsiapin.flows.searchstate import (
     HOPS_PER_SEARCH,
     MAX_FIRST_NUMBER,
@@ -247,55 +246,6 @@
         self.assertEqual(caller.resets, 0)
 
 
-class RetryTest(unittest.TestCase):
-    """A balancer that starts after a loss of power resets lost flows soon.
-
-    It gets their packets before it has heard others, and while it learns of members.
-    Their callers would wait for up to 1.4 s more, and send requests in vain meanwhile.
-    """
-
-    def test_a_lost_flow_is_reset_once_another_balancer_is_heard(self) -> None:
-        balancer = DrivenBalancer(peers=0)
-        balancer.core.state.gossip.ensure_peer(balancer.now, "10.0.0.9")
-        balancer.search_in_vain()
-        balancer.wait(2 * RETRY_MS)
-        self.assertEqual((balancer.asked(), balancer.counts()["Forward"]), ([], 1))
-        balancer.core.state.gossip.note_message(balancer.now, "10.0.0.9")
-        balancer.wait(RETRY_MS)
-        balancer.deny()
-        self.assertEqual(balancer.asked(), ["10.0.0.9"])
-        balancer.confirm("10.0.0.9")
-        self.assertEqual(balancer.reasons, ["held nowhere"])
-
-    def test_a_member_that_becomes_known_during_the_search_is_asked(self) -> None:
-        balancer = DrivenBalancer(peers=1)
-        balancer.request()
-        balancer.table.put(balancer.now, make_member(9))
-        balancer.deny()
-        self.assertEqual(balancer.asked(), [])
-        balancer.wait(RETRY_MS)
-        searched = [balancer.hosts_of(Forward)[-1], *balancer.last(Forward).rest]
-        self.assertIn(make_member(9).host, searched)
-        balancer.first_hash = balancer.table.ids_hash
-        balancer.deny()
-        balancer.confirm(*balancer.peers)
-        self.assertEqual(balancer.reasons, ["held nowhere"])
-
-    def test_a_balancer_that_hears_nobody_sends_nothing_more(self) -> None:
-        balancer = DrivenBalancer(peers=0)
-        balancer.core.state.gossip.ensure_peer(balancer.now, "10.0.0.9")
-        balancer.search_in_vain()
-        balancer.wait(3_000)
-        self.assertEqual(balancer.counts()["Forward"], 1)
-
-    def test_a_silent_member_causes_no_retries(self) -> None:
-        balancer = DrivenBalancer(peers=1, members=3)
-        next(iter(balancer.table.views.values())).has_unanswered_opening = True
-        balancer.search_in_vain()
-        balancer.wait(3_000)
-        self.assertEqual(balancer.counts()["Forward"], 1)
-
-
 class YoungBalancerTest(unittest.TestCase):
     """A young balancer searches other services too, in small deployments only."""
 
