Compare a return after a loss of power with an ideal

Cause: what is lost after a loss of power was known from plays alone, not which part of it any system loses. Change: measure.returning serves the callers that can reach a balancer, each slot going to one who can be answered within the target latency; two tests.

--- a/fuchsiapin/tests/test_measure.py
+++ b/fuchsiapin/tests/test_measure.py
@@ -3,6 +3,7 @@
 import unittest
 
 from measure.figures import imbalance, jain_index, summarize
+from measure.returning import Load, serve_return
 from measure.scenarios import Fault, Scenario, scenarios
 from measure.sizes import SIZES
 from measure.systems import CURRENT, systems
@@ -74,5 +75,21 @@
         self.assertEqual((figures["unknown"], figures["broken_flows"]), (0, 0))
 
 
+class ReturnTest(unittest.TestCase):
+    """The ideal that days with a loss of power are compared with."""
+
+    def test_upstreams_with_room_serve_all_that_reach_them(self) -> None:
+        load = Load(20, 50, 10, 200, 1_200, dark_ms=500, cold_factor=1.0)
+        outcome = serve_return(load, seed=1)
+        served = sum(sum(counts) for counts in outcome.values())
+        self.assertAlmostEqual(served, 20 * 4.5, delta=30)
+        self.assertEqual(sum(late for _, late in outcome.values()), outcome[-2000][1])
+
+    def test_no_more_are_served_than_the_slots_can(self) -> None:
+        outcome = serve_return(Load(200, 2, 50, 200, 1_200, cold_factor=1.0), seed=1)
+        served = sum(sum(counts) for counts in outcome.values())
+        self.assertLess(served, 5_200 / 50 * 2 * 1.3)
+
+
 if __name__ == "__main__":
     unittest.main()
