Share what crosses between zones among the balancers of a zone

Cause: each balancer sent digests to eight drawn from all zones, pinged members of all zones in turn, and pushed each change to 24 balancers of any zone.

Change: the balancers of a zone together send at most 24 digests and 42 pings a round to other zones, each its part at random; a change crosses once to a zone from each balancer that learned it first, and is pushed on within it. Who finds a member of another zone silent tells the balancers of its zone (new message Silence), which ping it themselves: a reset needs no less proof. The expiry of balancers of other zones follows the interval of their digests. Deployments of one zone draw the same numbers as before; with up to three balancers a zone only pushes differ. The state of balancers moves to flows/peers.py.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -26,6 +26,7 @@
     Ping,
     Pull,
     Returned,
+    Silence,
     Status,
 )
 from fuchsiapin.flows.opening import FlowOpener
@@ -98,6 +99,7 @@
             Pull: state.gossip.on_pull,
             Copy: state.on_copy,
             Era: state.eras.on_message,
+            Silence: self.on_silence,
             Ask: self.on_ask,
             Known: self.on_known,
         }
@@ -284,6 +286,11 @@
         """Handle the status of a side process."""
         self.state.on_status(now, host, message)
 
+    def on_silence(self, now: int, host: str, message: Silence) -> None:
+        """Handle another balancer's news that a member leaves pings unanswered."""
+        self.state.gossip.note_message(now, host)
+        self.state.pinger.on_silence(now, message)
+
     def on_returned(self, now: int, host: str, message: Returned) -> None:
         """Decide what to do with a packet that a side process could not deliver."""
         self.note_member_message(now, host, message.load)
--- a/fuchsiapin/flows/balancerrecords.py
+++ b/fuchsiapin/flows/balancerrecords.py
@@ -101,14 +101,14 @@
             return
         key = f"balancers/{record.name}"
         if record.version > self.gossip.version(key):
-            self.gossip.ensure_peer(now, record.host)
+            self.gossip.ensure_peer(now, record.host, record.zone)
             self.gossip.put(key, record.version, pack_balancer(record))
 
     def apply_copy(self, now: int, value: bytes) -> bool:
         """Apply a record from another process; return whether to replicate it."""
         record = unpack_balancer(value)
         if record.name != self.record.name and not record.is_leaving:
-            self.gossip.ensure_peer(now, record.host)
+            self.gossip.ensure_peer(now, record.host, record.zone)
         elif record.is_leaving:
             self.gossip.remove_peer(record.host)
         return record.name != self.record.name
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -181,6 +181,7 @@
             self.is_store_reachable,
             self.remove_dead,
         )
+        self.pinger.zone_peers = self.gossip.zone_hosts
         self.pinger.notices = lambda now, view: [
             *self.evacuations.notices(now, view),
             *self.cold_rates.notices(now, view),
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -15,6 +15,15 @@
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
+from fuchsiapin.flows.peers import (
+    DIGEST_MS,
+    PUSH_PEERS,
+    Peer,
+    digest_targets,
+    expired_hosts,
+    hosts_in_zone,
+    push_targets,
+)
 from fuchsiapin.lightclasses import dataclass
 from fuchsiapin.replicas import BUCKETS, Replicas, bucket_of, unpack_value
 from fuchsiapin.timers import Timers
@@ -34,20 +43,8 @@
 REPEATED_PREFIXES = ["coldrates/", "evacuations/"]
 """Prefixes of the few objects that the previous build refuses. They are left out of
 digests, which would differ for as long as both builds run, and sent again instead."""
-DIGEST_MS = 400
-"""Maximum time between two digests to other balancers."""
-DIGEST_PEERS = 8
-"""Number of balancers that each digest goes to, drawn at random each time."""
-PUSH_PEERS = 24
-"""Number of balancers that a change is pushed to at once by a balancer that learned it
-from the store or from its member."""
-RELAY_PEERS = 4
-"""Number of balancers that a change learned from another balancer is pushed on to;
-digests reach those that all pushes missed."""
 LIVE_PEER_MS = 2_000
 """A balancer that sent nothing for this long isn't counted as live."""
-PEER_EXPIRY_MS = 15_000
-"""A balancer that sent nothing for this long is removed."""
 WITHHELD_MS = 200
 """Time for which the set of objects that aren't offered is kept."""
 MAX_COPY_BYTES = 60_000
@@ -129,30 +126,6 @@
     return BalancerRecord(name, started, host, zone, is_leaving)
 
 
-class Peer:
-    """Another balancer.
-
-    Attributes
-    ----------
-    added_at : int
-        When the peer was added, in ms.
-    last_message_at : int
-        When its last message was received, in ms, 0 for never.
-    name, zone : str
-        Name and availability zone of the balancer, from its last digest.
-    configuration : int
-        Version of the configuration that its last digest reported.
-    """
-
-    def __init__(self, host: str, now: int) -> None:
-        self.host = host
-        self.name = ""
-        self.zone = ""
-        self.added_at = now
-        self.last_message_at = 0
-        self.configuration = 0
-
-
 class Gossip:
     """Replicates the shared state between this balancer and the others.
 
@@ -231,11 +204,7 @@
         """
         if not self.replicas.put(key, version, value):
             return False
-        hosts = [host for host in self.peers if host != source]
-        count = RELAY_PEERS if source in self.peers else PUSH_PEERS
-        if len(hosts) > count:
-            hosts = self.rng.sample(hosts, count)
-        for host in hosts:
+        for host in push_targets(self.peers, self.record.zone, source, self.rng):
             self.send_copy(host, key)
         return True
 
@@ -257,13 +226,21 @@
         self.effects.append(ToPeer(host, Copy(key, replica.version, replica.packed)))
         return len(replica.packed)
 
-    def ensure_peer(self, now: int, host: str) -> Peer | None:
-        """Return the peer at an address, added if it is new; None for this balancer."""
+    def zone_hosts(self) -> list[str]:
+        """Return the addresses of the other balancers of this availability zone."""
+        return hosts_in_zone(self.peers, self.record.zone)
+
+    def ensure_peer(self, now: int, host: str, zone: str = "") -> Peer | None:
+        """Return the peer at an address, added if it is new; None for this balancer.
+
+        `zone` is its availability zone, empty if it isn't known.
+        """
         if host == self.record.host:
             return None
         peer = self.peers.get(host)
         if peer is None:
             peer = self.peers[host] = Peer(host, now)
+        peer.zone = zone or peer.zone
         return peer
 
     def remove_peer(self, host: str) -> None:
@@ -280,17 +257,15 @@
 
     def run_round(self, now: int) -> None:
         """Expire silent peers, send digests, and schedule the next round."""
-        for host, peer in list(self.peers.items()):
-            if now - max(peer.last_message_at, peer.added_at) > PEER_EXPIRY_MS:
-                del self.peers[host]
+        for host in expired_hosts(now, self.peers, self.record.zone):
+            del self.peers[host]
         self.send_digests(now)
         delay = self.rng.randint(DIGEST_MS * 3 // 4, DIGEST_MS)
         self.timers.add(now + delay, self.run_round)
 
     def send_digests(self, now: int) -> None:
         """Send digests to a few random peers, and to the seeds if no peer is live."""
-        hosts = list(self.peers)
-        targets = self.rng.sample(hosts, min(len(hosts), DIGEST_PEERS))
+        targets = digest_targets(self.peers, self.record.zone, self.rng)
         if not self.live_hosts(now):
             targets = [*targets, *self.seeds]
         if not targets:
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "VERSIONS_PER_EPOCH",
+    "MIN_SILENT_PINGS",
     "STATES",
     "FlowMember",
     "Load",
@@ -215,6 +216,8 @@
         reported that it takes none.
     has_unanswered_opening : bool
         Whether an opening packet went unanswered and nothing was received since.
+    was_told_silent : bool
+        Whether another balancer found it silent, since its last message.
     is_stored : bool
         Whether the store holds it, as far as known.
     """
@@ -230,6 +233,7 @@
         self.placed_since_report = 0
         self.refused_until = 0
         self.has_unanswered_opening = False
+        self.was_told_silent = False
         self.is_stored = False
 
     def note_message(self, now: int, load: Load | None = None) -> None:
@@ -238,6 +242,7 @@
         self.unanswered_since = 0
         self.unanswered_pings = 0
         self.has_unanswered_opening = False
+        self.was_told_silent = False
         if load is not None:
             self.load = load
             self.placed_since_report = 0
--- a/fuchsiapin/flows/messages.py
+++ b/fuchsiapin/flows/messages.py
@@ -156,6 +156,15 @@
     openings_per_s: int
 
 
+@dataclass(frozen=True)
+class Silence:
+    """
+    Tells a balancer of the same availability zone that a member of another zone leaves pings unanswered.
+    """
+
+    host: str
+
+
 @dataclass(frozen=True)
 class Copy:
     """
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from fuchsiapin.flows.effects import ToPeer
-from fuchsiapin.flows.members import MemberTable, MemberView
-from fuchsiapin.flows.messages import Ping
+from fuchsiapin.flows.members import MIN_SILENT_PINGS, MemberTable, MemberView
+from fuchsiapin.flows.messages import Ping, Silence
 from fuchsiapin.timers import Timers
 
 __all__ = ["DEAD_MS", "MAX_TIMER_LAG_MS", "Pinger"]
@@ -16,6 +16,11 @@
 """Members pinged in turn in one round. With rounds every 350 ms, the longest interval,
 that is 40 pings a second; with their answers they take about 7 kB/s, of 17 kB/s that a
 process may spend on control."""
+ZONE_PINGS = 42
+"""Pings to members of other availability zones that the balancers of one zone send in
+one round together, so that what crosses doesn't grow with their number."""
+MAX_TOLD = 24
+"""Balancers of the own zone that are told of a silent member of another zone."""
 MAX_REPEATED_PINGS = 40
 """Members pinged again in one round because they left a ping unanswered, in addition to
 those pinged in turn."""
@@ -26,9 +31,27 @@
 has left pings unanswered for at least half of the time."""
 
 
+class Rotation:
+    """Takes some items of a list in turn, which may change in the meantime."""
+
+    def __init__(self) -> None:
+        self.next_index = 0
+
+    def take(self, items: list, count: int) -> list:
+        """Return the next `count` items, each at most once."""
+        count = min(len(items), count)
+        taken = [items[(self.next_index + step) % len(items)] for step in range(count)]
+        self.next_index += count
+        return taken
+
+
 class Pinger:
     """Pings members and detects which of them are silent.
 
+    The balancers of a zone share the pings to members of other zones, and tell one
+    another which of these are silent; each pings such a member itself before it
+    treats it as silent.
+
     Parameters
     ----------
     zone : str
@@ -49,6 +72,8 @@
     notices : callable
         Takes the time and the view of a member that is about to be pinged, and returns
         the messages to send to it before the ping.
+    zone_peers : callable
+        Returns the addresses of the other balancers of this zone.
     """
 
     def __init__(
@@ -68,10 +93,12 @@
         self.rng = rng
         self.is_store_reachable = is_store_reachable
         self.on_dead = on_dead
-        self.next_index = 0
+        self.own_rotation = Rotation()
+        self.other_rotation = Rotation()
         self.round_due_at = 0
         self.silent_members = 0
         self.notices: Callable[[int, MemberView], list] = lambda now, view: []
+        self.zone_peers: Callable[[], list[str]] = list
 
     def start(self, now: int) -> None:
         """Start to ping members."""
@@ -94,22 +121,56 @@
         unanswered = [view for view in views if view.unanswered_since][
             :MAX_REPEATED_PINGS
         ]
-        count = min(len(views), MAX_PINGS)
-        in_turn = [
-            views[(self.next_index + step) % len(views)] for step in range(count)
-        ]
+        in_turn = self.take_in_turn(views)
         for view in [
             *unanswered,
             *(view for view in in_turn if not view.unanswered_since),
         ]:
+            self.tell_of_silence(view)
             self.ping(now, view)
             if self.is_dead(now, view):
                 self.on_dead(now, view)
-        self.next_index += count
         self.table.expire(now)
         self.round_due_at = now + self.rng.randint(PING_MS * 3 // 4, PING_MS)
         self.timers.add(self.round_due_at, self.ping_round)
 
+    def take_in_turn(self, views: list[MemberView]) -> list[MemberView]:
+        """Return the members to ping in this round, of the own zone and of others."""
+        own = [view for view in views if view.member.zone == self.zone]
+        others = [view for view in views if view.member.zone != self.zone]
+        if not others:
+            return self.own_rotation.take(own, MAX_PINGS)
+        share = min(MAX_PINGS, len(views)) * len(others) / len(views)
+        limit = ZONE_PINGS / (len(self.zone_peers()) + 1)
+        # The fraction decides how often there is one more.
+        crossing = int(min(share, limit) + self.rng.random())
+        return [
+            *self.own_rotation.take(own, MAX_PINGS - crossing),
+            *self.other_rotation.take(others, crossing),
+        ]
+
+    def tell_of_silence(self, view: MemberView) -> None:
+        """Tell balancers of this zone of a silent member of another zone.
+
+        They ping it seldom if they are many. Who was told doesn't tell others.
+        """
+        is_first = view.unanswered_pings == MIN_SILENT_PINGS
+        if not is_first or view.was_told_silent or view.member.zone == self.zone:
+            return
+        hosts = self.zone_peers()
+        if MAX_PINGS * (len(hosts) + 1) <= ZONE_PINGS:
+            return  # each pings as often as it may
+        for host in self.rng.sample(hosts, min(len(hosts), MAX_TOLD)):
+            self.effects.append(ToPeer(host, Silence(view.member.host)))
+
+    def on_silence(self, now: int, message: Silence) -> None:
+        """Ping a member that another balancer of this zone finds silent."""
+        view = self.table.by_host(message.host)
+        if view is None or view.unanswered_since or view.member.zone == self.zone:
+            return
+        view.was_told_silent = True
+        self.ping(now, view)
+
     def clear_unanswered(self) -> None:
         """Clear unanswered pings, because this process itself was late.
 
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -13,11 +13,11 @@
 
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
-from fuchsiapin.flows.gossip import DIGEST_MS
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.messages import Ask, Known, Returned
 from fuchsiapin.flows.packets import Packet, flow_name
+from fuchsiapin.flows.peers import DIGEST_MS
 from fuchsiapin.flows.placement import rank_views
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searchstate import (
--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -26,6 +26,7 @@
     messages.Era,
     messages.Evacuation,
     messages.ColdLimit,
+    messages.Silence,
 )
 """Message types, indexed by their number on the wire."""
 TYPE_NUMBERS = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
