--- a/fuchsiapin/tests/test_crossing.py
+++ b/fuchsiapin/tests/test_crossing.py
@@ -163,6 +163,42 @@
             table = world.processes[balancer].core.table
             self.assertIsNotNone(table.by_host("10.0.1.99"))
 
+    def test_a_change_reaches_a_zone_that_is_cut_off_from_its_own(self) -> None:
+        """It crosses once to a zone, so that a cut could keep it from one."""
+        world = self.make_world(balancers=24)
+        zones = world.zone_by_host
+        hosts = [*world.balancer_hosts, *world.upstreams]
+        one = [host for host in hosts if zones[host] == "a"]
+        other = [host for host in hosts if zones[host] == "b"]
+        world.cut_links = {(x, y) for x in one for y in other}
+        world.cut_links |= {(y, x) for x, y in world.cut_links}
+        hosts = world.balancer_hosts
+        world.balancer_hosts = [h for h in hosts if zones[h] == "b"][:3]
+        zones["10.0.1.99"] = "b"
+        world.add_member("10.0.1.99", "d", 2, 9)
+        world.balancer_hosts = hosts
+        world.run(5_000)
+        for balancer in hosts:
+            table = world.processes[balancer].core.table
+            self.assertIsNotNone(table.by_host("10.0.1.99"), balancer)
+
+    def test_balancers_of_a_killed_zone_learn_all_again(self) -> None:
+        """They know no balancer of their zone at first, and others tell them little."""
+        world = self.make_world(balancers=24)
+        world.store.state.is_up = False
+        killed = [h for h in world.balancer_hosts if world.zone_by_host[h] == "b"]
+        for host in killed:
+            world.processes[host].is_up = False
+        world.run(3_000)
+        for host in killed:
+            world.start_balancer(host)
+        world.run(5_000)
+        for host in killed:
+            core = world.processes[host].core
+            self.assertEqual(len(core.table.views), 24)
+            self.assertEqual(core.routes.version, 1)
+            self.assertEqual(core.not_ready(world.now), "")
+
     def repairs(self) -> int:
         """Return the repairs between zones of a member that zone a alone knows."""
         world = self.make_world(balancers=36)
