Repeat evacuations and eras to other zones again

Cause: found by reading. Digests went to balancers of the own zone first, and the records that digests leave out, evacuations and cold rates, and the era of the store are repeated to the first target alone: a zone that missed their pushes got them from its own watches only.

Change: the targets of a round are in random order.

Measured: test_crossing; the first target is in another zone in the share of the digests that cross (0 before, the new check fails). 11 tests of it passed.

--- a/fuchsiapin/flows/peers.py
+++ b/fuchsiapin/flows/peers.py
@@ -93,16 +93,19 @@
 
 
 def digest_targets(peers: dict[str, Peer], zone: str, rng: random.Random) -> list[str]:
-    """Return the addresses that this round's digest goes to, drawn at random."""
+    """Return the addresses that this round's digest goes to, in random order."""
     own = hosts_in_zone(peers, zone)
     others = [host for host, peer in peers.items() if peer.zone != zone]
-    crossing = 0
-    if others:
-        # The fraction decides how often there is one more.
-        mean = crossing_digests(len(own), len(others))
-        crossing = min(int(mean + rng.random()), len(others))
+    if not others:
+        return rng.sample(own, min(len(own), DIGEST_PEERS))
+    # The fraction decides how often there is one more.
+    mean = crossing_digests(len(own), len(others))
+    crossing = min(int(mean + rng.random()), len(others))
     count = min(len(own), DIGEST_PEERS - crossing)
-    return [*rng.sample(own, count), *rng.sample(others, crossing)]
+    targets = [*rng.sample(own, count), *rng.sample(others, crossing)]
+    # Eras and evacuations are repeated to the first one; they must cross, too.
+    rng.shuffle(targets)
+    return targets
 
 
 def starts_repair(
--- a/fuchsiapin/tests/test_crossing.py
+++ b/fuchsiapin/tests/test_crossing.py
@@ -243,6 +243,9 @@
         crossing = sum(host not in own for hosts in targets for host in hosts)
         self.assertLess(crossing / ROUNDS, ZONE_DIGESTS / 12 * 1.1)
         self.assertTrue(all(len(hosts) <= DIGEST_PEERS for hosts in targets))
+        # Evacuations and eras, which digests leave out, go to the first target alone.
+        first = sum(hosts[0] not in own for hosts in targets)
+        self.assertGreater(first, crossing / DIGEST_PEERS / 2)
 
 
 if __name__ == "__main__":
