Space out packets of uploads over narrow links

Balancers behind links of 5 Mbit/s lost a quarter and more of what they forwarded: of the first opening packets that they placed, a quarter reached the side process after 200 ms or more, a tenth after 600 ms or more; those of balancers behind wide links took 1 ms. A caller sends up to 16 packets of an upload at once, and two such bursts overflow the link's queue of some 45 ms. Hypothesis: without the bursts packets of other callers aren't lost.

Change: a balancer that knows the bandwidth of its VM's link (setting link_mbps) lets full packets of open flows wait so that they take at most .85 of it; all others go at once, but none overtakes an earlier one of its flow. Retransmissions of packets that wait are dropped.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -42,7 +42,14 @@
             evacuates = settings.evacuation_ms > 0
             bounds = ColdBounds(settings.cold_overage, settings.cold_slack)
             return make_flow_balancer_core(
-                record, seeds, adapter.packets, report, rng, evacuates, bounds
+                record,
+                seeds,
+                adapter.packets,
+                report,
+                rng,
+                evacuates,
+                bounds,
+                settings.link_mbps,
             )
 
         super().__init__(adapter, settings, "balancer", make_core)
--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -54,6 +54,8 @@
     cold_overage, cold_slack : float
         Bounds of the openings that a cold upstream gets: a factor of the rate that it
         bears, and openings a second in addition. 0 without the bound.
+    link_mbps : float
+        Bandwidth of the VM's link in Mbit/s, 0 if it isn't known.
     """
 
     name: str
@@ -77,6 +79,7 @@
     evacuation_ms: int = 0
     cold_overage: float = 0.0
     cold_slack: float = 0.0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -30,6 +30,7 @@
     Status,
 )
 from fuchsiapin.flows.opening import FlowOpener
+from fuchsiapin.flows.pacing import LinkPacer, bytes_per_ms
 from fuchsiapin.flows.packets import Packet, PacketFormat, flow_name
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import HolderSearch
@@ -64,6 +65,8 @@
         Takes the number and the fields of an event.
     placement_policy, refusal_policy : str
         Names of the policies for placing and for refusing new flows.
+    pacer : LinkPacer, optional
+        Spaces out packets of uploads.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         report: Callable[..., None],
         placement_policy: str = "own zone first",
         refusal_policy: str = "past the deadline",
+        pacer: LinkPacer | None = None,
     ) -> None:
         self.state = state
         self.effects = state.effects
@@ -82,7 +86,7 @@
         self.packet_format = packet_format
         self.report = report
         self.holders = FlowCache(MAX_CACHED_FLOWS, CACHE_MS)
-        self.sender = PacketSender(state, packet_format, report)
+        self.sender = PacketSender(state, packet_format, report, pacer)
         self.opener = FlowOpener(
             state, self.sender, self.holders, report, placement_policy, refusal_policy
         )
@@ -223,7 +227,7 @@
             self.report_silent(now, packet, view)
         # A side process of another service returns the packet, and a search starts.
         service = view.member.service if view else route.service_of(packet.flow)
-        self.sender.forward(packet, service, host)
+        self.sender.forward_open(now, packet, service, host)
 
     def report_silent(self, now: int, packet: Packet, view: MemberView) -> None:
         """Report that the holder of a flow has left pings unanswered."""
@@ -323,6 +327,7 @@
     rng: random.Random,
     evacuates: bool = False,
     cold_bounds: ColdBounds = NO_BOUNDS,
+    link_mbps: float = 0.0,
 ) -> FlowBalancerCore:
     """Return the core of a balancer.
 
@@ -342,6 +347,9 @@
         Whether zones may be evacuated in this deployment.
     cold_bounds : ColdBounds
         Bounds of the openings that cold upstreams get.
+    link_mbps : float
+        Bandwidth of the VM's link in Mbit/s, 0 if it isn't known.
     """
     state = BalancerState(record, seeds, report, rng, evacuates, cold_bounds)
-    return FlowBalancerCore(state, packet_format, report)
+    pacer = LinkPacer(bytes_per_ms(link_mbps)) if link_mbps else None
+    return FlowBalancerCore(state, packet_format, report, pacer=pacer)
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -17,7 +17,6 @@
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.messages import Ask, Known, Returned
 from fuchsiapin.flows.packets import Packet, flow_name
-from fuchsiapin.flows.peers import DIGEST_MS
 from fuchsiapin.flows.placement import rank_views
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searchstate import (
@@ -39,9 +38,10 @@
 """Maximum number of searches whose state is kept."""
 SEARCH_MS = 1_000
 """How long the state of a search is kept."""
-PROPAGATION_MS = DIGEST_MS
-"""Time within which a new member usually reaches every balancer: it is pushed at once,
-and digests detect lost pushes, each round with a few random balancers."""
+PROPAGATION_MS = 50
+"""Time within which a new member reaches most balancers: its side process pushes it to
+several of them, and these push it on. Not all balancers can be waited for: those behind
+narrow links answer late or never while callers return."""
 MAX_FLOW_MS = 60_000
 """Longest life of a flow by default."""
 MAX_SEARCHED_MEMBERS = 200
@@ -211,7 +211,7 @@
         view = self.table.by_host(host)
         if view is not None:
             for packet in search.packets:
-                self.sender.forward(packet, view.member.service, host)
+                self.sender.forward_open(now, packet, view.member.service, host)
 
     def continue_search(
         self,
@@ -371,10 +371,17 @@
         )
 
     def search_again(self, now: int, flow: bytes) -> None:
-        """Search all members again for a flow that none of them held."""
+        """Reset a flow that none of the members held, or search all of them again.
+
+        Those that denied it needn't be asked again while no other member is known.
+        """
         failed = self.failed_searches.get(flow, now)
         route = self.routes.find(flow)
-        if failed is not None and route is not None:
+        if failed is None or route is None:
+            return
+        if self.may_reset(now, failed):
+            self.reset_flow(now, failed)
+        else:
             self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
     def answer(self, now: int, host: str, flow: bytes, holder: str) -> None:
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -7,6 +7,7 @@
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.effects import ToCaller, ToPeer
 from fuchsiapin.flows.messages import Forward
+from fuchsiapin.flows.pacing import LinkPacer
 from fuchsiapin.flows.packets import Packet, PacketFormat, caller_host, flow_name
 
 __all__ = ["NO_ROUTE", "PacketSender"]
@@ -26,6 +27,8 @@
         Wire layout of packets.
     report : callable
         Takes the number and the fields of an event.
+    pacer : LinkPacer, optional
+        Spaces out packets of uploads; without it all are sent at once.
 
     Attributes
     ----------
@@ -38,8 +41,11 @@
         state: BalancerState,
         packet_format: PacketFormat,
         report: Callable[..., None],
+        pacer: LinkPacer | None = None,
     ) -> None:
         self.state = state
+        self.pacer = pacer
+        self.is_flush_scheduled = False
         self.host = state.record.host
         self.packet_format = packet_format
         self.report = report
@@ -66,6 +72,38 @@
         forward = Forward(service, self.host, hops, priority, False, [], packet.data)
         self.send(host, forward)
 
+    def forward_open(self, now: int, packet: Packet, service: str, host: str) -> None:
+        """Send a packet of an open flow to the side process of its holder.
+
+        Packets of uploads may wait for the link of this VM.
+        """
+        pacer, size = self.pacer, len(packet.data)
+        if pacer is None or pacer.admits(now, packet.flow, packet.is_full, size):
+            self.forward(packet, service, host)
+            return
+        item = packet, service, host
+        if pacer.put(now, packet.flow, packet.sequence, size, item):
+            self.counts["waited for the link"] += 1
+            self.schedule_flush()
+        else:
+            self.counts["dropped before the link"] += 1
+
+    def schedule_flush(self) -> None:
+        """Schedule the time when the next waiting packet may be sent."""
+        assert self.pacer is not None
+        due_at = self.pacer.next_due()
+        if due_at is not None and not self.is_flush_scheduled:
+            self.is_flush_scheduled = True
+            self.state.timers.add(due_at, self.flush)
+
+    def flush(self, now: int) -> None:
+        """Send the waiting packets for which the link has room."""
+        assert self.pacer is not None
+        self.is_flush_scheduled = False
+        for packet, service, host in self.pacer.take(now):
+            self.forward(packet, service, host)
+        self.schedule_flush()
+
     def forward_search(
         self, packet: Packet, service: str, hosts: list[str], hops: int
     ) -> None:
