--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -17,6 +17,7 @@
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.messages import Ask, Known, Returned
 from fuchsiapin.flows.packets import Packet, flow_name
+from fuchsiapin.flows.peers import DIGEST_MS
 from fuchsiapin.flows.placement import rank_views
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searchstate import (
@@ -38,10 +39,9 @@
 """Maximum number of searches whose state is kept."""
 SEARCH_MS = 1_000
 """How long the state of a search is kept."""
-PROPAGATION_MS = 50
-"""Time within which a new member reaches most balancers: its side process pushes it to
-several of them, and these push it on. Not all balancers can be waited for: those behind
-narrow links answer late or never while callers return."""
+PROPAGATION_MS = DIGEST_MS
+"""Time within which a new member usually reaches every balancer: it is pushed at once,
+and digests detect lost pushes, each round with a few random balancers."""
 MAX_FLOW_MS = 60_000
 """Longest life of a flow by default."""
 MAX_SEARCHED_MEMBERS = 200
@@ -371,17 +371,10 @@
         )
 
     def search_again(self, now: int, flow: bytes) -> None:
-        """Reset a flow that none of the members held, or search all of them again.
-
-        Those that denied it needn't be asked again while no other member is known.
-        """
+        """Search all members again for a flow that none of them held."""
         failed = self.failed_searches.get(flow, now)
         route = self.routes.find(flow)
-        if failed is None or route is None:
-            return
-        if self.may_reset(now, failed):
-            self.reset_flow(now, failed)
-        else:
+        if failed is not None and route is not None:
             self.start(now, failed.inquiry.packet, route, is_repeated=True)
 
     def answer(self, now: int, host: str, flow: bytes, holder: str) -> None:
