--- a/fuchsiapin/tests/overload.py
+++ b/fuchsiapin/tests/overload.py
@@ -3,10 +3,18 @@
 from unittest import mock
 
 from fuchsiapin.flows.admission import AdmissionControl
-from fuchsiapin.tests.flowworld import settled_world
-from fuchsiapin.tests.test_queueing import CallerSession
+from fuchsiapin.tests.flowworld import FlowWorld, settled_world
+from fuchsiapin.tests.test_queueing import GIVE_UP_MS, CallerSession
 
-__all__ = ["Outcome", "OverloadedWorld", "without_early_returns"]
+__all__ = [
+    "Outcome",
+    "OverloadedWorld",
+    "RetryingSession",
+    "without_early_returns",
+]
+
+MAX_RETRIES = 2
+RETRY_PAUSE_MS = 100
 
 
 def without_early_returns() -> mock._patch:
@@ -27,6 +35,40 @@
             super().watch()
 
 
+class RetryingSession(TimedSession):
+    """A caller that tries again on a new flow when a try was refused or not accepted.
+
+    It began `age` ms ago. All of its tries are appended to `tries`.
+    """
+
+    def __init__(
+        self,
+        world: FlowWorld,
+        tries: list["RetryingSession"],
+        age: int = 0,
+        former: "RetryingSession | None" = None,
+    ) -> None:
+        self.tries, self.has_ended = tries, False
+        self.began_at = former.began_at if former else world.now - age
+        self.retries_left = former.retries_left - 1 if former else MAX_RETRIES
+        super().__init__(world, world.rng.choice(world.balancer_hosts), age=age)
+        tries.append(self)
+
+    def watch(self) -> None:
+        """Try again soon after a try failed, as often as callers do."""
+        super().watch()
+        is_late = self.world.now - self.started_at >= GIVE_UP_MS
+        is_failed = self.refused_at is not None or (
+            is_late and not self.has_sent_request
+        )
+        if is_failed and not self.has_ended and self.retries_left:
+            self.has_ended = True
+            self.world.after(
+                RETRY_PAUSE_MS,
+                lambda: RetryingSession(self.world, self.tries, former=self),
+            )
+
+
 class Outcome:
     """How many callers were served in the target latency, in time, and refused when."""
 
--- a/fuchsiapin/tests/test_admission.py
+++ b/fuchsiapin/tests/test_admission.py
@@ -10,12 +10,19 @@
 from fuchsiapin.flows.queueing import OpeningQueue
 from fuchsiapin.flows.serviceclass import ServiceClass, pack_class, unpack_class
 from fuchsiapin.tests.flowactors import make_route
-from fuchsiapin.tests.overload import Outcome, OverloadedWorld, without_early_returns
+from fuchsiapin.tests.flowworld import settled_world
+from fuchsiapin.tests.overload import (
+    Outcome,
+    OverloadedWorld,
+    RetryingSession,
+    without_early_returns,
+)
 
 POLL_MS = 5
 """Callers of the played loads look for a refusal this often."""
 AT_ONSET_MS = 1_000
 """Time in which an overload is told from a burst, also beside a slow upstream."""
+COLD_MS = 2_000
 CLASS = ServiceClass(1, 400, 1_500)
 
 
@@ -120,6 +127,52 @@
         self.assertEqual(outcome.in_time, outcome.count)
 
 
+def play_return(is_cold_told: bool, seed: int) -> tuple[int, int]:
+    """Return how many callers were served at all, and in their target latency.
+
+    Callers of an outage of 1.3 s return at once while others keep arriving, at .6 of
+    the capacity of warm upstreams. All upstreams are cold for 2 s.
+    """
+    options = {"balancers": 2, "members": 6, "slots": 2, "service_ms": 40}
+    world = settled_world(seed=seed, **options)
+    for upstream in world.upstreams.values():
+        upstream.capacity = 1_000_000
+        upstream.service_ms = 64
+        world.after(COLD_MS, lambda u=upstream: setattr(u, "service_ms", 40))
+        upstream.cold_until = world.now + COLD_MS if is_cold_told else 0
+    world.send_heartbeats()
+    tries: list[RetryingSession] = []
+    per_ms = 0.6 * 6 * 2 / 40
+    at = -1_300.0
+    while (at := at + world.rng.expovariate(per_ms)) < 3_000:
+        age = max(0, -int(at))
+        delay = max(0, int(at))
+        world.after(delay, lambda a=age: RetryingSession(world, tries, a))
+    world.run(7_000)
+    times = [
+        session.started_at + session.answer_ms - session.began_at
+        for session in tries
+        if session.answer_ms is not None
+    ]
+    target_ms = world.routes[0].target_latency_ms
+    return len(times), sum(time <= target_ms for time in times)
+
+
+class ReturnTest(unittest.TestCase):
+    """All callers return to cold upstreams, which soon serve them faster."""
+
+    def test_more_are_served_than_with_early_returns(self) -> None:
+        """A refused caller is back at once, ahead of those that wait, and gives up."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                served, in_target = play_return(True, seed)
+                former_served, former_in_target = play_return(False, seed)
+                self.assertGreater(served, former_served)
+                # A late answer is worth half as much as one in the target latency.
+                lost = former_in_target - in_target
+                self.assertGreater(served - former_served, lost)
+
+
 class FaultTest(unittest.TestCase):
     """One fault in a lasting overload: every caller is served or told."""
 
