--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -194,8 +194,8 @@
     def return_unservable(self, now: int) -> None:
         """Return queued flows at once that can't be served before their deadline.
 
-        Called after `let_in`, so that none is returned while the upstream has room. None
-        is returned while the upstream is cold either: the rate of admissions rises soon.
+        Called after `let_in`, so that none is returned while the upstream has room.
+        None is returned while it is cold either: the rate of admissions rises soon.
         """
         if self.upstream.cold_ms(now) > 0:
             return
