Tell data from an acknowledgement before them while both wait

Cause: found by reading: packets that wait for the link were told apart by flow and sequence number, which an acknowledgement shares with the data that follow it, so that the data would be dropped as a retransmission. Change: their size tells them apart too.

--- a/fuchsiapin/flows/pacing.py
+++ b/fuchsiapin/flows/pacing.py
@@ -48,8 +48,8 @@
     free_at : float
         Time until which the link is taken by what was sent, in ms.
     waiting : OrderedDict
-        What waits, by flow and sequence number, the oldest first: size in bytes and the
-        item.
+        What waits, the oldest first, by flow, sequence number and size in bytes. An
+        acknowledgement has the sequence number of the data that follow it.
 
     Examples
     --------
@@ -65,7 +65,7 @@
     def __init__(self, rate: float) -> None:
         self.rate = rate
         self.free_at = 0.0
-        self.waiting: OrderedDict[tuple[bytes, int], tuple[int, Any]] = OrderedDict()
+        self.waiting: OrderedDict[tuple[bytes, int, int], Any] = OrderedDict()
         self.waiting_bytes = 0
         self.waiting_by_flow: Counter[bytes] = Counter()
 
@@ -91,11 +91,11 @@
         A retransmission of a packet that waits, and one that would wait for too long,
         are dropped.
         """
-        key = flow, sequence
+        key = flow, sequence, size
         wait_ms = self.free_at - now + self.waiting_bytes / self.rate
         if key in self.waiting or wait_ms > MAX_QUEUE_MS:
             return False
-        self.waiting[key] = size, item
+        self.waiting[key] = item
         self.waiting_bytes += size
         self.waiting_by_flow[flow] += 1
         return True
@@ -104,7 +104,7 @@
         """Remove and return the items that may be sent now."""
         items = []
         while self.waiting and self.free_at <= now:
-            (flow, _), (size, item) = self.waiting.popitem(last=False)
+            (flow, _, size), item = self.waiting.popitem(last=False)
             self.waiting_bytes -= size
             self.waiting_by_flow[flow] -= 1
             if not self.waiting_by_flow[flow]:
--- a/fuchsiapin/tests/test_pacing.py
+++ b/fuchsiapin/tests/test_pacing.py
@@ -200,6 +200,13 @@
         self.assertFalse(self.pacer.put(1_200, b"upload", 1, 1_000, "again"))
         self.assertEqual(self.pacer.take(5_000), ["first"])
 
+    def test_data_are_no_retransmission_of_an_acknowledgement_before_them(self) -> None:
+        """Both have the same sequence number."""
+        self.assertTrue(self.pacer.put(1_000, b"upload", 2, 36, "acknowledgement"))
+        self.assertTrue(self.pacer.put(1_000, b"upload", 2, 1_000, "data"))
+        taken = [*self.pacer.take(1_050), *self.pacer.take(1_100)]
+        self.assertEqual(taken, ["first", "acknowledgement", "data"])
+
     def test_no_packet_waits_longer_than_the_limit(self) -> None:
         count = sum(
             self.pacer.put(1_000, b"upload", number, 1_000, number)
