--- a/fuchsiapin/tests/test_pacing.py
+++ b/fuchsiapin/tests/test_pacing.py
@@ -24,6 +24,7 @@
 SMALL_PER_S = 100
 RUN_MS = 60_000
 TARGET_MS = 1_000
+"""Target latency of an upload."""
 
 
 @dataclass
@@ -143,11 +144,6 @@
             lambda later: self.at(later + ROUND_TRIP_MS, acknowledge),
         )
 
-    @property
-    def lost_share(self) -> float:
-        """Return the share of the other callers' packets that the link dropped."""
-        return self.lost_small / self.small
-
     @property
     def in_target(self) -> float:
         """Return the share of uploads that took no longer than the target."""
