--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Plays the case once; TROUBLE=0 leaves the disruption out.
-exec python3 "$(dirname "$0")/case.py"
+# Plays the case once; TROUBLE=0 leaves the disruption out. No compiled files are kept.
+exec python3 -B "$(dirname "$0")/case.py"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,12 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases. They need Python's standard library only.
+# Checks that the stand-ins compile. They need Python's standard library only, and no
+# compiled files are kept, so that this folder holds the cases and nothing else.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review
+python3 -B - review/*.py review/*/case.py <<'CHECK'
+import sys
+from pathlib import Path
+
+for name in sys.argv[1:]:
+    compile(Path(name).read_text(), name, "exec")
+CHECK
