Read the other objects of a page beside an odd one

Callers saw: after one odd object in the store, nested 5,000 deep or with a number of 6,000 digits, all balancers kept the former configuration for good; the list of members was no longer followed either. Cause: one value that the JSON parser refuses, or one object without a name, made the whole page unreadable. A RecursionError or OverflowError wasn't expected at all: it was raised inside the HTTP parser, and the call was never answered.

--- a/fuchsiapin/flows/storage.py
+++ b/fuchsiapin/flows/storage.py
@@ -73,12 +73,15 @@
         Value of the object, None if it can't be read.
     is_deleted : bool
         Whether it was deleted.
+    error : str
+        Why the value can't be read, empty if it can or its reader decides that.
     """
 
     name: str
     revision: int
     value: Any
     is_deleted: bool = False
+    error: str = ""
 
 
 @dataclass(frozen=True)
@@ -103,6 +106,8 @@
         Era of the store's contents that the answer belongs to, 0 if it tells none.
     era_error : str
         Why the era can't be read, empty if it can or is missing.
+    refused : tuple of str
+        Why objects of the answer were left out, one text for each of them.
     """
 
     outcome: str
@@ -112,6 +117,7 @@
     detail: str = ""
     era: int = 0
     era_error: str = ""
+    refused: tuple[str, ...] = ()
 
 
 class StoreFormat(Protocol):
