Refuse odd fields of stored members and balancers

One entry of another writer ended all balancers, and again after each start, 6 to 23 times in 9 to 15 s. Cause: the readers of members and balancers checked types only. An address that is no address, or a number that can't be packed, passed as valid, and failed where an effect is executed or a digest is built, outside of what catches errors. Besides, the failure of one item left the others of the answer unapplied, and the store wasn't followed any more. Change: each field has a type, a range and a length, the name of an object is that of whom it describes, and epochs leave room above those of stored objects. The follower makes its next call first, then applies the items one by one. Lists are applied item by item like changes, so that their tests see items and names apart.

--- a/fuchsiapin/daemons/flowgathering.py
+++ b/fuchsiapin/daemons/flowgathering.py
@@ -10,8 +10,8 @@
 from fuchsiapin.daemons.eventloop import EventLoop
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.exceptions import MalformedObject, SettingsError
-from fuchsiapin.flows.gossip import BalancerRecord, read_balancer
-from fuchsiapin.flows.members import FlowMember, read_member
+from fuchsiapin.flows.gossip import BalancerRecord, read_stored_balancer
+from fuchsiapin.flows.members import FlowMember, read_stored_member
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.flows.storage import (
     BALANCERS,
@@ -146,7 +146,7 @@
             if not page.has_more or not page.items:
                 return found
 
-    def read_objects(self, kind: str, read: Callable[[Any], Any]) -> list[Any]:
+    def read_objects(self, kind: str, read: Callable[[str, Any], Any]) -> list[Any]:
         """Return all valid objects of a kind.
 
         Raises
@@ -157,18 +157,18 @@
         found = []
         for item in self.list_items(kind):
             try:
-                found.append(read(item.value))
-            except (ValueError, TypeError, MalformedObject):
+                found.append(read(item.name, item.value))
+            except MalformedObject:
                 continue  # malformed, by another program; balancers skip it too
         return found
 
     def read_members(self) -> list[FlowMember]:
         """Return the upstreams; see `list_items` for errors."""
-        return self.read_objects(MEMBERS, read_member)
+        return self.read_objects(MEMBERS, read_stored_member)
 
     def read_balancers(self) -> list[BalancerRecord]:
         """Return the balancers; see `list_items` for errors."""
-        return self.read_objects(BALANCERS, read_balancer)
+        return self.read_objects(BALANCERS, read_stored_balancer)
 
     def read_evacuations(self) -> list[str]:
         """Return the evacuated zones; see `list_items` for errors."""
@@ -231,7 +231,7 @@
     client = BlockingClient(adapter, store)
     evacuations, evacuations_error = [], ""
     try:
-        found = client.read_objects(CONFIGURATION, lambda value: value)
+        found = client.read_objects(CONFIGURATION, lambda name, value: value)
         configurations = [v for v in found if isinstance(v, FlowConfiguration)]
         members = client.read_members()
         records = sorted(client.read_balancers(), key=lambda record: record.name)
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -10,13 +10,12 @@
 
 from fuchsiapin import __version__
 from fuchsiapin.clock import SystemClock
-from fuchsiapin.daemons.errorlocation import error_location
 from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import FLUSH_INTERVAL_MS, LogLines
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
-from fuchsiapin.exceptions import MalformedEnvelope, SettingsError
+from fuchsiapin.exceptions import MalformedEnvelope, SettingsError, error_location
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.metrics import render_counts
 from fuchsiapin.flows.storage import StoreResult
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -13,12 +13,11 @@
 from fuchsiapin.coap.relaytree import Contact
 from fuchsiapin.coap.statuses import describers, known_processes
 from fuchsiapin.daemons.admin import AdminResource, listen_admin
-from fuchsiapin.daemons.errorlocation import error_location
 from fuchsiapin.daemons.eventlog import EventLog, write_json_lines
 from fuchsiapin.daemons.lifecycle import LifecycleActions, make_lifecycle
 from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
 from fuchsiapin.daemons.transport import PeerTransport
-from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
+from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError, error_location
 from fuchsiapin.metrics import Metrics
 from fuchsiapin.settings import Settings
 
--- a/fuchsiapin/exceptions.py
+++ b/fuchsiapin/exceptions.py
@@ -9,6 +9,7 @@
     "ObjectApiError",
     "SettingsError",
     "UnknownFunction",
+    "error_location",
 ]
 
 
@@ -42,3 +43,15 @@
 
 class UnknownFunction(FuchsiapinError):
     """No function is registered under a name."""
+
+
+def error_location(error: BaseException) -> str:
+    """Return where an exception was raised: module, line and function."""
+    trace = error.__traceback__
+    if trace is None:
+        return ""
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    code = trace.tb_frame.f_code
+    module = code.co_filename.rpartition("/")[2].removesuffix(".py")
+    return f"{module}:{trace.tb_lineno} {code.co_name}"
--- a/fuchsiapin/flows/balancerrecords.py
+++ b/fuchsiapin/flows/balancerrecords.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.gossip import (
     BalancerRecord,
     Gossip,
     pack_balancer,
-    read_balancer,
+    read_stored_balancer,
     unpack_balancer,
 )
 from fuchsiapin.flows.storage import StoredItem
@@ -68,11 +69,8 @@
         )
         self.writer.delete(now, record.name)
 
-    def apply_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of balancers from the store."""
-        names = {item.name for item in items}
-        for item in items:
-            self.apply_change(now, item)
+    def end_list(self, now: int, names: set[str]) -> None:
+        """Write the own record again if a complete list from the store lacks it."""
         is_missing = self.record.name not in names and self.writer.is_done
         if is_missing and not self.record.is_leaving:
             self.announce(now)
@@ -86,9 +84,9 @@
                 self.announce(now)
             return
         try:
-            record = read_balancer(item.value)
-        except (ValueError, TypeError) as error:
-            self.report(6305, key=f"balancers/{item.name}", error=repr(error))
+            record = read_stored_balancer(item.name, item.value)
+        except MalformedObject as error:
+            self.report(6305, key=f"balancers/{item.name}", error=str(error))
             return
         self.apply(now, record)
 
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -32,7 +32,7 @@
     MemberView,
     pack_member,
     read_load,
-    read_member,
+    read_stored_member,
     unpack_member,
 )
 from fuchsiapin.flows.messages import Copy, Status
@@ -131,17 +131,15 @@
             self.table, self.gossip, self.timers, self.effects, report
         )
         self.configuration_follower = self.make_follower(
-            CONFIGURATION,
-            self.configurations.apply_list,
-            self.configurations.apply_change,
+            CONFIGURATION, self.configurations.apply_change
         )
         self.member_follower = self.make_follower(
-            MEMBERS, self.apply_member_list, self.apply_member_change
+            MEMBERS, self.apply_member_change, self.end_member_list
         )
         self.balancer_follower = self.make_follower(
             BALANCERS,
-            self.balancers.apply_list,
             self.balancers.apply_change,
+            self.balancers.end_list,
             self.configuration_follower,
         )
         self.zones = EvacuatedZones()
@@ -151,8 +149,8 @@
         # It has no leader: evacuations are read whatever ails the configuration.
         self.evacuations.follower = self.make_follower(
             EVACUATIONS,
-            self.evacuations.apply_list,
             self.evacuations.apply_change,
+            self.evacuations.end_list,
         )
         self.followers: tuple[StoreFollower, ...] = (
             self.configuration_follower,
@@ -195,8 +193,8 @@
     def make_follower(
         self,
         kind: str,
-        on_list: Callable[[int, list[StoredItem]], None],
         on_change: Callable[[int, StoredItem], None],
+        on_list: Callable[[int, set[str]], None] = lambda now, names: None,
         leader: StoreFollower | None = None,
     ) -> StoreFollower:
         """Return a store follower for one kind of objects."""
@@ -205,8 +203,9 @@
             self.timers,
             self.effects,
             self.rng,
-            on_list,
+            self.report,
             on_change,
+            on_list,
             lambda now: len(self.gossip.live_hosts(now)),
             leader,
         )
@@ -305,14 +304,10 @@
 
     # Members
 
-    def apply_member_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of members from the store."""
-        listed = set()
-        for item in items:
-            listed.add(item.name)
-            self.apply_member_change(now, item)
+    def end_member_list(self, now: int, names: set[str]) -> None:
+        """Note the members that a complete list from the store lacks."""
         for member_id, view in list(self.table.views.items()):
-            if member_id not in listed:
+            if member_id not in names:
                 self.departures.mark_missing(now, view)
                 self.pinger.ping(now, view)
 
@@ -324,9 +319,9 @@
                 self.departures.mark_missing(now, view)
             return
         try:
-            member = read_member(item.value)
-        except (ValueError, TypeError) as error:
-            self.report(6305, key=f"members/{item.name}", error=repr(error))
+            member = read_stored_member(item.name, item.value)
+        except MalformedObject as error:
+            self.report(6305, key=f"members/{item.name}", error=str(error))
             return
         if self.departures.has_departed(member):
             self.report(6315, member=member.id, host=member.host)
--- a/fuchsiapin/flows/configurationkeeping.py
+++ b/fuchsiapin/flows/configurationkeeping.py
@@ -48,13 +48,10 @@
         self.report = report
         self.stored_version = 0
 
-    def apply_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of configurations from the store."""
-        for item in items:
-            self.apply_change(now, item)
-
     def apply_change(self, now: int, item: StoredItem) -> None:
-        """Apply a configuration from the store."""
+        """Apply a configuration from the store; a malformed one is reported."""
+        if item.error:
+            self.report(6305, key=f"configuration/{item.name}", error=item.error)
         if isinstance(item.value, FlowConfiguration):
             self.apply(item.value, "store")
             self.cold_rates.apply_stored(item.name, item.value)
--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -111,18 +111,13 @@
         """
         return self.follower.era or self.era.current
 
-    def apply_list(self, now: int, items: list[StoredItem]) -> None:
-        """Apply a complete list of evacuations from the store.
+    def end_list(self, now: int, names: set[str]) -> None:
+        """Take the zones into use again that a complete list from the store lacks.
 
-        Zones that it doesn't contain are in use again. In a new era of the store the
-        operator may still have to write them again.
+        In a new era of the store the operator may still have to write them again.
         """
         self.note_revision(now)
-        listed = set()
-        for item in items:
-            listed.add(item.name)
-            self.apply_change(now, item)
-        for zone in self.zones.evacuated - listed:
+        for zone in self.zones.evacuated - names:
             if era_of(self.zones.version(zone)) < era_of(self.listed_version):
                 self.end_unless_rewritten(now, zone)
             else:
--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -1,8 +1,9 @@
 """Follows all objects of one kind in the store, by listing and watching them."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from fuchsiapin.exceptions import error_location
 from fuchsiapin.flows.effects import ToStore
 from fuchsiapin.flows.storage import (
     LIST,
@@ -46,10 +47,12 @@
         Kind of the objects.
     timers, effects, rng
         Timers, effects and random numbers of the core.
-    on_list : callable
-        Called with the time and all items after a complete list.
+    report : callable
+        Takes the number and the fields of an event.
     on_change : callable
-        Called with the time and each changed item.
+        Called with the time and each listed or changed item.
+    on_list : callable
+        Called with the time and the names of all items after a complete list.
     count_pollers : callable
         Takes the time and returns how many other processes poll the store during
         an outage. They share changes, so each one polls less often.
@@ -79,8 +82,9 @@
         timers: Timers,
         effects: list,
         rng: random.Random,
-        on_list: Callable[[int, list[StoredItem]], None],
+        report: Callable[..., None],
         on_change: Callable[[int, StoredItem], None],
+        on_list: Callable[[int, set[str]], None],
         count_pollers: Callable[[int], int] = lambda now: 0,
         leader: "StoreFollower | None" = None,
     ) -> None:
@@ -91,8 +95,9 @@
         self.timers = timers
         self.effects = effects
         self.rng = rng
-        self.on_list = on_list
+        self.report = report
         self.on_change = on_change
+        self.on_list = on_list
         self.has_listed = False
         self.is_reachable = False
         self.is_active = False
@@ -183,11 +188,12 @@
             self.relist(now)
             return
         self.era = answer.era
+        for refusal in answer.refused:
+            self.report(6305, key=self.kind, error=refusal)
         if self.revision:
             self.revision = max(self.revision, answer.revision)
-            for item in answer.items:
-                self.on_change(now, item)
             self.next_call(now)
+            self.apply_items(now, answer.items)
             return
         self.items.extend(answer.items)
         if answer.has_more and answer.items:
@@ -196,8 +202,22 @@
         self.revision = answer.revision
         self.has_listed = True
         items, self.items = self.items, []
-        self.on_list(now, items)
         self.next_call(now)
+        self.apply_items(now, items)
+        self.on_list(now, {item.name for item in items})
+
+    def apply_items(self, now: int, items: Iterable[StoredItem]) -> None:
+        """Apply items one by one; the failure of one doesn't affect the others."""
+        for item in items:
+            try:
+                self.on_change(now, item)
+            except Exception as error:  # noqa: BLE001 - reported; the others are applied
+                self.report(
+                    1302,
+                    event=f"{self.kind}/{item.name}",
+                    error=repr(error),
+                    where=error_location(error),
+                )
 
     def retry_later(self, now: int) -> None:
         """Retry after an exponential backoff with jitter.
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -14,6 +14,13 @@
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
+from fuchsiapin.flows.fields import (
+    MAX_TIME_MS,
+    read_host,
+    read_text,
+    read_whole,
+    shown,
+)
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
 from fuchsiapin.flows.peers import (
     DIGEST_MS,
@@ -35,6 +42,7 @@
     "Gossip",
     "pack_balancer",
     "read_balancer",
+    "read_stored_balancer",
     "unpack_balancer",
 ]
 
@@ -44,6 +52,7 @@
 REPEATED_PREFIXES = ["coldrates/", "evacuations/"]
 """Prefixes of the few objects that the previous build refuses. They are left out of
 digests, which would differ for as long as both builds run, and sent again instead."""
+BALANCER_FIELDS = 5
 LIVE_PEER_MS = 2_000
 """A balancer that sent nothing for this long isn't counted as live."""
 WITHHELD_MS = 200
@@ -104,9 +113,10 @@
         If the bytes hold no balancer record.
     """
     try:
-        return read_balancer(msgpack.unpackb(data))
+        fields = msgpack.unpackb(data)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise MalformedObject(f"balancer: {error!r}") from error
+    return read_balancer(fields)
 
 
 def read_balancer(fields: Any) -> BalancerRecord:
@@ -114,17 +124,37 @@
 
     Raises
     ------
-    ValueError
+    MalformedObject
         If a field has an invalid value.
     """
-    name, started, host, zone, is_leaving = fields
-    if not all(isinstance(text, str) for text in (name, host, zone)):
-        raise ValueError(
-            f"balancer record has a field that is not a string: {fields!r}"
+    if not isinstance(fields, list | tuple) or len(fields) != BALANCER_FIELDS:
+        raise MalformedObject(
+            f"balancer {shown(fields)} has no {BALANCER_FIELDS} fields"
         )
-    if not isinstance(started, int) or not isinstance(is_leaving, bool):
-        raise ValueError(f"invalid start {started!r} or leaving flag {is_leaving!r}")
-    return BalancerRecord(name, started, host, zone, is_leaving)
+    name, started, host, zone, is_leaving = fields
+    if not isinstance(is_leaving, bool):
+        raise MalformedObject(f"leaving flag {shown(is_leaving)} is not a truth value")
+    return BalancerRecord(
+        read_text(name, "name"),
+        read_whole(started, "start", highest=MAX_TIME_MS),
+        read_host(host, "address"),
+        read_text(zone, "zone", is_empty_allowed=True),
+        is_leaving,
+    )
+
+
+def read_stored_balancer(name: str, fields: Any) -> BalancerRecord:
+    """Return the record in the object that the store has under a name.
+
+    Raises
+    ------
+    MalformedObject
+        If a field has an invalid value, or the name isn't that of the balancer.
+    """
+    record = read_balancer(fields)
+    if record.name != name:
+        raise MalformedObject(f"name {record.name!r} is not that of the object")
+    return record
 
 
 class Gossip:
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -6,6 +6,13 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.fields import (
+    MAX_TIME_MS,
+    read_host,
+    read_text,
+    read_whole,
+    shown,
+)
 from fuchsiapin.lightclasses import dataclass, replace
 from fuchsiapin.ranking import hash_seed
 
@@ -21,6 +28,8 @@
     "pack_load",
     "pack_member",
     "read_load",
+    "read_member",
+    "read_stored_member",
     "unpack_member",
 ]
 
@@ -30,6 +39,10 @@
 `starting`."""
 VERSIONS_PER_EPOCH = 8
 """Number of versions reserved for each epoch; more than there are states."""
+MAX_EPOCH = 2**53
+"""Largest epoch; later than `MAX_TIME_MS`, because side processes raise epochs above
+those of stored objects."""
+MEMBER_FIELDS = 7
 LOAD_FIELDS = 5
 SUSPECT_MS = 1_000
 """A member with at least `MIN_SILENT_PINGS` unanswered pings, the first of them older
@@ -170,9 +183,10 @@
         If the bytes hold no member.
     """
     try:
-        return read_member(msgpack.unpackb(data))
+        fields = msgpack.unpackb(data)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise MalformedObject(f"member: {error!r}") from error
+    return read_member(fields)
 
 
 def read_member(fields: Any) -> FlowMember:
@@ -180,18 +194,38 @@
 
     Raises
     ------
-    ValueError
+    MalformedObject
         If a field has an invalid value.
     """
+    if not isinstance(fields, list | tuple) or len(fields) != MEMBER_FIELDS:
+        raise MalformedObject(f"member {shown(fields)} has no {MEMBER_FIELDS} fields")
     name, epoch, service, host, zone, slots, state = fields
-    texts = (name, service, host, zone, state)
-    if not all(isinstance(text, str) for text in texts) or state not in STATES:
-        raise ValueError(
-            f"member has an invalid state or a field that is not a string: {fields!r}"
-        )
-    if not isinstance(epoch, int) or not isinstance(slots, int):
-        raise ValueError(f"epoch {epoch!r} or slots {slots!r} is not an integer")
-    return FlowMember(name, epoch, service, host, zone, max(slots, 1), state)
+    if not isinstance(state, str) or state not in STATES:
+        raise MalformedObject(f"state {shown(state)} of a member is unknown")
+    return FlowMember(
+        read_text(name, "id", is_empty_allowed=True),
+        read_whole(epoch, "epoch", highest=MAX_EPOCH),
+        read_text(service, "service", is_empty_allowed=True),
+        read_host(host, "address"),
+        read_text(zone, "zone", is_empty_allowed=True),
+        max(read_whole(slots, "slots"), 1),
+        state,
+    )
+
+
+def read_stored_member(name: str, fields: Any) -> FlowMember:
+    """Return the member in the object that the store has under a name.
+
+    Raises
+    ------
+    MalformedObject
+        If a field has an invalid value, or the name isn't the id of the member.
+    """
+    member = read_member(fields)
+    if member.id != name:
+        raise MalformedObject(f"id {member.id!r} is not the name of the object")
+    read_whole(member.epoch, "epoch", highest=MAX_TIME_MS)
+    return member
 
 
 class MemberView:
--- a/fuchsiapin/tests/test_events.py
+++ b/fuchsiapin/tests/test_events.py
@@ -10,7 +10,6 @@
 
 import fuchsiapin
 from fuchsiapin.clock import ManualClock
-from fuchsiapin.daemons.errorlocation import error_location
 from fuchsiapin.daemons.eventlog import (
     MAX_LINES_PER_PERIOD,
     RATE_PERIOD_MS,
@@ -18,6 +17,7 @@
     JsonLines,
 )
 from fuchsiapin.events import CATALOGUE, EVENTS
+from fuchsiapin.exceptions import error_location
 from fuchsiapin.messages import EventCount
 
 PACKAGE = Path(fuchsiapin.__file__).parent
