Refuse heartbeats with numbers or texts that can't be used

Callers saw: a heartbeat with `ColdLeftMs` 1e300 ended the side process when it packed its load for the next ping, again with each such call. A deeply nested body got no answer and no log line; `Slots` 1e300 got a 503; refusals didn't tell why. Cause: only the type of numbers was checked. Errors other than four kinds left the reader and closed the connection. Ids were letters of any alphabet and of any length. The answer 400 tells the reason, which stays short, as does its log line. Evidence: the new test with a process failed before: "(200, None) != (400, None)" for `ColdLeftMs` 1e300, then no answers, as the process had ended with status 1; without a ping, a nested body had no answer ("0 != 400"). The tables failed with `RecursionError`, `OverflowError` and "MalformedObject not raised" in 24 rows, among them every number 1e300, 10^30 and -1. All pass now, and those of test_flowprocess and test_imports.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -1,5 +1,6 @@
 """The side process of packet flows."""
 
+import json
 import random
 from collections.abc import Callable
 
@@ -10,6 +11,7 @@
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.adapter import FlowAdapter, FlowSettings, LeaveNotice
 from fuchsiapin.flows.effects import Probe, ToUpstream
+from fuchsiapin.flows.fields import shown
 from fuchsiapin.flows.sidecore import FlowSideCore, SideSettings, make_flow_side_core
 
 __all__ = ["run_flow_side"]
@@ -23,6 +25,8 @@
 """Longest planned stop, even if the store is not up to date yet. It is short because
 a new side process takes over an upstream that keeps running."""
 
+MAX_LOGGED_PATH_CHARACTERS = 200
+
 
 class FlowSideShell(FlowShell):
     """Shell of a side process, with the sockets to its upstream."""
@@ -83,20 +87,23 @@
         try:
             message = self.adapter.read_control(method, path, body)
         except MalformedObject as error:
-            self.log.report(6206, path=path, error=str(error))
-            return Reply(400, b"{}")
+            return self.refuse(path, str(error))
         if message is None:
             return Reply(404, b"{}")
         if isinstance(message, LeaveNotice):
             is_handled = self.feed(self.core.on_leave, message.id)
             return Reply(200 if is_handled else 503, b"{}")
         if message.service != self.settings.service:
-            error = f"service {message.service!r} is not {self.settings.service!r}"
-            self.log.report(6206, path=path, error=error)
-            return Reply(400, b"{}")
+            name = shown(message.service)
+            return self.refuse(path, f"service {name} is not {self.settings.service!r}")
         is_handled = self.feed(self.core.on_heartbeat, message)
         return Reply(200 if is_handled else 503, b"{}")
 
+    def refuse(self, path: str, error: str) -> Reply:
+        """Refuse a call, and tell its sender and the log why."""
+        self.log.report(6206, path=path[:MAX_LOGGED_PATH_CHARACTERS], error=error)
+        return Reply(400, json.dumps({"error": error}).encode())
+
     def may_exit(self, now: int, elapsed_ms: int) -> bool:
         """Return whether the process may exit.
 
