--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,7 +22,7 @@
 from soak.evacuations import IN_FORCE_MS, Evacuations  # noqa: E402
 from soak.fabric import Fabric, PeerProxy  # noqa: E402
 from soak.faults import PLANNED, draw_fault, faults  # noqa: E402
-from soak.processes import ManagedProcess, Vm  # noqa: E402
+from soak.processes import ManagedProcess, Vm, format_address  # noqa: E402
 from soak.store import StoreStandIn  # noqa: E402
 from soak.storelink import StoreLink  # noqa: E402
 
@@ -171,7 +171,7 @@
         """Return the body of an upstream's heartbeat."""
         values = {
             "Service": upstream.service,
-            "Address": "",
+            "Address": format_address(upstream.vm.upstream),
             "Zone": upstream.vm.zone,
             "Version": "v1",
             "Slots": 4,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-__all__ = ["ManagedProcess", "Vm"]
+__all__ = ["ManagedProcess", "Vm", "format_address"]
 
 ROOT = Path(__file__).parent.parent
 MAIN = ROOT / "platform" / "main.py"
