Refuse heartbeats that name another address or zone

A heartbeat with all fields, but the address or the zone of another upstream, took the place of the upstream of the VM. Cause: only the service was compared with the settings. Change: a side process serves exactly the upstream at `app`, so a heartbeat is refused with 400 if its zone differs, its host is no address of the VM, or its port isn't that of `app`. Evidence: the test with a process got 200 for these heartbeats before, and the drain of the upstream wasn't applied within 30 s. That the platform always sends the address of `app` isn't shown by a run here.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -13,6 +13,7 @@
 from fuchsiapin.flows.effects import Probe, ToUpstream
 from fuchsiapin.flows.fields import shown
 from fuchsiapin.flows.sidecore import FlowSideCore, SideSettings, make_flow_side_core
+from fuchsiapin.flows.upstreams import Heartbeat
 
 __all__ = ["run_flow_side"]
 
@@ -93,9 +94,9 @@
         if isinstance(message, LeaveNotice):
             is_handled = self.feed(self.core.on_leave, message.id)
             return Reply(200 if is_handled else 503, b"{}")
-        if message.service != self.settings.service:
-            name = shown(message.service)
-            return self.refuse(path, f"service {name} is not {self.settings.service!r}")
+        reason = foreign_reason(self.settings, message)
+        if reason:
+            return self.refuse(path, reason)
         is_handled = self.feed(self.core.on_heartbeat, message)
         return Reply(200 if is_handled else 503, b"{}")
 
@@ -123,6 +124,23 @@
         )
 
 
+def foreign_reason(settings: FlowSettings, heartbeat: Heartbeat) -> str:
+    """Return why a heartbeat isn't from the upstream of this VM, empty if it is.
+
+    The VM may have several addresses, and the upstream may tell any of them.
+    """
+    if heartbeat.service != settings.service:
+        return f"service {shown(heartbeat.service)} is not {settings.service!r}"
+    if heartbeat.zone != settings.zone:
+        return f"zone {shown(heartbeat.zone)} is not {settings.zone!r}"
+    host, port = heartbeat.address
+    if host not in (settings.upstream[0], settings.host, settings.bind):
+        return f"address {host} is not that of this VM, {settings.upstream[0]}"
+    if port != settings.upstream[1]:
+        return f"port {port} is not that of the upstream, {settings.upstream[1]}"
+    return ""
+
+
 def run_flow_side(adapter: FlowAdapter) -> None:
     """Run a side process of packet flows."""
     FlowSideShell(adapter, adapter.read_settings()).run()
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -41,6 +41,8 @@
         Whether it is about to leave.
     cold_ms : int
         Remaining time for which it is slow after its start.
+    address : tuple of (str, int)
+        Address and port where it receives packets.
     """
 
     id: str
@@ -51,6 +53,7 @@
     slots: int
     is_draining: bool
     cold_ms: int
+    address: tuple[str, int]
 
 
 class UpstreamState:
--- a/fuchsiapin/tests/flowactors.py
+++ b/fuchsiapin/tests/flowactors.py
@@ -166,6 +166,7 @@
             self.slots,
             self.is_draining,
             max(0, self.cold_until - self.world.now),
+            (self.host, 80),
         )
 
 
--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -28,7 +28,7 @@
 
 def make_heartbeat(**changes: object) -> Heartbeat:
     """Return a heartbeat."""
-    first = Heartbeat("u1", 1_000, 1, "desk", "z", 2, False, 0)
+    first = Heartbeat("u1", 1_000, 1, "desk", "z", 2, False, 0, ("10.0.0.1", 80))
     return replace(first, **changes)
 
 
