Follow an upstream again after one forged heartbeat

After one heartbeat with the id and start of the upstream and the highest sequence number, all of its own were ignored for good, its drain too. A start far in the future took its place for at least three heartbeats. Cause: a sequence number had no way back, and a start wasn't compared with the clock. Change: heartbeats with lower sequence numbers are applied from the third on if no other ones come and the port isn't known as closed, as those of an earlier start are already. They pass now, with test_flowstate, test_flows, test_flowends, test_resetproofs and the test with a process.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 from collections.abc import Callable
 
 from fuchsiapin.daemons.eventloop import open_udp_socket
@@ -25,8 +26,11 @@
 MAX_STOP_MS = 2_000
 """Longest planned stop, even if the store is not up to date yet. It is short because
 a new side process takes over an upstream that keeps running."""
-
 MAX_LOGGED_PATH_CHARACTERS = 200
+MAX_CLOCK_LEAD_MS = 86_400_000
+"""Most by which the start of an upstream may be later than the present time: clocks are
+set back, but by seconds or by an hour."""
+NS_PER_MS = 1_000_000
 
 
 class FlowSideShell(FlowShell):
@@ -94,12 +98,19 @@
         if isinstance(message, LeaveNotice):
             is_handled = self.feed(self.core.on_leave, message.id)
             return Reply(200 if is_handled else 503, b"{}")
-        reason = foreign_reason(self.settings, message)
+        reason = foreign_reason(self.settings, self.latest_time(), message)
         if reason:
             return self.refuse(path, reason)
         is_handled = self.feed(self.core.on_heartbeat, message)
         return Reply(200 if is_handled else 503, b"{}")
 
+    def latest_time(self) -> int:
+        """Return the time in ms, the later one of the process's and the system's clock.
+
+        The process's clock keeps a time that was wrong when the process started.
+        """
+        return max(self.clock.now(), time.time_ns() // NS_PER_MS)
+
     def refuse(self, path: str, error: str) -> Reply:
         """Refuse a call, and tell its sender and the log why."""
         self.log.report(6206, path=path[:MAX_LOGGED_PATH_CHARACTERS], error=error)
@@ -124,11 +135,13 @@
         )
 
 
-def foreign_reason(settings: FlowSettings, heartbeat: Heartbeat) -> str:
+def foreign_reason(settings: FlowSettings, now: int, heartbeat: Heartbeat) -> str:
     """Return why a heartbeat isn't from the upstream of this VM, empty if it is.
 
     The VM may have several addresses, and the upstream may tell any of them.
     """
+    if heartbeat.born > now + MAX_CLOCK_LEAD_MS:
+        return f"start {heartbeat.born} is {heartbeat.born - now} ms in the future"
     if heartbeat.service != settings.service:
         return f"service {shown(heartbeat.service)} is not {settings.service!r}"
     if heartbeat.zone != settings.zone:
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -8,9 +8,9 @@
 MISSED_HEARTBEATS = 3
 """Number of missing heartbeats in a row after which an upstream takes no new flows."""
 TAKEOVER_HEARTBEATS = 2
-"""Number of heartbeats of an earlier start that are ignored; with the next one it takes
-over if the later start is silent, because the system clock may have been set back
-between the two starts."""
+"""Number of late heartbeats that are ignored: of an earlier start, or of the known one
+with lower sequence numbers. The next one is applied if no other ones come: the system
+clock may have been set back between two starts, or a heartbeat was forged."""
 STALLED_MS = 120
 """An upstream that doesn't react to opening packets for this long has stalled; a
 healthy one reacts within a millisecond."""
@@ -56,6 +56,21 @@
     address: tuple[str, int]
 
 
+class LateHeartbeats:
+    """Late heartbeats of one kind that were ignored, without repeated ones."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.sequence = -1
+
+    def note(self, sequence: int) -> bool:
+        """Count one; return whether as many as may be ignored came before it."""
+        if sequence > self.sequence:
+            self.count += 1
+        self.sequence = sequence
+        return self.count > TAKEOVER_HEARTBEATS
+
+
 class UpstreamState:
     """State of the upstream of one VM, from its heartbeats and packets.
 
@@ -85,8 +100,9 @@
         received, in ms.
     closed_probes : int
         Probes in a row that found the port closed before any upstream was known.
-    earlier_start_heartbeats : int
-        Heartbeats received from an earlier start, without repeated ones.
+    earlier_start, out_of_order : LateHeartbeats
+        Heartbeats of an earlier start, and of the known one with sequence numbers up to
+        the highest.
     unanswered_openings : list of int
         Times of the latest opening packets since the last packet from the
         upstream, in ms.
@@ -102,8 +118,8 @@
         self.sequence = -1
         self.last_heartbeat_at = 0
         self.cold_until = 0
-        self.earlier_start_heartbeats = 0
-        self.earlier_start_sequence = -1
+        self.earlier_start = LateHeartbeats()
+        self.out_of_order = LateHeartbeats()
         self.unanswered_openings: list[int] = []
         self.has_heartbeat = False
         self.was_continued = False
@@ -127,28 +143,29 @@
             return self.begin_incarnation(now, heartbeat)
         if heartbeat.id == member.id and heartbeat.born == self.born:
             return self.continue_incarnation(now, heartbeat, member)
-        if heartbeat.born > self.born or self.note_earlier_start(now, heartbeat):
+        is_later = heartbeat.born > self.born
+        if is_later or self.note_late(now, heartbeat, self.earlier_start):
             return self.begin_incarnation(now, heartbeat)
         return "late"
 
-    def note_earlier_start(self, now: int, heartbeat: Heartbeat) -> bool:
-        """Count a heartbeat of an earlier start; return whether that start takes over.
+    def note_late(self, now: int, heartbeat: Heartbeat, former: LateHeartbeats) -> bool:
+        """Count a late heartbeat; return whether to apply it.
 
-        It does if more than `TAKEOVER_HEARTBEATS` were counted and the later start is
-        silent.
+        It is applied if more than `TAKEOVER_HEARTBEATS` were counted and no other
+        heartbeats come.
         """
-        if heartbeat.sequence > self.earlier_start_sequence:
-            self.earlier_start_heartbeats += 1
-        self.earlier_start_sequence = heartbeat.sequence
         is_silent = now - self.last_heartbeat_at > 2 * self.interval_ms
-        return is_silent and self.earlier_start_heartbeats > TAKEOVER_HEARTBEATS
+        return former.note(heartbeat.sequence) and is_silent
 
     def continue_incarnation(
         self, now: int, heartbeat: Heartbeat, member: FlowMember
     ) -> str:
         """Apply a heartbeat of the known incarnation."""
         if heartbeat.sequence <= self.sequence:
-            return "late"
+            is_applied = self.note_late(now, heartbeat, self.out_of_order)
+            if self.is_port_closed or not is_applied:
+                return "late"
+        self.out_of_order = LateHeartbeats()
         self.note_alive(now)
         self.was_continued = True
         self.sequence = heartbeat.sequence
@@ -176,8 +193,8 @@
         self.born = heartbeat.born
         self.sequence = heartbeat.sequence
         self.cold_until = now + heartbeat.cold_ms
-        self.earlier_start_heartbeats = 0
-        self.earlier_start_sequence = -1
+        self.earlier_start = LateHeartbeats()
+        self.out_of_order = LateHeartbeats()
         self.has_heartbeat = True
         self.is_port_closed = False
         self.unanswered_openings = []
--- a/fuchsiapin/tests/test_foreignheartbeats.py
+++ b/fuchsiapin/tests/test_foreignheartbeats.py
@@ -5,10 +5,14 @@
 from typing import Any
 
 from fuchsiapin.daemons.flowside import foreign_reason
-from fuchsiapin.flows.upstreams import Heartbeat
+from fuchsiapin.flows.fields import MAX_VERSION
+from fuchsiapin.flows.upstreams import Heartbeat, UpstreamState
 from fuchsiapin.lightclasses import replace
+from fuchsiapin.tests.flowactors import HEARTBEAT_MS
 
 HEARTBEAT = Heartbeat("u1", 1_000, 1, "desk", "z", 2, False, 0, ("10.0.0.1", 8165))
+NOW = 1_800_000_000_000
+DAY_MS = 86_400_000
 
 
 class ForeignReasonTest(unittest.TestCase):
@@ -32,12 +36,43 @@
             ({"address": ("10.0.0.1", 8166)}, "port"),
             ({"service": "x" * 200}, "service"),
             ({"zone": "y"}, "zone"),
+            ({"born": NOW + 60_000}, ""),
+            ({"born": NOW + 2 * DAY_MS}, "start"),
         ):
             with self.subTest(changes=changes):
-                reason = foreign_reason(settings, replace(HEARTBEAT, **changes))
+                reason = foreign_reason(settings, NOW, replace(HEARTBEAT, **changes))
                 self.assertEqual(reason.partition(" ")[0], word)
                 self.assertLess(len(reason), 100)
 
 
+class SilencedUpstreamTest(unittest.TestCase):
+    """One forged heartbeat doesn't silence the upstream for good."""
+
+    def setUp(self) -> None:
+        self.state = UpstreamState("10.0.0.1", "desk", "z", HEARTBEAT_MS)
+        self.state.apply_heartbeat(0, replace(HEARTBEAT, sequence=5))
+
+    def test_upstream_is_followed_again_after_a_forged_sequence_or_start(self) -> None:
+        for changes in ({"sequence": MAX_VERSION}, {"id": "u2", "born": 90_000}):
+            with self.subTest(changes=changes):
+                self.setUp()
+                self.state.apply_heartbeat(10, replace(HEARTBEAT, **changes))
+                changes = []
+                for sequence in range(6, 10):
+                    draining = replace(HEARTBEAT, sequence=sequence, is_draining=True)
+                    now = sequence * HEARTBEAT_MS
+                    changes.append(self.state.apply_heartbeat(now, draining))
+                self.assertEqual(changes[:2], ["late", "late"])
+                self.assertEqual(self.state.member.state, "draining")
+                self.assertEqual(self.state.member.id, "u1")
+
+    def test_late_heartbeats_of_a_living_or_closed_upstream_stay_late(self) -> None:
+        for now, is_closed in ((HEARTBEAT_MS, False), (9 * HEARTBEAT_MS, True)):
+            self.state.is_port_closed = is_closed
+            for sequence in range(1, 5):
+                late = replace(HEARTBEAT, sequence=sequence)
+                self.assertEqual(self.state.apply_heartbeat(now, late), "late")
+
+
 if __name__ == "__main__":
     unittest.main()
