Acknowledge a drain only once it is applied

Callers saw: requests at an upstream more than `DrainMs` after its drain was acknowledged, while a heartbeat with a later start, or with a higher sequence number, was known. Cause: the answer was 200 whether the heartbeat was applied or ignored as late. Change: a drain that isn't applied is answered with 503, which the log shows. The answers to other heartbeats are as they were. Evidence: before, the test with a process got 200 for the first drain ("Items in the second set but not the first: 503"). It passes now, as do test_events, test_flowstate and test_flowends.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -102,6 +102,11 @@
         if reason:
             return self.refuse(path, reason)
         is_handled = self.feed(self.core.on_heartbeat, message)
+        is_pending = message.is_draining and not self.core.upstream.is_leaving(
+            message.id
+        )
+        if is_handled and is_pending:
+            return self.refuse(path, "a later heartbeat is known", 503)
         return Reply(200 if is_handled else 503, b"{}")
 
     def latest_time(self) -> int:
@@ -111,10 +116,10 @@
         """
         return max(self.clock.now(), time.time_ns() // NS_PER_MS)
 
-    def refuse(self, path: str, error: str) -> Reply:
+    def refuse(self, path: str, error: str, status: int = 400) -> Reply:
         """Refuse a call, and tell its sender and the log why."""
         self.log.report(6206, path=path[:MAX_LOGGED_PATH_CHARACTERS], error=error)
-        return Reply(400, json.dumps({"error": error}).encode())
+        return Reply(status, json.dumps({"error": error}).encode())
 
     def may_exit(self, now: int, elapsed_ms: int) -> bool:
         """Return whether the process may exit.
--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -167,8 +167,8 @@
         6206,
         "heartbeat refused",
         "warning",
-        "A heartbeat or deregistration was refused: it is malformed or not from this "
-        "VM's upstream.",
+        "A heartbeat or deregistration was refused: it is malformed, not from this "
+        "VM's upstream, or reports a drain while a later heartbeat is known.",
         "Find out who sends it.",
         (Field("path"), ERROR),
         is_rate_limited=True,
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -212,6 +212,15 @@
         self.member = replace(member, epoch=version // VERSIONS_PER_EPOCH + 1)
         return True
 
+    def is_leaving(self, member_id: str) -> bool:
+        """Return whether the upstream has this id, and drains or left."""
+        member = self.member
+        return (
+            member is not None
+            and member.id == member_id
+            and member.state in ("draining", "gone")
+        )
+
     def mark_gone(self) -> FlowMember | None:
         """Mark the upstream as gone; return it, None if there is none."""
         if self.member is None:
