Take only a valid id from the answer to a health check

An id of any bytes and length became the id of the upstream until its first heartbeat, and was then announced to balancers as gone. Cause: the header was taken as it is. Change: the id is checked like that of a heartbeat. An odd one is logged as event 6206, and the answer doesn't count as healthy; the first heartbeat decides. Evidence: the new tests failed before: "MalformedObject not raised", and no log line of the process within 30 s. They pass now, with test_events, test_flowstate and test_flowprocess.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -75,10 +75,7 @@
             # closed: connection refused; silent: any other call without a response
             outcome, name = "silent", ""
             if response.status:
-                is_healthy, name = self.adapter.read_health(
-                    response.status, response.headers or {}
-                )
-                outcome = "healthy" if is_healthy else "unhealthy"
+                outcome, name = self.read_health(response)
             elif response.error == "refused":
                 outcome = "closed"
             self.feed(self.core.on_probe, outcome, name)
@@ -87,6 +84,17 @@
 
         client.call("GET", self.adapter.health_path, b"", PROBE_TIMEOUT_MS, done)
 
+    def read_health(self, response: HttpResponse) -> tuple[str, str]:
+        """Return the outcome of a health check, and the upstream's id, if known."""
+        try:
+            is_healthy, name = self.adapter.read_health(
+                response.status, response.headers or {}
+            )
+        except MalformedObject as error:
+            self.log.report(6206, path=self.adapter.health_path, error=str(error))
+            return "unhealthy", ""
+        return "healthy" if is_healthy else "unhealthy", name
+
     def on_control(self, method: str, path: str, body: bytes) -> Reply:
         """Handle a heartbeat or a deregistration of the upstream."""
         try:
--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -168,7 +168,8 @@
         "heartbeat refused",
         "warning",
         "A heartbeat or deregistration was refused: it is malformed, not from this "
-        "VM's upstream, or reports a drain while a later heartbeat is known.",
+        "VM's upstream, or reports a drain while a later heartbeat is known. Or an "
+        "answer to a health check has an id that can't be used.",
         "Find out who sends it.",
         (Field("path"), ERROR),
         is_rate_limited=True,
--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -136,4 +136,10 @@
         """
 
     def read_health(self, status: int, headers: dict[str, str]) -> tuple[bool, str]:
-        """Return whether an upstream is healthy, and its id."""
+        """Return whether an upstream is healthy, and its id, empty if unknown.
+
+        Raises
+        ------
+        MalformedObject
+            If the id can't be used.
+        """
