Refuse pings with a version that can't be raised

Callers saw: one ping with the highest number ended a side process: `OverflowError` while it packed its member, and again with each such ping. Cause: the epoch of the member was raised above any version that a ping told, beyond what a message carries. Change: a version above half of the range is refused as event 6301 and changes nothing; the other half is left for later incarnations.

--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.announcing import Announcer
 from fuchsiapin.flows.delivery import FlowDelivery
 from fuchsiapin.flows.effects import Probe
@@ -291,7 +292,12 @@
 
     def on_ping(self, now: int, host: str, message: Ping) -> None:
         """Answer a balancer's ping and subscribe the balancer to changes."""
-        if self.upstream.raise_epoch(message.known):
+        try:
+            is_raised = self.upstream.raise_epoch(message.known)
+        except MalformedObject as error:
+            self.report(6301, host=host, error=str(error))
+            return
+        if is_raised:
             self.write_member(now)
             self.announcer.announce(now)
         self.announcer.subscribe(now, host, message)
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -1,5 +1,7 @@
 """State of the upstream on one VM, as its side process knows it."""
 
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.fields import MAX_VERSION, shown
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.lightclasses import dataclass, replace
 
@@ -19,6 +21,9 @@
 after which there is no upstream; one may have been sent before it started."""
 STALLED_OPENINGS = 2
 """Minimum number of opening packets without reaction that count as a stall."""
+MAX_KNOWN_VERSION = MAX_VERSION // 2
+"""Largest version above which an epoch is raised; half of the range is left for later
+incarnations."""
 
 
 @dataclass(frozen=True)
@@ -205,10 +210,17 @@
         """Raise the epoch above a version known elsewhere; return whether needed.
 
         The clock of the VM may have been set back between two incarnations.
+
+        Raises
+        ------
+        MalformedObject
+            If the version is too large.
         """
         member = self.member
         if member is None or not self.has_heartbeat or version <= member.version:
             return False
+        if version > MAX_KNOWN_VERSION:
+            raise MalformedObject(f"version {shown(version)} of a member is too large")
         self.member = replace(member, epoch=version // VERSIONS_PER_EPOCH + 1)
         return True
 
--- a/fuchsiapin/tests/test_foreignheartbeats.py
+++ b/fuchsiapin/tests/test_foreignheartbeats.py
@@ -1,14 +1,19 @@
 """Well-formed heartbeats that don't come from the upstream of the VM."""
 
+import random
 import unittest
 from types import SimpleNamespace
 from typing import Any
 
 from fuchsiapin.daemons.flowside import foreign_reason
+from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.fields import MAX_VERSION
+from fuchsiapin.flows.messages import Ping
+from fuchsiapin.flows.sidecore import SideSettings, make_flow_side_core
 from fuchsiapin.flows.upstreams import Heartbeat, UpstreamState
+from fuchsiapin.flows.wire import encode_message
 from fuchsiapin.lightclasses import replace
-from fuchsiapin.tests.flowactors import HEARTBEAT_MS
+from fuchsiapin.tests.flowactors import HEARTBEAT_MS, PlainPacketFormat
 
 HEARTBEAT = Heartbeat("u1", 1_000, 1, "desk", "z", 2, False, 0, ("10.0.0.1", 8165))
 NOW = 1_800_000_000_000
@@ -74,5 +79,31 @@
                 self.assertEqual(self.state.apply_heartbeat(now, late), "late")
 
 
+class ForeignPingTest(unittest.TestCase):
+    """Pings of strangers."""
+
+    def setUp(self) -> None:
+        settings = SideSettings("10.0.0.1", "desk", "z", HEARTBEAT_MS, 60_000, [])
+        self.events: list[int] = []
+        self.core = make_flow_side_core(
+            settings,
+            PlainPacketFormat(),
+            lambda number, **fields: self.events.append(number),
+            random.Random(1),
+        )
+        self.core.start(0)
+        self.core.on_heartbeat(0, HEARTBEAT)
+
+    def test_member_stays_valid_whatever_version_a_ping_tells(self) -> None:
+        for known in (-5, 1 << 61, 1 << 62, MAX_VERSION, 2**64 - 1):
+            with self.subTest(known=known):
+                self.core.on_message(1, "10.0.0.9", Ping("z", known, False))
+                self.assertLessEqual(self.core.upstream.member.version, MAX_VERSION)
+                for effect in self.core.take_effects():
+                    if isinstance(effect, ToPeer):
+                        encode_message(effect.message)
+        self.assertIn(6301, self.events)
+
+
 if __name__ == "__main__":
     unittest.main()
