Limit the balancers that a side process reports to

Each address that sent a ping took memory and got load reports for 3 s, however many there were. Cause: subscriptions were limited in time only. Change: at most 2,000; a new one takes the place of the one that is silent longest. Evidence: the new test counted 2,050 subscribers before, and 2,000 now; test_traffic and test_flowstate pass.

--- a/fuchsiapin/flows/announcing.py
+++ b/fuchsiapin/flows/announcing.py
@@ -27,6 +27,8 @@
 """Minimum time between two reports of a changed load for each subscriber of the own
 availability zone, so that at most 40 of them a second are sent to these together; and
 for each one of the other zones, where the limit holds for all zones together."""
+MAX_SUBSCRIBERS = 2_000
+"""More than there are balancers in any deployment."""
 PUSHED_SUBSCRIBERS = 3
 """Subscribers that a change is pushed to, besides the seeds; they replicate it."""
 
@@ -81,7 +83,13 @@
         self.announced_at = 0
 
     def subscribe(self, now: int, host: str, ping: Ping) -> None:
-        """Add or renew the subscription of a balancer, and send it the status."""
+        """Add or renew the subscription of a balancer, and send it the status.
+
+        Beyond `MAX_SUBSCRIBERS` it takes the place of the one that is silent longest.
+        """
+        subscribers = self.subscribers
+        if host not in subscribers and len(subscribers) >= MAX_SUBSCRIBERS:
+            del subscribers[min(subscribers, key=lambda h: subscribers[h].pinged_at)]
         subscriber = self.subscribers.setdefault(host, Subscriber())
         subscriber.zone = ping.zone
         subscriber.pinged_at = now
--- a/fuchsiapin/tests/test_foreignheartbeats.py
+++ b/fuchsiapin/tests/test_foreignheartbeats.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fuchsiapin.daemons.flowside import foreign_reason
+from fuchsiapin.flows.announcing import MAX_SUBSCRIBERS
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.fields import MAX_VERSION
 from fuchsiapin.flows.messages import Ping
@@ -80,7 +81,7 @@
 
 
 class ForeignPingTest(unittest.TestCase):
-    """Pings of strangers."""
+    """Pings of strangers neither change the member for the worse nor take memory."""
 
     def setUp(self) -> None:
         settings = SideSettings("10.0.0.1", "desk", "z", HEARTBEAT_MS, 60_000, [])
@@ -104,6 +105,15 @@
                         encode_message(effect.message)
         self.assertIn(6301, self.events)
 
+    def test_number_of_subscribers_is_limited(self) -> None:
+        for number in range(MAX_SUBSCRIBERS + 50):
+            host = f"10.1.{number >> 8}.{number & 255}"
+            self.core.on_message(number, host, Ping("z", 0, False))
+            self.core.take_effects()
+        subscribers = self.core.announcer.subscribers
+        self.assertEqual(len(subscribers), MAX_SUBSCRIBERS)
+        self.assertEqual(list(subscribers)[-1], host)
+
 
 if __name__ == "__main__":
     unittest.main()
