Merge the checks of calls that upstreams make

Change besides: what a side process raises its epoch above stays within the epochs that the readers of members take; the test's bound follows it. Evidence: test_foreignheartbeats, test_foreignentries, test_flowstate and the tests of the adapter pass.

--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -1,6 +1,8 @@
 """State of the upstream on one VM, as its side process knows it."""
 
-from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.fields import shown
+from fuchsiapin.flows.members import MAX_EPOCH, VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.lightclasses import dataclass, replace
 
 __all__ = ["Heartbeat", "UpstreamState"]
@@ -8,9 +10,9 @@
 MISSED_HEARTBEATS = 3
 """Number of missing heartbeats in a row after which an upstream takes no new flows."""
 TAKEOVER_HEARTBEATS = 2
-"""Number of heartbeats of an earlier start that are ignored; with the next one it takes
-over if the later start is silent, because the system clock may have been set back
-between the two starts."""
+"""Number of late heartbeats that are ignored: of an earlier start, or of the known one
+with lower sequence numbers. The next one is applied if no other ones come: the system
+clock may have been set back between two starts, or a heartbeat was forged."""
 STALLED_MS = 120
 """An upstream that doesn't react to opening packets for this long has stalled; a
 healthy one reacts within a millisecond."""
@@ -19,6 +21,9 @@
 after which there is no upstream; one may have been sent before it started."""
 STALLED_OPENINGS = 2
 """Minimum number of opening packets without reaction that count as a stall."""
+MAX_KNOWN_VERSION = MAX_EPOCH * VERSIONS_PER_EPOCH // 2
+"""Largest version above which an epoch is raised; half of the range is left for later
+incarnations."""
 
 
 @dataclass(frozen=True)
@@ -41,6 +46,8 @@
         Whether it is about to leave.
     cold_ms : int
         Remaining time for which it is slow after its start.
+    address : tuple of (str, int)
+        Address and port where it receives packets.
     """
 
     id: str
@@ -51,6 +58,22 @@
     slots: int
     is_draining: bool
     cold_ms: int
+    address: tuple[str, int]
+
+
+class LateHeartbeats:
+    """Late heartbeats of one kind that were ignored, without repeated ones."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.sequence = -1
+
+    def note(self, sequence: int) -> bool:
+        """Count one; return whether as many as may be ignored came before it."""
+        if sequence > self.sequence:
+            self.count += 1
+        self.sequence = sequence
+        return self.count > TAKEOVER_HEARTBEATS
 
 
 class UpstreamState:
@@ -82,8 +105,9 @@
         received, in ms.
     closed_probes : int
         Probes in a row that found the port closed before any upstream was known.
-    earlier_start_heartbeats : int
-        Heartbeats received from an earlier start, without repeated ones.
+    earlier_start, out_of_order : LateHeartbeats
+        Heartbeats of an earlier start, and of the known one with sequence numbers up to
+        the highest.
     unanswered_openings : list of int
         Times of the latest opening packets since the last packet from the
         upstream, in ms.
@@ -99,8 +123,8 @@
         self.sequence = -1
         self.last_heartbeat_at = 0
         self.cold_until = 0
-        self.earlier_start_heartbeats = 0
-        self.earlier_start_sequence = -1
+        self.earlier_start = LateHeartbeats()
+        self.out_of_order = LateHeartbeats()
         self.unanswered_openings: list[int] = []
         self.has_heartbeat = False
         self.was_continued = False
@@ -124,28 +148,29 @@
             return self.begin_incarnation(now, heartbeat)
         if heartbeat.id == member.id and heartbeat.born == self.born:
             return self.continue_incarnation(now, heartbeat, member)
-        if heartbeat.born > self.born or self.note_earlier_start(now, heartbeat):
+        is_later = heartbeat.born > self.born
+        if is_later or self.note_late(now, heartbeat, self.earlier_start):
             return self.begin_incarnation(now, heartbeat)
         return "late"
 
-    def note_earlier_start(self, now: int, heartbeat: Heartbeat) -> bool:
-        """Count a heartbeat of an earlier start; return whether that start takes over.
+    def note_late(self, now: int, heartbeat: Heartbeat, former: LateHeartbeats) -> bool:
+        """Count a late heartbeat; return whether to apply it.
 
-        It does if more than `TAKEOVER_HEARTBEATS` were counted and the later start is
-        silent.
+        It is applied if more than `TAKEOVER_HEARTBEATS` were counted and no other
+        heartbeats come.
         """
-        if heartbeat.sequence > self.earlier_start_sequence:
-            self.earlier_start_heartbeats += 1
-        self.earlier_start_sequence = heartbeat.sequence
         is_silent = now - self.last_heartbeat_at > 2 * self.interval_ms
-        return is_silent and self.earlier_start_heartbeats > TAKEOVER_HEARTBEATS
+        return former.note(heartbeat.sequence) and is_silent
 
     def continue_incarnation(
         self, now: int, heartbeat: Heartbeat, member: FlowMember
     ) -> str:
         """Apply a heartbeat of the known incarnation."""
         if heartbeat.sequence <= self.sequence:
-            return "late"
+            is_applied = self.note_late(now, heartbeat, self.out_of_order)
+            if self.is_port_closed or not is_applied:
+                return "late"
+        self.out_of_order = LateHeartbeats()
         self.note_alive(now)
         self.was_continued = True
         self.sequence = heartbeat.sequence
@@ -173,8 +198,8 @@
         self.born = heartbeat.born
         self.sequence = heartbeat.sequence
         self.cold_until = now + heartbeat.cold_ms
-        self.earlier_start_heartbeats = 0
-        self.earlier_start_sequence = -1
+        self.earlier_start = LateHeartbeats()
+        self.out_of_order = LateHeartbeats()
         self.has_heartbeat = True
         self.is_port_closed = False
         self.unanswered_openings = []
@@ -185,13 +210,29 @@
         """Raise the epoch above a version known elsewhere; return whether needed.
 
         The clock of the VM may have been set back between two incarnations.
+
+        Raises
+        ------
+        MalformedObject
+            If the version is too large.
         """
         member = self.member
         if member is None or not self.has_heartbeat or version <= member.version:
             return False
+        if version > MAX_KNOWN_VERSION:
+            raise MalformedObject(f"version {shown(version)} of a member is too large")
         self.member = replace(member, epoch=version // VERSIONS_PER_EPOCH + 1)
         return True
 
+    def is_leaving(self, member_id: str) -> bool:
+        """Return whether the upstream has this id, and drains or left."""
+        member = self.member
+        return (
+            member is not None
+            and member.id == member_id
+            and member.state in ("draining", "gone")
+        )
+
     def mark_gone(self) -> FlowMember | None:
         """Mark the upstream as gone; return it, None if there is none."""
         if self.member is None:
