Refuse a deeply nested message without ending the process

Callers saw resets while balancers or side processes ended and started again: one datagram of about 1,000 bytes on the peer port was enough.

Cause: the error text of a refused message contained the representation of the value, also by that of msgpack's error about extra data. For a value nested about 1,000 deep Python raises RecursionError instead, which nothing catches where datagrams are decoded. A long value filled the log line.

Change: the text contains a short form of the value, and the type and the text of msgpack's errors.

Evidence: the new test failed before with "RecursionError: maximum recursion depth exceeded while getting the repr of an object", and for 900 levels with an error text of 1,846 characters; it passes.

--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -7,6 +7,7 @@
 
 from fuchsiapin.exceptions import MalformedEnvelope
 from fuchsiapin.flows import messages
+from fuchsiapin.flows.fields import shown
 from fuchsiapin.lightclasses import astuple, fields
 
 __all__ = ["decode_message", "encode_message"]
@@ -80,7 +81,10 @@
         number, *values = msgpack.unpackb(data)
         types = VALUE_TYPES[number]
     except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
-        raise MalformedEnvelope(f"not a message of packet flows: {error!r}") from error
+        # The representation of some errors contains the decoded object.
+        raise MalformedEnvelope(
+            f"not a message of packet flows: {type(error).__name__} {error}"
+        ) from error
     if len(values) != len(types):
         raise MalformedEnvelope(
             f"message {number} has a wrong number of fields: {len(values)}"
@@ -99,5 +103,5 @@
         if not isinstance(value, kind) or (
             item is not None and not all(isinstance(entry, item) for entry in value)
         ):
-            return f"message {number}: field {name!r} has a wrong type: {value!r}"
-    raise ValueError(f"message {number} has no field of a wrong type: {values!r}")
+            return f"message {number}: field {name!r} has a wrong type: {shown(value)}"
+    raise ValueError(f"message {number} has no field of a wrong type")
--- a/fuchsiapin/tests/test_flowwire.py
+++ b/fuchsiapin/tests/test_flowwire.py
@@ -32,6 +32,15 @@
             with self.assertRaises(MalformedEnvelope):
                 decode_message(msgpack.packb(data))
 
+    def test_a_nested_or_long_value_is_refused_with_a_short_error(self) -> None:
+        # A process decodes datagrams where another error would end it.
+        nested = [b"\x91" * depth + b"\xc0" for depth in (1_010, 900, 60_000)]
+        for value in (*nested, msgpack.packb("z" * 60_000), b"\xa1\xff" * 9_000):
+            for data in (b"\x92\x0b" + value, value, value + b"\x00"):
+                with self.assertRaises(MalformedEnvelope) as caught:
+                    decode_message(data)
+                self.assertLess(len(str(caught.exception)), 200)
+
     def test_a_message_that_cannot_be_encoded_leaves_nothing_for_the_next_one(
         self,
     ) -> None:
