Check the range of each value of a message

One odd datagram filled the memory, ended a process or put a state in force for good: flow keys of 60,000 bytes were kept up to 100,000 times, a version of 2^64 - 1 beats every real one, and a balancer's ping with such a version made the side process announce a version that can't be packed.

Cause: messages were checked for types only, and by `isinstance`, for which True is a number.

Change: the tables from which messages are checked hold the range of each number, the length of each text and flow key, and the exact type. Loads and the addresses of packets are left to the places that use them. What the former build sends is accepted, with unsigned hashes, negative hops, a negative age after a clock was set back and priorities below 0.

Evidence: the new table failed for 30 messages before ("MalformedEnvelope not raised"), test_each_field_is_checked for True as a number; both pass.

--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -1,13 +1,12 @@
 """Encoding of the messages between the processes of packet flows."""
 
-from itertools import repeat
 from typing import Any
 
 import msgpack
 
 from fuchsiapin.exceptions import MalformedEnvelope
 from fuchsiapin.flows import messages
-from fuchsiapin.flows.fields import shown
+from fuchsiapin.flows.fields import MAX_VERSION, MAX_WHOLE, shown
 from fuchsiapin.lightclasses import astuple, fields
 
 __all__ = ["decode_message", "encode_message"]
@@ -40,20 +39,75 @@
     "list[int]": list,
 }
 ITEM_TYPES = {"list[str]": str, "list[int]": int}
-LAYOUTS = tuple(
+MAX_TEXT_CHARACTERS = 300
+"""Longest text: a key, which is a prefix and a name."""
+FLOW_BYTES = (12, 12)
+HASHES = (0, 2**64 - 1)
+SIGNED_NUMBERS = (-MAX_VERSION - 1, MAX_VERSION)
+DEFAULT_RANGES = {int: (0, MAX_VERSION), str: (0, MAX_TEXT_CHARACTERS)}
+RANGES: dict[str, Any] = {
+    "Forward.hops": SIGNED_NUMBERS,
+    "Forward.priority": SIGNED_NUMBERS,
+    "Forward.origin": None,
+    "Forward.rest": None,
+    "Returned.hops": SIGNED_NUMBERS,
+    "Returned.load": None,
+    "Held.flow": FLOW_BYTES,
+    "Held.load": None,
+    "Status.load": None,
+    "Digest.total": HASHES,
+    "Digest.store_age_ms": SIGNED_NUMBERS,
+    "Buckets.marks": HASHES,
+    "Pull.keys": None,
+    "Ask.flow": FLOW_BYTES,
+    "Known.flow": FLOW_BYTES,
+    "Known.members": HASHES,
+    "ColdLimit.openings_per_s": (0, MAX_WHOLE),
+}
+"""Lowest and highest number, or length, of fields that don't have the range of their
+type; that of a list holds for its items. None: checked where they are used."""
+
+
+def make_layout(kind: type) -> tuple[tuple[str, Any, Any, Any], ...]:
+    """Return name, type, type of the items and range of each field of a message."""
+    layout = []
+    for field in fields(kind):
+        value_type, item = FIELD_TYPES[field.type], ITEM_TYPES.get(field.type)
+        default = DEFAULT_RANGES.get(item or value_type)
+        limits = RANGES.get(f"{kind.__name__}.{field.name}", default)
+        layout.append((field.name, value_type, item, limits))
+    return tuple(layout)
+
+
+LAYOUTS = tuple(make_layout(kind) for kind in MESSAGE_TYPES)
+VALUE_TYPES = tuple([kind for _, kind, _, _ in layout] for layout in LAYOUTS)
+NUMBERS = tuple(
     tuple(
-        (field.name, FIELD_TYPES[field.type], ITEM_TYPES.get(field.type))
-        for field in fields(k)
+        (index, *limits)
+        for index, (_, kind, _, limits) in enumerate(layout)
+        if kind is int
     )
-    for k in MESSAGE_TYPES
+    for layout in LAYOUTS
 )
-"""Name, type and type of the items of each field, by message type."""
-VALUE_TYPES = tuple(tuple(kind for _, kind, _ in layout) for layout in LAYOUTS)
+"""Position, lowest and highest value of each number, by message type."""
+LENGTHS = tuple(
+    tuple(
+        (index, *limits)
+        for index, (_, kind, _, limits) in enumerate(layout)
+        if kind in (str, bytes) and limits
+    )
+    for layout in LAYOUTS
+)
+"""Position, shortest and longest length of each text or byte string with a range."""
 LISTS = tuple(
-    tuple((index, item) for index, (_, _, item) in enumerate(layout) if item)
+    tuple(
+        (index, item, limits)
+        for index, (_, _, item, limits) in enumerate(layout)
+        if item
+    )
     for layout in LAYOUTS
 )
-"""Position and type of the items of each list, by message type."""
+"""Position of each list, type and range of its items."""
 PACKER = msgpack.Packer()
 """Shared by all messages, as a new packer allocates a buffer."""
 
@@ -79,29 +133,57 @@
     """
     try:
         number, *values = msgpack.unpackb(data)
+        if type(number) is not int or number < 0:
+            raise TypeError(f"type {shown(number)}")
         types = VALUE_TYPES[number]
     except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
         # The representation of some errors contains the decoded object.
         raise MalformedEnvelope(
             f"not a message of packet flows: {type(error).__name__} {error}"
         ) from error
-    if len(values) != len(types):
-        raise MalformedEnvelope(
-            f"message {number} has a wrong number of fields: {len(values)}"
-        )
-    is_valid = all(map(isinstance, values, types))
-    for index, item in LISTS[number]:
-        is_valid = is_valid and all(map(isinstance, values[index], repeat(item)))
-    if not is_valid:
-        raise MalformedEnvelope(describe_wrong_type(number, values))
+    if [*map(type, values)] != types:
+        raise MalformedEnvelope(describe_wrong_value(number, values))
+    for index, lowest, highest in NUMBERS[number]:
+        if not lowest <= values[index] <= highest:
+            raise MalformedEnvelope(describe_wrong_value(number, values))
+    for index, lowest, highest in LENGTHS[number]:
+        if not lowest <= len(values[index]) <= highest:
+            raise MalformedEnvelope(describe_wrong_value(number, values))
+    for index, item, limits in LISTS[number]:
+        items = values[index]
+        if items and not (
+            [*map(type, items)].count(item) == len(items)
+            and (limits is None or are_in_range(items, *limits))
+        ):
+            raise MalformedEnvelope(describe_wrong_value(number, values))
     return MESSAGE_TYPES[number](*values)
 
 
-def describe_wrong_type(number: int, values: list) -> str:
-    """Return which field of a message is the first that has a wrong type."""
-    for value, (name, kind, item) in zip(values, LAYOUTS[number], strict=True):
-        if not isinstance(value, kind) or (
-            item is not None and not all(isinstance(entry, item) for entry in value)
-        ):
+def are_in_range(numbers: list[int], lowest: int, highest: int) -> bool:
+    """Return whether all numbers of a list, which isn't empty, are in a range."""
+    return lowest <= min(numbers) and max(numbers) <= highest
+
+
+def describe_wrong_value(number: int, values: list) -> str:
+    """Return which field of a message is the first that has a wrong value."""
+    layout = LAYOUTS[number]
+    if len(values) != len(layout):
+        return f"message {number} has a wrong number of fields: {len(values)}"
+    for value, (name, kind, item, limits) in zip(values, layout, strict=True):
+        if type(value) is not kind:
             return f"message {number}: field {name!r} has a wrong type: {shown(value)}"
-    raise ValueError(f"message {number} has no field of a wrong type")
+        entries = [value] if item is None else value
+        for entry in entries:
+            if item is not None and type(entry) is not item:
+                return (
+                    f"message {number}: field {name!r} has an item of a wrong type: "
+                    f"{shown(entry)}"
+                )
+            if limits is None:
+                continue
+            size = entry if type(entry) is int else len(entry)
+            if not limits[0] <= size <= limits[1]:
+                return (
+                    f"message {number}: field {name!r} is out of range: {shown(entry)}"
+                )
+    raise ValueError(f"message {number} has no wrong field")
--- a/fuchsiapin/tests/test_flowwire.py
+++ b/fuchsiapin/tests/test_flowwire.py
@@ -5,10 +5,27 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedEnvelope
-from fuchsiapin.flows.messages import Ask, Ping
+from fuchsiapin.flows.messages import (
+    Ask,
+    Buckets,
+    ColdLimit,
+    Copy,
+    Digest,
+    Era,
+    Evacuation,
+    Forward,
+    Held,
+    Known,
+    Ping,
+    Pull,
+    Returned,
+    Silence,
+)
 from fuchsiapin.flows.wire import LAYOUTS, decode_message, encode_message
 
-VALUES = {str: "a", int: 1, bool: True, bytes: b"a"}
+VALUES = {str: "a", int: 1, bool: True, bytes: b"a" * 12}
+FLOW = b"a" * 12
+LONG = "z" * 60_000
 
 
 class CheckTest(unittest.TestCase):
@@ -16,17 +33,59 @@
 
     def test_each_field_is_checked(self) -> None:
         for number, layout in enumerate(LAYOUTS):
-            right = [VALUES.get(kind) or [VALUES[item]] for _, kind, item in layout]
+            right = [VALUES.get(kind) or [VALUES[item]] for _, kind, item, _ in layout]
             decode_message(msgpack.packb([number, *right]))
-            for index, (name, _, item) in enumerate(layout):
-                wrong_values = [None, 1.5, {}] + (
-                    [[*right[index], None]] if item else []
-                )
+            for index, (name, kind, item, _) in enumerate(layout):
+                wrong_values = [None, 1.5, {}, 1 if kind is bool else True]
+                wrong_values += [[*right[index], None], [True]] if item else []
                 for wrong in wrong_values:
                     values = [*right[:index], wrong, *right[index + 1 :]]
                     with self.assertRaisesRegex(MalformedEnvelope, f"field '{name}'"):
                         decode_message(msgpack.packb([number, *values]))
 
+    def test_values_out_of_range_are_refused(self) -> None:
+        # They can't be packed again, beat all real versions, or fill the memory.
+        for message in (
+            Forward(LONG, "10.0.0.1", 0, 0, False, [], b""),
+            Forward("desk", "10.0.0.1", 2**63, 0, False, [], b""),
+            Forward("desk", "10.0.0.1", 0, 2**63, False, [], b""),
+            Returned("desk", LONG, 0, False, [], b""),
+            *(Held(b"a" * size, False, []) for size in (0, 11, 13, 60_000)),
+            Ping(LONG, 8, False),
+            *(Ping("zone-a", known, False) for known in (-1, 2**63, 2**64 - 1)),
+            Digest(LONG, "zone-a", 1, 2, 3),
+            Digest("entry-1", "zone-a", 2**63, 2, 3),
+            Digest("entry-1", "zone-a", 1, -2, 3),
+            Buckets([-1]),
+            Pull([1], ["members/u1"], [2**63]),
+            Ask(b""),
+            Known(b"a" * 11, "", 7),
+            *(Era(era) for era in (-1, 2**63)),
+            *(Evacuation("zone-a", version) for version in (-1, 2**63)),
+            *(ColdLimit(1, limit) for limit in (-1, 2**31)),
+            ColdLimit(2**63, 1),
+            Silence(LONG),
+            Copy(LONG, 1, b""),
+            *(Copy("members/u1", version, b"") for version in (-1, 2**63)),
+        ):
+            with self.subTest(message=str(message)[:80]):
+                data = encode_message(message)
+                with self.assertRaisesRegex(MalformedEnvelope, "out of range"):
+                    decode_message(data)
+
+    def test_extreme_values_of_the_former_build_are_accepted(self) -> None:
+        for message in (
+            Forward("desk", "10.0.0.1", -(2**47), -1, True, ["10.0.0.2"] * 4_000, b""),
+            Returned("desk", "a reason", -(2**47), True, [0, 0, 0, 2**40, 0], b""),
+            Digest("", "", 0, 2**64 - 1, 0),
+            Digest("entry-1", "zone-a", 1, 2, -5),
+            Buckets([2**64 - 1] * 64),
+            Pull([], ["evacuations/" + "z" * 255], [0]),
+            Known(FLOW, "", 2**64 - 1),
+            Copy("evacuations/" + "z" * 255, 2**63 - 1, b"a" * 60_000),
+        ):
+            self.assertEqual(decode_message(encode_message(message)), message)
+
     def test_the_number_of_fields_is_checked(self) -> None:
         for data in ([3, "zone-a", 8], [3, "zone-a", 8, False, 1], [99], [], 3):
             with self.assertRaises(MalformedEnvelope):
