Limit the count of returns with which a waiting flow is reviewed

Callers saw resets after a side process had ended: one opening packet with a count of hops above 1,023 that waited at an overloaded upstream was enough.

Cause: the review of the queue divides the longest wait by two to the power of the count. The result can't be a float, or takes minutes and all memory to compute. The flow stays in the queue, and timers review it.

Change: the count is used up to 10.

Evidence: the new test failed before with "OverflowError: int too large to convert to float"; it passes.

--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -23,6 +23,9 @@
 MAX_HOPS = 1_000
 """Maximum number of members that one packet is passed along. It doesn't bind searches,
 whose count starts below 0; they end with the list of addresses in the message."""
+MAX_RETURNS = 10
+"""Largest count of early returns of a flow that is used; balancers offer one to fewer
+members, and the time that it may wait is halved for each return."""
 MAX_TENTATIVE_FLOWS = 1_000
 """Maximum number of flows whose packets were given to the upstream to find out whether
 it holds them."""
@@ -118,7 +121,7 @@
                 message,
                 unpack_class(message.priority),
                 packet.acknowledged,
-                max(message.hops, 0),
+                min(max(message.hops, 0), MAX_RETURNS),
             )
             if is_arrival:
                 self.admission.rates.note_arrival(now, item.priority)
--- /dev/null
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -0,0 +1,71 @@
+"""Odd messages neither stop a process of packet flows nor change its state for good."""
+
+import json
+import unittest
+from typing import Any
+
+from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
+from fuchsiapin.flows.fields import is_host, read_text
+from fuchsiapin.flows.messages import Forward
+from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.wire import decode_message, encode_message
+from fuchsiapin.tests.flowactors import SERVICE, SYN, make_packet, make_route
+from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
+
+BALANCER, SIDE = "10.0.0.1", "10.0.1.1"
+ROUTE = make_route()
+CLASS = 1 << 40 | 418 << 20 | 1_836
+"""Priority, target latency and deadline of a flow, as packed in `Forward`."""
+
+
+def packet(flags: int, number: int = 0) -> bytes:
+    """Return a packet of a caller that no other test uses."""
+    source = endpoint(f"100.64.200.{number}", 4_000)
+    return make_packet(flags, ROUTE.address, source, 1, 0, 0 if flags == SYN else 50)
+
+
+class OddWorld(FlowWorld):
+    """Two balancers and two members; each effect is checked before it is executed."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(balancers=2, members=2, evacuates=True, **options)
+        self.run(SETTLE_MS)
+
+    def execute(self, host: str, effect: Any) -> None:
+        """Execute one effect if the process could execute it."""
+        if isinstance(effect, ToPeer | ToCaller) and not is_host(effect.host):
+            raise AssertionError(f"no address of a host: {effect}")
+        if isinstance(effect, ToPeer):
+            assert decode_message(encode_message(effect.message)) == effect.message
+        elif isinstance(effect, ToStore):
+            read_text(effect.request.name, "name", is_empty_allowed=True)
+            json.dumps(effect.request.value)
+        super().execute(host, effect)
+
+    def receive(self, host: str, message: Any, source: str = "10.0.0.2") -> None:
+        """Let a process receive a message."""
+        self.processes[host].core.on_message(self.now, source, message)
+        self.run_effects(host)
+
+
+class SideTest(unittest.TestCase):
+    """Odd messages to a side process."""
+
+    def setUp(self) -> None:
+        self.world = OddWorld()
+        self.side = self.world.side(SIDE)
+
+    def test_a_huge_count_of_returns_does_not_end_the_review_of_the_queue(self) -> None:
+        # Two to the power of the count was computed for each flow that waits.
+        self.side.state.admission.update = lambda now: None
+        self.side.state.admission.is_overloaded = True
+        for number in range(12):
+            data = packet(SYN, number)
+            forward = Forward(SERVICE, BALANCER, 5_000, CLASS, False, [], data)
+            self.world.receive(SIDE, forward, BALANCER)
+        self.assertGreater(len(self.side.queue) + self.side.counts["offered"], 4)
+        self.world.run(1_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
