Bound the epoch that a side process takes from a ping

After one odd ping the upstream was taken for gone, or its side process ended and started again.

Cause: a side process raises the epoch of its member above the version that a balancer's ping tells, whatever the version. Beyond 2^63 - 8 the member can't be packed or is refused by its receivers, and every value above the year 9999 isn't a time.

Change: versions whose epoch is above a bound shortly before the year 10000 are reported (6301) and not used. The distance leaves room for later incarnations, so that no ping makes a member that others refuse.

--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -13,12 +13,12 @@
 from fuchsiapin.flows.delivery import FlowDelivery
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
-from fuchsiapin.flows.members import FlowMember
+from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.flows.messages import ColdLimit, Evacuation, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
 from fuchsiapin.flows.sidestate import SideSettings, SideState
 from fuchsiapin.flows.storage import MEMBERS, StoreResult
-from fuchsiapin.flows.upstreams import Heartbeat
+from fuchsiapin.flows.upstreams import MAX_RAISED_EPOCH, Heartbeat
 from fuchsiapin.flows.writing import ObjectWriter
 from fuchsiapin.lightclasses import replace
 from fuchsiapin.timers import Timers
@@ -291,6 +291,9 @@
 
     def on_ping(self, now: int, host: str, message: Ping) -> None:
         """Answer a balancer's ping and subscribe the balancer to changes."""
+        if message.known // VERSIONS_PER_EPOCH > MAX_RAISED_EPOCH:
+            error = f"version {message.known} of a member is too high"
+            self.report(6301, host=host, error=error)
         if self.upstream.raise_epoch(message.known):
             self.write_member(now)
             self.announcer.announce(now)
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -1,9 +1,14 @@
 """State of the upstream on one VM, as its side process knows it."""
 
+from fuchsiapin.flows.fields import MAX_TIME_MS
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.lightclasses import dataclass, replace
 
-__all__ = ["Heartbeat", "UpstreamState"]
+__all__ = ["MAX_RAISED_EPOCH", "Heartbeat", "UpstreamState"]
+
+MAX_RAISED_EPOCH = MAX_TIME_MS - 10**9
+"""Largest epoch of another process's record above which an epoch is raised; later
+incarnations still have epochs above it that all processes accept."""
 
 MISSED_HEARTBEATS = 3
 """Number of missing heartbeats in a row after which an upstream takes no new flows."""
@@ -189,7 +194,10 @@
         member = self.member
         if member is None or not self.has_heartbeat or version <= member.version:
             return False
-        self.member = replace(member, epoch=version // VERSIONS_PER_EPOCH + 1)
+        epoch = version // VERSIONS_PER_EPOCH
+        if epoch > MAX_RAISED_EPOCH:
+            return False
+        self.member = replace(member, epoch=epoch + 1)
         return True
 
     def mark_gone(self) -> FlowMember | None:
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
-from fuchsiapin.flows.fields import is_host, read_text
-from fuchsiapin.flows.messages import Forward
+from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
+from fuchsiapin.flows.members import VERSIONS_PER_EPOCH
+from fuchsiapin.flows.messages import Forward, Ping
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.wire import decode_message, encode_message
 from fuchsiapin.tests.flowactors import SERVICE, SYN, make_packet, make_route
@@ -66,6 +67,20 @@
         self.assertGreater(len(self.side.queue) + self.side.counts["offered"], 4)
         self.world.run(1_000)
 
+    def test_an_odd_version_in_a_ping_does_not_raise_the_epoch_for_good(self) -> None:
+        # An epoch that can't be packed, or that no balancer accepts, hides the member.
+        highest = MAX_TIME_MS * VERSIONS_PER_EPOCH
+        for known in (2**63 - 1, 2**62 + 1, highest, highest - 1, 10**13):
+            with self.subTest(known=known):
+                self.world.receive(SIDE, Ping("z", known, False))
+                self.world.run(300)
+                member = self.side.upstream.member
+                self.assertLess(member.epoch, MAX_TIME_MS)
+                for index in range(2):
+                    view = self.world.balancer(index).table.by_host(SIDE)
+                    self.assertEqual(view.member, member)
+        self.assertGreater(member.version, 10**13)
+
 
 if __name__ == "__main__":
     unittest.main()
