Send no packet to an address that a message names wrongly

One odd packet on the peer port ended a process or blocked it.

Cause: side processes answer to the origin that a packet names and pass it on to the first of its further addresses, and balancers send a packet to the holder that another balancer names. Such an address was used as it came: `sendto` looks up a name, which blocks, and raises TypeError for a NUL or for a label that can't be encoded, which nothing catches where effects run.

Change: these three addresses are checked where they are used: a packet of an odd origin is dropped, one whose next address is odd returns to its origin, both are counted as malformed, and an answer that names an odd holder is refused (6301).

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -12,6 +12,7 @@
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
+from fuchsiapin.flows.fields import read_host
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
@@ -282,7 +283,15 @@
         self.search.answer(now, host, flow, holder)
 
     def on_known(self, now: int, host: str, message: Known) -> None:
-        """Handle another balancer's answer about a flow."""
+        """Handle another balancer's answer about a flow.
+
+        Raises
+        ------
+        MalformedObject
+            If the holder's address is malformed.
+        """
+        if message.host:
+            read_host(message.host, "holder")
         self.opener.on_known(now, host, message)
         self.search.on_known(now, host, message)
 
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -8,6 +8,7 @@
 
 from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToUpstream
+from fuchsiapin.flows.fields import is_host
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import FlowState
 from fuchsiapin.flows.members import pack_load
@@ -84,7 +85,7 @@
         """Deliver a caller's packet to the upstream, or pass it on."""
         self.last_forward_at = now
         packet = self.packet_format.read(message.packet, False)
-        if packet is None:
+        if packet is None or not is_host(message.origin):
             self.counts["malformed"] += 1
             return
         if message.service != self.record.service:
@@ -300,6 +301,10 @@
         if not message.rest or message.hops >= MAX_HOPS:
             self.return_packet(now, message, reason)
             return
+        if not is_host(message.rest[0]):
+            self.counts["malformed"] += 1
+            self.return_packet(now, message, reason)
+            return
         following = replace(message, hops=message.hops + 1, rest=message.rest[1:])
         self.effects.append(ToPeer(message.rest[0], following))
 
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -6,14 +6,17 @@
 
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
+from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH
-from fuchsiapin.flows.messages import Forward, Ping
+from fuchsiapin.flows.messages import Forward, Known, Ping
 from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.searchstate import FailedSearch
 from fuchsiapin.flows.wire import decode_message, encode_message
-from fuchsiapin.tests.flowactors import SERVICE, SYN, make_packet, make_route
+from fuchsiapin.tests.flowactors import ACK, SERVICE, SYN, make_packet, make_route
 from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
 
 BALANCER, SIDE = "10.0.0.1", "10.0.1.1"
+ODD_HOSTS = ("", "db", "\0", "10.0.0", "0.0.0.0", "255.255.255.255", "z" * 9_000)
 ROUTE = make_route()
 CLASS = 1 << 40 | 418 << 20 | 1_836
 """Priority, target latency and deadline of a flow, as packed in `Forward`."""
@@ -67,6 +70,19 @@
         self.assertGreater(len(self.side.queue) + self.side.counts["offered"], 4)
         self.world.run(1_000)
 
+    def test_nothing_is_sent_to_an_odd_address(self) -> None:
+        # The name of a host would be resolved, which blocks the process.
+        for odd in ODD_HOSTS:
+            for flags, service in ((SYN, SERVICE), (ACK, SERVICE), (SYN, "other")):
+                with self.subTest(host=odd[:20], flags=flags, service=service):
+                    number = ODD_HOSTS.index(odd)
+                    data = packet(flags, number)
+                    for origin, rest in ((odd, []), (odd, [odd]), (BALANCER, [odd])):
+                        forward = Forward(service, origin, 0, 1, True, rest, data)
+                        self.world.receive(SIDE, forward, BALANCER)
+                        self.world.run(200)
+        self.assertGreater(self.side.counts["malformed"], 0)
+
     def test_an_odd_version_in_a_ping_does_not_raise_the_epoch_for_good(self) -> None:
         # An epoch that can't be packed, or that no balancer accepts, hides the member.
         highest = MAX_TIME_MS * VERSIONS_PER_EPOCH
@@ -82,5 +98,31 @@
         self.assertGreater(member.version, 10**13)
 
 
+class BalancerTest(unittest.TestCase):
+    """Odd messages to a balancer."""
+
+    def setUp(self) -> None:
+        self.world = OddWorld()
+        self.balancer = self.world.balancer(0)
+
+    def test_no_packet_is_sent_to_an_odd_address_of_a_holder(self) -> None:
+        for odd in ODD_HOSTS[1:]:
+            with self.subTest(host=odd[:20]):
+                caller = self.world.caller()
+                caller.request(BALANCER)
+                self.world.run(30)
+                self.balancer.search.failed_searches.put(
+                    caller.flow, self.failed_search(caller.flow), self.world.now
+                )
+                self.world.receive(BALANCER, Known(caller.flow, odd, 7))
+        self.assertEqual(self.world.event_counts[6301], len(ODD_HOSTS) - 1)
+
+    def failed_search(self, flow: bytes) -> FailedSearch:
+        """Return a search that failed."""
+        data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
+        found = self.world.packets.read(data, False)
+        return FailedSearch(Inquiry(found, 2, frozenset()), self.world.now, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
