Refuse copies under a key or version that isn't their own

One odd copy of an object kept a balancer from following that object for good, and it passed the copy on to the others.

Cause: a balancer that received a member, a record of a balancer or a configuration kept it under the key and the version that the message named, without a look at those in the value. A version of 2^62 beats all later ones; with a key of its own each copy of the same record was kept once more.

Change: these objects are read before they are applied, and refused (6301) if key or version differ. All builds send them under their own.

--- a/fuchsiapin/flows/balancerrecords.py
+++ b/fuchsiapin/flows/balancerrecords.py
@@ -7,7 +7,6 @@
     Gossip,
     pack_balancer,
     read_balancer,
-    unpack_balancer,
 )
 from fuchsiapin.flows.storage import StoredItem
 from fuchsiapin.flows.writing import ObjectWriter
@@ -104,9 +103,8 @@
             self.gossip.ensure_peer(now, record.host, record.zone)
             self.gossip.put(key, record.version, pack_balancer(record))
 
-    def apply_copy(self, now: int, value: bytes) -> bool:
+    def apply_copy(self, now: int, record: BalancerRecord) -> bool:
         """Apply a record from another process; return whether to replicate it."""
-        record = unpack_balancer(value)
         if record.name != self.record.name and not record.is_leaving:
             self.gossip.ensure_peer(now, record.host, record.zone)
         elif record.is_leaving:
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -14,17 +14,19 @@
     ColdRates,
 )
 from fuchsiapin.flows.configurationkeeping import ConfigurationKeeper
-from fuchsiapin.flows.departures import Departures, is_departure
+from fuchsiapin.flows.departures import Departures, is_departure, member_key
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.erakeeping import EraKeeper
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuating import EvacuationKeeper
 from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX, EvacuatedZones
+from fuchsiapin.flows.fields import shown
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import (
     CONFIGURATION_KEY,
     BalancerRecord,
     Gossip,
+    unpack_balancer,
 )
 from fuchsiapin.flows.members import (
     FlowMember,
@@ -37,7 +39,7 @@
 )
 from fuchsiapin.flows.messages import Copy, Status
 from fuchsiapin.flows.pinging import Pinger
-from fuchsiapin.flows.routes import RouteTable
+from fuchsiapin.flows.routes import RouteTable, unpack_configuration
 from fuchsiapin.flows.storage import (
     BALANCERS,
     CONFIGURATION,
@@ -432,16 +434,43 @@
         self.gossip.receive_copy(now, host, message)
 
     def apply_object(self, now: int, key: str, version: int, value: bytes) -> bool:
-        """Apply an object if it is newer; return whether to replicate it further."""
+        """Apply an object if it is newer; return whether to replicate it further.
+
+        Raises
+        ------
+        MalformedObject
+            If the value can't be read, or has another key or version of its own.
+        """
         if key == CONFIGURATION_KEY:
-            return self.configurations.apply_copy(value)
+            configuration = unpack_configuration(value)
+            check_identity(key, version, key, configuration.version)
+            return self.configurations.apply(configuration, "peer")
         if key == COLD_RATES_KEY:
             return self.cold_rates.apply_copy(version, value)
         if key.startswith("members/"):
-            return self.apply_member(now, unpack_member(value), "peer")
+            member = unpack_member(value)
+            check_identity(key, version, member_key(member.id), member.version)
+            return self.apply_member(now, member, "peer")
         if key.startswith("balancers/"):
-            return self.balancers.apply_copy(now, value)
+            record = unpack_balancer(value)
+            check_identity(key, version, f"balancers/{record.name}", record.version)
+            return self.balancers.apply_copy(now, record)
         if key.startswith(EVACUATIONS_PREFIX):
             zone = key.removeprefix(EVACUATIONS_PREFIX)
             return self.evacuations.apply_copy(now, zone, version)
-        raise MalformedObject(f"key {key!r} has no prefix that balancers replicate")
+        raise MalformedObject(f"key {shown(key)} has no prefix that balancers use")
+
+
+def check_identity(key: str, version: int, own_key: str, own_version: int) -> None:
+    """Check that an object was received under the key and version in its value.
+
+    Raises
+    ------
+    MalformedObject
+        If it was received under others.
+    """
+    if (key, version) != (own_key, own_version):
+        raise MalformedObject(
+            f"{shown(key)} of version {version} holds {shown(own_key)} of version "
+            f"{own_version}"
+        )
--- a/fuchsiapin/flows/configurationkeeping.py
+++ b/fuchsiapin/flows/configurationkeeping.py
@@ -8,7 +8,6 @@
     FlowConfiguration,
     RouteTable,
     pack_configuration,
-    unpack_configuration,
 )
 from fuchsiapin.flows.storage import StoredItem
 
@@ -87,7 +86,3 @@
         self.stored_version = version
         if version < self.routes.version and not is_reported:
             self.report(6314, stored=version, in_force=self.routes.version)
-
-    def apply_copy(self, value: bytes) -> bool:
-        """Apply a configuration from another process; return whether it was newer."""
-        return self.apply(unpack_configuration(value), "peer")
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -6,12 +6,15 @@
 
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
+from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
-from fuchsiapin.flows.members import VERSIONS_PER_EPOCH
-from fuchsiapin.flows.messages import Forward, Known, Ping
+from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember, pack_member
+from fuchsiapin.flows.messages import Copy, Forward, Known, Ping
 from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
 from fuchsiapin.flows.wire import decode_message, encode_message
+from fuchsiapin.replicas import pack_value
 from fuchsiapin.tests.flowactors import ACK, SERVICE, SYN, make_packet, make_route
 from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
 
@@ -117,6 +120,31 @@
                 self.world.receive(BALANCER, Known(caller.flow, odd, 7))
         self.assertEqual(self.world.event_counts[6301], len(ODD_HOSTS) - 1)
 
+    def test_a_copy_whose_key_or_version_is_not_its_own_is_refused(self) -> None:
+        # Kept under that version it would beat all later ones of its object.
+        member = FlowMember("u9", 900, SERVICE, "10.0.1.9", "z", 2, "ready")
+        record = BalancerRecord("entry-9", 900, "10.0.0.9", "z")
+        configuration = FlowConfiguration(2, (ROUTE,), 15_000)
+        for key, version, value in (
+            ("members/u9", member.version, pack_member(member)),
+            ("balancers/entry-9", record.version, pack_balancer(record)),
+            ("configuration/current", 2, pack_configuration(configuration)),
+        ):
+            for odd_key, odd_version in (
+                (key, 2**62 + 1),
+                (key, version + 1),
+                (f"{key}-2", version),
+                (key.split("/")[0] + "/", version),
+            ):
+                with self.subTest(key=odd_key, version=odd_version):
+                    copy = Copy(odd_key, odd_version, pack_value(value))
+                    known = self.world.event_counts[6301]
+                    self.world.receive(BALANCER, copy)
+                    self.assertEqual(self.world.event_counts[6301], known + 1)
+                    self.assertLessEqual(self.balancer.state.gossip.version(odd_key), 1)
+            self.world.receive(BALANCER, Copy(key, version, pack_value(value)))
+            self.assertEqual(self.balancer.state.gossip.version(key), version)
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
