Read each value of a configuration from another balancer

One odd configuration of another balancer left callers without service on its routes, or a balancer with half of the configuration in force.

Cause: routes were kept as they came, but for the length of the address. Shares that aren't pairs failed after the version was in force; a deadline that is a text failed with each packet of a caller.

Change: each field has a type, a range and a length, as those of other objects. What the platform's configurations can contain is accepted. Error texts don't contain the decoded object.

--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -6,6 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.fields import MAX_VERSION, read_text, read_whole, shown
 from fuchsiapin.flows.packets import ROUTE_BYTES
 from fuchsiapin.lightclasses import astuple, dataclass
 
@@ -111,21 +112,42 @@
     try:
         version, routes, idle_timeout_ms = msgpack.unpackb(data, use_list=False)
         return FlowConfiguration(
-            int(version),
+            read_whole(version, "version", highest=MAX_VERSION),
             tuple(read_route(fields) for fields in routes),
-            int(idle_timeout_ms),
+            read_whole(idle_timeout_ms, "idle timeout"),
         )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise MalformedObject(f"configuration of flows: {error!r}") from error
+        # The representation of some errors contains the decoded object.
+        text = f"{type(error).__name__} {error}"
+        raise MalformedObject(f"configuration of flows: {text}") from error
 
 
 def read_route(fields: Any) -> FlowRoute:
-    """Return a route from its fields."""
+    """Return a route from its fields.
+
+    Raises
+    ------
+    MalformedObject
+        If a field has an invalid value.
+    TypeError, ValueError
+        If there are other fields, or shares that aren't pairs.
+    """
     name, address, shares, kind, deadline_ms, target_latency_ms, priority = fields
-    if len(address) != 6 or not shares:
-        raise ValueError(f"route {name!r} has address {address!r}, shares {shares!r}")
+    if type(address) is not bytes or len(address) != ROUTE_BYTES:
+        raise MalformedObject(f"address of a route is {shown(address)}")
+    if type(shares) is not tuple or not shares:
+        raise MalformedObject(f"shares of a route are {shown(shares)}")
     return FlowRoute(
-        name, address, shares, kind, deadline_ms, target_latency_ms, priority
+        read_text(name, "name of a route", is_empty_allowed=True),
+        address,
+        tuple(
+            (read_text(service, "service"), read_whole(weight, "weight"))
+            for service, weight in shares
+        ),
+        read_text(kind, "kind of a route", is_empty_allowed=True),
+        read_whole(deadline_ms, "deadline"),
+        read_whole(target_latency_ms, "target latency"),
+        read_whole(priority, "priority"),
     )
 
 
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -4,6 +4,8 @@
 import unittest
 from typing import Any
 
+import msgpack
+
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
@@ -14,9 +16,10 @@
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
 from fuchsiapin.flows.wire import decode_message, encode_message
+from fuchsiapin.lightclasses import astuple
 from fuchsiapin.replicas import pack_value
 from fuchsiapin.tests.flowactors import ACK, SERVICE, SYN, make_packet, make_route
-from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
+from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld, open_flow
 
 BALANCER, SIDE = "10.0.0.1", "10.0.1.1"
 ODD_HOSTS = ("", "db", "\0", "10.0.0", "0.0.0.0", "255.255.255.255", "z" * 9_000)
@@ -145,6 +148,35 @@
             self.world.receive(BALANCER, Copy(key, version, pack_value(value)))
             self.assertEqual(self.balancer.state.gossip.version(key), version)
 
+    def test_an_odd_configuration_of_another_balancer_is_refused(self) -> None:
+        # Routes were kept as they came, and each packet of a caller failed.
+        right = astuple(ROUTE)
+        share = (SERVICE, 1)
+        routes = [
+            (*right[:index], odd, *right[index + 1 :])
+            for index, odd_values in (
+                (0, (5, "z" * 300)),
+                (1, ("198.18", b"", None)),
+                (2, (5, "ab", (), (5,), ((SERVICE,),), (share, (7, 1)))),
+                (2, tuple(((SERVICE, odd),) for odd in (-1, "1", 2**40, 1e300))),
+                (3, (None, 2)),
+                *((index, (None, "9", True, -1, 2**40, 1e300)) for index in (4, 5, 6)),
+            )
+            for odd in odd_values
+        ]
+        odd_values = [(2, [route], 15_000) for route in [*routes, (), 5, right[:6]]]
+        odd_values += [(2, 5, 1), (2, [right], -1), (2, [right], 1e300), (2, None, 1)]
+        odd_values += [(odd, [right], 1) for odd in (1e300, "2", None, True)]
+        packed = [msgpack.packb(odd) for odd in odd_values]
+        nested = b"\x91" * 1_010 + b"\xc0"
+        for value in (*packed, nested, nested + b"\x00", b"", b"\xc1", b"\xa1\xff"):
+            with self.subTest(value=value[:80]):
+                known = self.world.event_counts[6301]
+                copy = Copy("configuration/current", 2, pack_value(value))
+                self.world.receive(BALANCER, copy)
+                self.assertEqual(self.world.event_counts[6301], known + 1)
+        open_flow(self.world, BALANCER)
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
