Bound the cold rates that a balancer takes from another one

After one odd copy of the rates of cold upstreams each balancer ended with the next ping to a cold member, and again after its start.

Cause: a rate could be any finite number, so that the limit that follows from it couldn't be packed, or not be computed at all (OverflowError).

Change: services and rates are read with a length and a range, limits have the range of their message, and error texts don't contain the decoded object.

Evidence: the new test failed before for all 13 values, with "OverflowError: Integer value out of range" from the ping after the first one; it passes.

--- a/fuchsiapin/flows/coldrates.py
+++ b/fuchsiapin/flows/coldrates.py
@@ -5,13 +5,13 @@
 the limit (`coldstart`), and learn it with the pings of balancers.
 """
 
-import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgpack
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.fields import MAX_WHOLE, read_number, read_text
 from fuchsiapin.flows.gossip import Gossip
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.messages import ColdLimit
@@ -63,7 +63,7 @@
     """
     if per_s <= 0 or bounds.overage <= 0:
         return 0
-    return max(1, int(per_s * bounds.overage + bounds.slack))
+    return max(1, int(min(per_s * bounds.overage + bounds.slack, MAX_WHOLE)))
 
 
 def pack_cold_rates(rates: Sequence[tuple[str, float]]) -> bytes:
@@ -82,7 +82,9 @@
     try:
         return tuple(read_rate(*fields) for fields in msgpack.unpackb(data))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise MalformedObject(f"cold rates: {error!r}") from error
+        # The representation of some errors contains the decoded object.
+        text = f"{type(error).__name__} {error}"
+        raise MalformedObject(f"cold rates: {text}") from error
 
 
 def read_rate(service: Any, per_s: Any) -> tuple[str, float]:
@@ -90,15 +92,10 @@
 
     Raises
     ------
-    ValueError
+    MalformedObject
         If a field has an invalid value.
     """
-    is_number = isinstance(per_s, int | float) and not isinstance(per_s, bool)
-    if not isinstance(service, str) or not is_number:
-        raise ValueError(f"invalid service {service!r} or rate {per_s!r}")
-    if not math.isfinite(per_s) or per_s < 0:
-        raise ValueError(f"rate {per_s!r} of {service!r} is not a number from 0")
-    return service, float(per_s)
+    return read_text(service, "service"), read_number(per_s, "cold rate", MAX_WHOLE)
 
 
 class ColdRates:
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from fuchsiapin.flows.coldrates import COLD_RATES_KEY, ColdBounds, openings_limit
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
@@ -177,6 +178,34 @@
                 self.assertEqual(self.world.event_counts[6301], known + 1)
         open_flow(self.world, BALANCER)
 
+    def receive_rates(self, rates: Any, version: int = 2) -> None:
+        """Receive the rates of cold upstreams from another balancer."""
+        copy = Copy(COLD_RATES_KEY, version, pack_value(msgpack.packb(rates)))
+        self.world.receive(BALANCER, copy)
+
+    def test_odd_rates_of_cold_upstreams_make_no_limit_that_cannot_be_sent(
+        self,
+    ) -> None:
+        rates = self.balancer.state.cold_rates
+        rates.bounds = ColdBounds(1.5, 5)
+        self.balancer.routes.version = 2
+        for upstream in self.world.upstreams.values():
+            upstream.cold_until = self.world.now + 60_000
+        nested: Any = []
+        for _ in range(400):
+            nested = [nested]
+        odd_rates = (1e308, 1e30, 2**64 - 1, -1, True, "5", nested, float("nan"))
+        odd = [[(SERVICE, rate)] for rate in odd_rates]
+        for values in (*odd, [("z" * 300, 5.0)], [(5, 5.0)], [(SERVICE,)], 5, nested):
+            with self.subTest(values=str(values)[:60]):
+                known = self.world.event_counts[6301]
+                self.receive_rates(values)
+                self.world.run(800)
+                self.assertEqual(self.world.event_counts[6301], known + 1)
+        self.receive_rates([(SERVICE, 4.0)])
+        self.assertEqual(rates.limits, {SERVICE: 11})
+        self.assertEqual(openings_limit(1e9, ColdBounds(1e300)), 2**31 - 1)
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
