Take no cold rates of a configuration that isn't known yet

One odd copy with a version of 2^63 - 1 kept a balancer from applying the rates of all later configurations, those from the store included.

Cause: the version of the rates is the configuration's, but only the message tells it, and the highest one stays.

Change: rates of a later configuration than the one in force are left until it is known; they are repeated with digests.

Evidence: the new test failed before with "Tuples differ: (('desk', 4.0),) != ()"; it passes.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -446,7 +446,9 @@
             check_identity(key, version, key, configuration.version)
             return self.configurations.apply(configuration, "peer")
         if key == COLD_RATES_KEY:
-            return self.cold_rates.apply_copy(version, value)
+            # Those of a configuration that isn't known here yet come again.
+            is_known = version <= self.routes.version
+            return is_known and self.cold_rates.apply_copy(version, value)
         if key.startswith("members/"):
             member = unpack_member(value)
             check_identity(key, version, member_key(member.id), member.version)
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -206,6 +206,15 @@
         self.assertEqual(rates.limits, {SERVICE: 11})
         self.assertEqual(openings_limit(1e9, ColdBounds(1e300)), 2**31 - 1)
 
+    def test_rates_of_no_known_configuration_do_not_hide_later_ones(self) -> None:
+        rates = self.balancer.state.cold_rates
+        for version in (2**63 - 1, 3, 2):
+            self.receive_rates([(SERVICE, 4.0)], version)
+            self.assertEqual(rates.rates, ())
+        self.balancer.routes.version = 2
+        self.receive_rates([(SERVICE, 4.0)])
+        self.assertEqual(rates.rates, ((SERVICE, 4.0),))
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
