Let an unrepeated limit of a cold upstream give way to any other

One odd message with a configuration of 2^63 - 1 kept a side process from applying any other limit: the upstream got too few new flows while cold, or too many, until the process ended.

Cause: a limit of an older configuration than the latest was ignored for good, although balancers repeat the one in force with each ping.

Change: a limit that no balancer has repeated for 1.5 s gives way to one of any configuration.

--- a/fuchsiapin/flows/coldstart.py
+++ b/fuchsiapin/flows/coldstart.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 
 from fuchsiapin.flows.messages import ColdLimit
 from fuchsiapin.flows.upstreams import UpstreamState
@@ -71,24 +70,24 @@
     ----------
     upstream : UpstreamState
         State of the upstream.
-    report : callable
-        Takes the number and the fields of an event.
 
     Attributes
     ----------
     configuration : int
         Version of the configuration that the limit comes from, 0 for none.
+    received_at : int
+        When a balancer sent the limit last, in ms, 0 for never.
     limit : int
         Openings in any span of one second, 0 for no limit.
     window : OpeningWindow
         Openings given to the upstream, whether it was cold or not.
     """
 
-    def __init__(self, upstream: UpstreamState, report: Callable[..., None]) -> None:
+    def __init__(self, upstream: UpstreamState) -> None:
         self.upstream = upstream
-        self.report = report
         self.configuration = 0
         self.limit = 0
+        self.received_at = 0
         self.renewed_at = 0
         self.was_cold = False
         self.window = OpeningWindow()
@@ -97,14 +96,12 @@
         """Apply a limit from a balancer unless it comes from an older configuration.
 
         Balancers whose settings differ may send different limits of one configuration;
-        the last one received is in force.
+        the last one received is in force. One that isn't repeated gives way to any.
         """
-        if message.openings_per_s < 0:
-            error = f"limit of openings is {message.openings_per_s}"
-            self.report(6301, host=host, error=error)
-            return
-        if message.configuration < self.configuration:
+        is_repeated = now - self.received_at <= RENEWAL_MS
+        if message.configuration < self.configuration and is_repeated:
             return
+        self.received_at = now
         self.configuration = message.configuration
         self.limit = message.openings_per_s
         self.renewed_at = now
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -89,7 +89,7 @@
         self.upstream = UpstreamState(
             record.host, record.service, record.zone, record.interval_ms
         )
-        self.cold_start = ColdStart(self.upstream, report)
+        self.cold_start = ColdStart(self.upstream)
         self.held = HeldFlows()
         self.queue = OpeningQueue()
         self.admission = AdmissionControl()
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -12,7 +12,7 @@
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember, pack_member
-from fuchsiapin.flows.messages import Copy, Forward, Known, Ping
+from fuchsiapin.flows.messages import ColdLimit, Copy, Forward, Known, Ping
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
@@ -104,6 +104,14 @@
                     self.assertEqual(view.member, member)
         self.assertGreater(member.version, 10**13)
 
+    def test_an_odd_limit_of_a_cold_upstream_ends(self) -> None:
+        self.world.upstreams[SIDE].cold_until = self.world.now + 60_000
+        self.world.receive(SIDE, ColdLimit(2**63 - 1, 1))
+        for _ in range(20):
+            self.world.run(100)
+            self.world.receive(SIDE, ColdLimit(2, 7), BALANCER)
+        self.assertEqual(self.side.state.cold_start.limit_at(self.world.now), 7)
+
 
 class BalancerTest(unittest.TestCase):
     """Odd messages to a balancer."""
