Drop an era that another process told and the store doesn't confirm

After one odd datagram with an era all answers of the store counted as outdated at all balancers, for good: new configurations and members came no more, and a balancer that started learned the era from the others.

Cause: the era that another process tells was taken like one of the store.

Change: an era more than 1,000 above the known one is refused (6301). One that the store, while it answers with a lower one, doesn't confirm within 10 s is dropped (6312) and not taken from others again; the store itself may still tell it later.

--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -383,7 +383,8 @@
         "acknowledged since is gone, and its revisions are given out again. The "
         "process lists all objects anew. `is_rewritten` tells whether it writes its "
         "own record again, as the store may have lost it; `source` whether the store "
-        "or another balancer told the era.",
+        "or another balancer told the era. If `era` is below `former`, the store "
+        "didn't confirm what another process had told.",
         "Expect the operator's and the upstreams' writes to be repeated.",
         (
             Field("former", "integer"),
--- a/fuchsiapin/flows/erakeeping.py
+++ b/fuchsiapin/flows/erakeeping.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import Gossip
@@ -11,7 +12,13 @@
 from fuchsiapin.flows.writing import ObjectWriter
 from fuchsiapin.timers import Timers
 
-__all__ = ["EraKeeper"]
+__all__ = ["UNCONFIRMED_MS", "EraKeeper"]
+
+MAX_ERA_STEP = 1_000
+"""Largest step to an era that another process tells."""
+UNCONFIRMED_MS = 10_000
+"""Time within which the store confirms an era that another process told. Otherwise it
+isn't one of the store, whose answers would count as outdated for good."""
 
 LOST_WRITE_MS = 60_000
 """A balancer writes its record again in a new era of the store if it wrote it within
@@ -66,12 +73,27 @@
         problem = self.era.note_answer(answer)
         if problem:
             self.report(6313, error=problem, era=self.era.current)
+        former = self.era.current
+        if self.era.retract(now, answer.era, UNCONFIRMED_MS):
+            self.report(
+                6312, former=former, era=answer.era, source="store", is_rewritten=False
+            )
         self.note(now, answer.era, "store")
         return self.era.screen(answer)
 
     def on_message(self, now: int, host: str, message: Era) -> None:
-        """Learn the store's era from another balancer."""
+        """Learn the store's era from another balancer.
+
+        Raises
+        ------
+        MalformedObject
+            If it is far above the known one.
+        """
         self.gossip.note_message(now, host)
+        if message.era > self.era.current + MAX_ERA_STEP:
+            raise MalformedObject(
+                f"era {message.era} is far above the known {self.era.current}"
+            )
         self.note(now, message.era, "peer")
 
     def note(self, now: int, era: int, source: str) -> None:
@@ -81,7 +103,9 @@
         balancer's record is written again if the store may have lost it.
         """
         former = self.era.current
-        if not self.era.note(era):
+        is_store = source == "store"
+        is_change = self.era.note(era) if is_store else self.era.note_told(now, era)
+        if not is_change:
             return
         is_lost = now - self.writer.written_at <= LOST_WRITE_MS
         self.report(6312, former=former, era=era, source=source, is_rewritten=is_lost)
--- a/fuchsiapin/flows/eras.py
+++ b/fuchsiapin/flows/eras.py
@@ -16,6 +16,12 @@
     ----------
     current : int
         Newest era, 0 if the store hasn't told any.
+    confirmed : int
+        Newest era that the store itself told this process.
+    told_at : int
+        When another process told the newest era, in ms.
+    doubted : int
+        Newest era that another process told and that the store didn't confirm.
     is_readable : bool
         Whether the latest answer told its era, where one is expected.
 
@@ -30,16 +36,48 @@
 
     def __init__(self) -> None:
         self.current = 0
+        self.confirmed = 0
+        self.told_at = 0
+        self.doubted = 0
         self.is_readable = True
 
     def note(self, era: int) -> bool:
-        """Record an era; return whether it ends another one that was known."""
+        """Record an era of the store; return whether it ends another known one."""
+        self.confirmed = max(self.confirmed, era)
+        return self.raise_to(era)
+
+    def note_told(self, now: int, era: int) -> bool:
+        """Record an era that another process told, as `note` does."""
+        if era <= max(self.current, self.doubted):
+            return False
+        self.told_at = now
+        return self.raise_to(era)
+
+    def raise_to(self, era: int) -> bool:
+        """Set a newer era; return whether it ends another one that was known."""
         if era <= self.current:
             return False
         is_change = self.current > 0
         self.current = era
         return is_change
 
+    def retract(self, now: int, era: int, unconfirmed_ms: int) -> bool:
+        """Return to an era of the store if it hasn't confirmed the newest one for long.
+
+        Returns
+        -------
+        bool
+            Whether the newest era, told by another process, was dropped.
+        """
+        is_unconfirmed = self.confirmed < self.current
+        if not (is_unconfirmed and self.is_stale(era)):
+            return False
+        if now - self.told_at <= unconfirmed_ms:
+            return False
+        self.doubted = self.current
+        self.current = era
+        return True
+
     def is_stale(self, era: int) -> bool:
         """Return whether an answer belongs to an era that has ended."""
         return 0 < era < self.current
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -8,11 +8,12 @@
 
 from fuchsiapin.flows.coldrates import COLD_RATES_KEY, ColdBounds, openings_limit
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
+from fuchsiapin.flows.erakeeping import UNCONFIRMED_MS
 from fuchsiapin.flows.fields import MAX_TIME_MS, is_host, read_text
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember, pack_member
-from fuchsiapin.flows.messages import ColdLimit, Copy, Forward, Known, Ping
+from fuchsiapin.flows.messages import ColdLimit, Copy, Era, Forward, Known, Ping
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
@@ -223,6 +224,24 @@
         self.receive_rates([(SERVICE, 4.0)])
         self.assertEqual(rates.rates, ((SERVICE, 4.0),))
 
+    def test_an_era_that_the_store_does_not_tell_ends(self) -> None:
+        # All answers of the store counted as outdated.
+        self.world.store.era = 1
+        self.world.run(4_000)
+        for version, odd in ((2, 2**62), (3, 900)):
+            for host in self.world.balancer_hosts:
+                self.world.receive(host, Era(odd), "10.0.0.9")
+            self.world.configure(version)
+            self.world.run(2_000 + UNCONFIRMED_MS)
+            for index in range(2):
+                core = self.world.balancer(index)
+                self.assertEqual(core.state.era.current, 1)
+                self.assertEqual(core.routes.version, version)
+        # An era that the store tells later counts, though it was told wrongly before.
+        self.world.store.era = 900
+        self.world.run(4_000)
+        self.assertEqual(self.balancer.state.era.current, 900)
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
