Refuse an evacuation of an era far above the store's

One odd message with a version of 2^62 + 1 evacuated a zone for good: its side processes refused all new flows, and neither a removal nor another record of the store counted any more.

Cause: the version of an evacuation holds the era of the store, and any era was taken from another process.

Change: balancers and side processes that know the store's era refuse (6301) a version whose era is more than 1,000 above it. One that knows no era takes any, as an evacuation mustn't be missed.

Evidence: the new test failed before, as no flow opened ("assert caller.is_open"); it passes.

--- a/fuchsiapin/flows/erakeeping.py
+++ b/fuchsiapin/flows/erakeeping.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.eras import StoreEra
+from fuchsiapin.flows.eras import MAX_ERA_STEP, StoreEra
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import Gossip
 from fuchsiapin.flows.messages import Era
@@ -14,8 +14,6 @@
 
 __all__ = ["UNCONFIRMED_MS", "EraKeeper"]
 
-MAX_ERA_STEP = 1_000
-"""Largest step to an era that another process tells."""
 UNCONFIRMED_MS = 10_000
 """Time within which the store confirms an era that another process told. Otherwise it
 isn't one of the store, whose answers would count as outdated for good."""
--- a/fuchsiapin/flows/eras.py
+++ b/fuchsiapin/flows/eras.py
@@ -6,7 +6,10 @@
 
 from fuchsiapin.flows.storage import StoreResult
 
-__all__ = ["StoreEra"]
+__all__ = ["MAX_ERA_STEP", "StoreEra"]
+
+MAX_ERA_STEP = 1_000
+"""Largest step to an era that another process tells."""
 
 
 class StoreEra:
--- a/fuchsiapin/flows/evacuating.py
+++ b/fuchsiapin/flows/evacuating.py
@@ -6,6 +6,7 @@
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuations import (
     EvacuatedZones,
+    era_error,
     era_of,
     evacuation_key,
     evacuation_version,
@@ -169,9 +170,9 @@
         Raises
         ------
         MalformedObject
-            If the name of the zone is malformed.
+            If the name of the zone is malformed, or the version can't be right.
         """
-        if error := zone_error(zone):
+        if error := zone_error(zone) or era_error(version, self.era.current):
             raise MalformedObject(error)
         is_unlisted = is_evacuation(version) and version < self.listed_version
         if is_unlisted:
--- a/fuchsiapin/flows/evacuations.py
+++ b/fuchsiapin/flows/evacuations.py
@@ -4,9 +4,12 @@
 are. This answers planned work on a zone: its upstreams become idle as their flows end.
 """
 
+from fuchsiapin.flows.eras import MAX_ERA_STEP
+
 __all__ = [
     "EVACUATIONS_PREFIX",
     "EvacuatedZones",
+    "era_error",
     "era_of",
     "evacuation_key",
     "evacuation_version",
@@ -72,6 +75,24 @@
     return version >> ERA_SHIFT
 
 
+def era_error(version: int, era: int) -> str:
+    """Return why a version can't be told by another process, empty if it can.
+
+    `era` is the newest known era of the store, 0 if none is known.
+
+    Examples
+    --------
+    >>> era_error(evacuation_version(2, 7), 1), era_error(2**62, 0)
+    ('', '')
+    >>> era_error(2**62, 1)
+    'version 4611686018427387904 is of era 262144, far above 1'
+    """
+    known = era & ERA_MASK
+    if not era or era_of(version) <= known + MAX_ERA_STEP:
+        return ""
+    return f"version {version} is of era {era_of(version)}, far above {known}"
+
+
 def evacuation_key(zone: str) -> str:
     """Return the key of a zone's record among the replicated objects."""
     return EVACUATIONS_PREFIX + zone
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -13,6 +13,7 @@
 from fuchsiapin.flows.delivery import FlowDelivery
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
+from fuchsiapin.flows.evacuations import era_error
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.flows.messages import ColdLimit, Evacuation, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
@@ -313,6 +314,9 @@
         """
         if message.zone != self.record.zone:
             return
+        if error := era_error(message.version, self.era.current):
+            self.report(6301, host=host, error=error)
+            return
         if not self.state.zones.put(now, message.zone, message.version):
             return
         flows = self.held.open_count()
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -13,7 +13,15 @@
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember, pack_member
-from fuchsiapin.flows.messages import ColdLimit, Copy, Era, Forward, Known, Ping
+from fuchsiapin.flows.messages import (
+    ColdLimit,
+    Copy,
+    Era,
+    Evacuation,
+    Forward,
+    Known,
+    Ping,
+)
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
@@ -41,6 +49,7 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(balancers=2, members=2, evacuates=True, **options)
+        self.store.era = 1
         self.run(SETTLE_MS)
 
     def execute(self, host: str, effect: Any) -> None:
@@ -226,8 +235,6 @@
 
     def test_an_era_that_the_store_does_not_tell_ends(self) -> None:
         # All answers of the store counted as outdated.
-        self.world.store.era = 1
-        self.world.run(4_000)
         for version, odd in ((2, 2**62), (3, 900)):
             for host in self.world.balancer_hosts:
                 self.world.receive(host, Era(odd), "10.0.0.9")
@@ -242,6 +249,21 @@
         self.world.run(4_000)
         self.assertEqual(self.balancer.state.era.current, 900)
 
+    def test_an_evacuation_of_an_odd_era_is_refused(self) -> None:
+        # Neither its removal nor a later evacuation would count.
+        for version in (2**63 - 1, 2**62 + 1, (2_000 << 44) + 1):
+            copy = Copy("evacuations/z", version, pack_value(b""))
+            for host in self.world.balancer_hosts:
+                self.world.receive(host, copy, "10.0.0.9")
+            for host in self.world.upstreams:
+                self.world.receive(host, Evacuation("z", version), "10.0.0.9")
+            self.world.run(500)
+        open_flow(self.world, BALANCER)
+        self.world.evacuate("z")
+        self.world.run(1_500)
+        self.assertTrue(self.world.side(SIDE).state.is_evacuated)
+        self.assertEqual(self.balancer.state.zones.evacuated, {"z"})
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
