Count returned packets by known reasons only

The metrics of a balancer grew by one series for each different reason in a message, up to any number and 300 characters each, and were never removed.

Cause: the reason with which a packet came back is a label of a metric, and was taken as the sender wrote it.

Change: reasons that side processes don't use are counted as `other`; what is done with the packet is as before.

Evidence: the new test failed before with "2010 not less than 30"; it passes.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
 from fuchsiapin.flows.fields import read_host
@@ -42,6 +43,8 @@
 
 MAX_CACHED_FLOWS = 100_000
 """Maximum number of flows whose holder is cached; about 300 bytes each."""
+RETURN_REASONS = frozenset(("refused", "unknown", "full", "lost", OVERLOADED))
+"""Reasons for which side processes return packets. Each is a label of a metric."""
 CACHE_MS = 90_000
 """How long a holder stays cached after the last packet of the flow, or another
 balancer's question about it, at this balancer."""
@@ -310,7 +313,8 @@
         packet = self.packet_format.read(message.packet, False)
         if packet is None:
             return
-        self.counts[f"returned: {message.reason}"] += 1
+        is_known = message.reason in RETURN_REASONS
+        self.counts[f"returned: {message.reason if is_known else 'other'}"] += 1
         route = self.routes.find(packet.flow)
         if route is None:
             self.handle_unrouted(now, packet)
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -21,6 +21,7 @@
     Forward,
     Known,
     Ping,
+    Returned,
 )
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
@@ -264,6 +265,16 @@
         self.assertTrue(self.world.side(SIDE).state.is_evacuated)
         self.assertEqual(self.balancer.state.zones.evacuated, {"z"})
 
+    def test_odd_reasons_make_no_further_metrics(self) -> None:
+        for reason in ("", "\0", "z" * 300, *map(str, range(2_000))):
+            returned = Returned(SERVICE, reason, 0, False, [0] * 5, packet(ACK))
+            self.world.receive(BALANCER, returned, SIDE)
+        for reason in ("unknown", "refused", "full", "lost", "overloaded"):
+            returned = Returned(SERVICE, reason, 0, False, [0] * 5, packet(ACK))
+            self.world.receive(BALANCER, returned, SIDE)
+            self.assertEqual(self.balancer.counts[f"returned: {reason}"], 1)
+        self.assertLess(len(self.balancer.counts), 30)
+
     def failed_search(self, flow: bytes) -> FailedSearch:
         """Return a search that failed."""
         data = make_packet(ACK, flow[:6], flow[6:], 1, 1, 50)
