Test both cores with any odd messages

Cause: the faults with values of messages were found one at a time.

Change: a property test gives two balancers and two side processes up to twelve messages of all types, each with up to two odd values, or random bytes, lets timers run, checks that each effect can be executed, and then that a new configuration and a new member arrive and flows are served.

--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from fuchsiapin.exceptions import MalformedEnvelope
 from fuchsiapin.flows.coldrates import COLD_RATES_KEY, ColdBounds, openings_limit
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.erakeeping import UNCONFIRMED_MS
@@ -14,19 +17,26 @@
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import VERSIONS_PER_EPOCH, FlowMember, pack_member
 from fuchsiapin.flows.messages import (
+    Ask,
+    Buckets,
     ColdLimit,
     Copy,
+    Digest,
     Era,
     Evacuation,
     Forward,
+    Held,
     Known,
     Ping,
+    Pull,
     Returned,
+    Silence,
+    Status,
 )
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
-from fuchsiapin.flows.wire import decode_message, encode_message
+from fuchsiapin.flows.wire import TYPE_NUMBERS, decode_message, encode_message
 from fuchsiapin.lightclasses import astuple
 from fuchsiapin.replicas import pack_value
 from fuchsiapin.tests.flowactors import ACK, SERVICE, SYN, make_packet, make_route
@@ -282,5 +292,101 @@
         return FailedSearch(Inquiry(found, 2, frozenset()), self.world.now, 1)
 
 
+LOAD = [0] * 5
+FLOW = ROUTE.address + endpoint("100.64.200.9", 4_000)
+RIGHT = (
+    Forward(SERVICE, BALANCER, 0, CLASS, False, [], packet(SYN, 9)),
+    Forward(SERVICE, BALANCER, -5 << 17, 0, True, ["10.0.1.2"], packet(ACK, 9)),
+    Returned(SERVICE, "unknown", -5 << 17, True, LOAD, packet(ACK, 9)),
+    Returned(SERVICE, "full", 0, False, LOAD, packet(SYN, 9)),
+    Held(FLOW, True, LOAD),
+    Ping("z", 8, True),
+    Status(b"", True, LOAD),
+    Digest("entry-9", "z", 1, 7, 0),
+    Buckets([0] * 64),
+    Pull([1], ["members/u1"], [1]),
+    Ask(FLOW),
+    Known(FLOW, SIDE, 1),
+    Era(1),
+    Evacuation("y", 9),
+    ColdLimit(1, 3),
+    Silence(SIDE),
+    Copy("configuration/current", 2, pack_value(b"\x93\x02\x90\x01")),
+    Copy(COLD_RATES_KEY, 1, pack_value(msgpack.packb([(SERVICE, 5.0)]))),
+    Copy("evacuations/y", 9, pack_value(b"")),
+)
+NESTED = b"\x91" * 1_010 + b"\xc0"
+NUMBERS = [-(2**63), -1, 0, 1_100, 2**31, 2**40 + 1, 2**62 + 1, 2**63 - 1, 2**64 - 1]
+TEXTS = [*ODD_HOSTS, "10.9.9.9", "é" * 300, "members/", "members/x", "coldrates/x"]
+BYTES = [b"", b"\xff", b"z" * 40_000, NESTED, pack_value(NESTED), pack_value(b"z")]
+LISTS = [
+    [],
+    [0] * 4,
+    [2**64 - 1] * 5,
+    [2**64 - 1] * 64,
+    [-1] * 5,
+    [True] * 5,
+    [0] * 9_000,
+]
+LISTS += [[odd] for odd in TEXTS] + [["10.9.9.9"] * 3_000]
+POOLS = {int: NUMBERS, str: TEXTS, bytes: BYTES, list: LISTS, bool: [0, 2]}
+OTHERS = [None, True, 1.5, float("nan"), {}, "z", b"z", 0, [[]], msgpack.Timestamp(1)]
+
+
+@st.composite
+def odd_datagrams(draw: Any) -> bytes:
+    """Return a message with up to two odd values."""
+    message = draw(st.sampled_from(RIGHT))
+    values = list(astuple(message))
+    for index in draw(st.sets(st.integers(0, len(values) - 1), max_size=2)):
+        pool = POOLS[type(values[index])]
+        values[index] = draw(st.sampled_from(pool) | st.sampled_from(OTHERS))
+    return msgpack.packb([TYPE_NUMBERS[type(message)], *values])
+
+
+HOSTS = (BALANCER, "10.0.0.2", SIDE, "10.0.1.2")
+events = st.tuples(
+    st.sampled_from(HOSTS),
+    st.sampled_from((*HOSTS, "10.0.0.9")),
+    odd_datagrams() | st.binary(max_size=60),
+    st.sampled_from((0, 30, 400)),
+)
+
+
+class AnyMessagesTest(unittest.TestCase):
+    """No messages end a process, and it still learns what is new and serves callers."""
+
+    @settings(max_examples=150, derandomize=True, deadline=None, database=None)
+    @given(st.lists(events, min_size=1, max_size=12))
+    def test_ordinary_work_goes_on_after_any_messages(self, received: Any) -> None:
+        world = OddWorld()
+        for host, source, data, pause in received:
+            try:
+                message = decode_message(data)
+            except MalformedEnvelope:
+                continue
+            world.receive(host, message, source)
+            world.run(pause)
+        world.run(2_500)
+        world.routes = (ROUTE, make_route(port=444))
+        world.configure(9)
+        world.add_member("10.0.1.7", SERVICE, 2, 30)
+        world.run(2_500)
+        ids = {upstream.id for upstream in world.upstreams.values()}
+        for index, host in enumerate(HOSTS[:2]):
+            core = world.balancer(index)
+            self.assertEqual(core.routes.version, 9)
+            self.assertEqual(set(core.table.views), ids)
+            self.assertLess(max(map(len, core.state.gossip.replicas.by_key)), 300)
+            caller = world.caller(world.routes[1])
+            caller.open(host)
+            world.run(300)
+            caller.request(host)
+            world.run(300)
+            self.assertEqual((caller.answers, caller.resets), (1, 0))
+        for process in world.processes.values():
+            process.core.metric_values(world.now)
+
+
 if __name__ == "__main__":
     unittest.main()
