Allow steps of the store's era as large as those of a time in seconds

Cause: a side process refused an evacuation whose era was more than 1,000 above the last one that it knows. Nothing says that a store counts its eras; one that takes the time in seconds makes larger steps, and an evacuation that is refused wrongly is worse than an odd one that is accepted.

--- a/fuchsiapin/flows/eras.py
+++ b/fuchsiapin/flows/eras.py
@@ -8,8 +8,9 @@
 
 __all__ = ["MAX_ERA_STEP", "StoreEra"]
 
-MAX_ERA_STEP = 1_000
-"""Largest step to an era that another process tells."""
+MAX_ERA_STEP = 1 << 17
+"""Largest step to an era that another process tells. Stores may count eras, or use the
+time in seconds; a step refused wrongly would hide an evacuation."""
 
 
 class StoreEra:
