Merge the checks of messages between processes

Evidence: test_oddmessages, test_foreignentries, test_foreignheartbeats, test_flowwire, test_eras, test_evacuations and test_coldstart pass.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -10,8 +10,10 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
+from fuchsiapin.flows.fields import read_host
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
@@ -41,6 +43,8 @@
 
 MAX_CACHED_FLOWS = 100_000
 """Maximum number of flows whose holder is cached; about 300 bytes each."""
+RETURN_REASONS = frozenset(("refused", "unknown", "full", "lost", OVERLOADED))
+"""Reasons for which side processes return packets. Each is a label of a metric."""
 CACHE_MS = 90_000
 """How long a holder stays cached after the last packet of the flow, or another
 balancer's question about it, at this balancer."""
@@ -282,7 +286,15 @@
         self.search.answer(now, host, flow, holder)
 
     def on_known(self, now: int, host: str, message: Known) -> None:
-        """Handle another balancer's answer about a flow."""
+        """Handle another balancer's answer about a flow.
+
+        Raises
+        ------
+        MalformedObject
+            If the holder's address is malformed.
+        """
+        if message.host:
+            read_host(message.host, "holder")
         self.opener.on_known(now, host, message)
         self.search.on_known(now, host, message)
 
@@ -301,7 +313,8 @@
         packet = self.packet_format.read(message.packet, False)
         if packet is None:
             return
-        self.counts[f"returned: {message.reason}"] += 1
+        is_known = message.reason in RETURN_REASONS
+        self.counts[f"returned: {message.reason if is_known else 'other'}"] += 1
         route = self.routes.find(packet.flow)
         if route is None:
             self.handle_unrouted(now, packet)
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -5,7 +5,7 @@
 from fuchsiapin.flows.members import MAX_EPOCH, VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.lightclasses import dataclass, replace
 
-__all__ = ["Heartbeat", "UpstreamState"]
+__all__ = ["MAX_KNOWN_VERSION", "Heartbeat", "UpstreamState"]
 
 MISSED_HEARTBEATS = 3
 """Number of missing heartbeats in a row after which an upstream takes no new flows."""
