Log why a process ends, with its memory and descriptors

What callers saw: processes ended by themselves, and no log told why.

Cause: an exception that ended a process left only a traceback on standard error; the log lines that were buffered were lost with it, and no line told memory or descriptors.

Change: event 1111 with error, place and calls, written with all buffered lines before the process ends with status 1; to standard error if standard output is closed, not read or full. Event 1110 with memory, its peak, open descriptors and their limit at the start, every ten seconds and at the end; the same figures are metrics. A closed standard output no longer prevents the start. An address that can't be bound is named in the error.

Evidence: test_processends.EndTest, with real processes. On the former code all three tests failed (six subtests): `not enough values to unpack (expected 1, got 0)` for the line 1111 of failed starts, `0 != 1` for standard output closed, full or unread, `0 not greater than or equal to 2` for lines 1110. They pass now.

--- a/fuchsiapin/daemons/eventloop.py
+++ b/fuchsiapin/daemons/eventloop.py
@@ -16,7 +16,7 @@
 from fuchsiapin.daemons.loopload import LoopLoad
 from fuchsiapin.timers import Timers
 
-__all__ = ["EventLoop", "open_udp_socket"]
+__all__ = ["EventLoop", "bind_socket", "open_udp_socket"]
 
 MS_PER_S = 1_000
 MAX_WAIT_MS = 1_000
@@ -123,6 +123,22 @@
         self.is_running = False
 
 
+def bind_socket(unbound: socket.socket, host: str, port: int) -> None:
+    """Bind a socket to an address; close it if that fails.
+
+    Raises
+    ------
+    OSError
+        If the address isn't available; the text names it.
+    """
+    try:
+        unbound.bind((host, port))
+    except OSError as error:
+        unbound.close()
+        text = f"can't bind {host}:{port}: {error.strerror}"
+        raise OSError(error.errno, text) from error
+
+
 def open_udp_socket(
     loop: EventLoop,
     host: str,
@@ -145,7 +161,7 @@
     udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     udp_socket.setblocking(False)
     udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    udp_socket.bind((host, port))
+    bind_socket(udp_socket, host, port)
 
     load = loop.load
     # Asking first costs less than the exception of a read without a datagram.
--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -9,6 +9,7 @@
 from fuchsiapin.daemons.eventloop import open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpserving import Reply
+from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
 from fuchsiapin.flows.coldrates import ColdBounds
 from fuchsiapin.flows.gossip import BalancerRecord
@@ -81,4 +82,4 @@
 
 def run_flow_balancer(adapter: FlowAdapter) -> None:
     """Run a balancer of packet flows."""
-    FlowBalancerShell(adapter, adapter.read_settings()).run()
+    run_process(adapter, FlowBalancerShell)
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -15,6 +15,8 @@
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import FLUSH_INTERVAL_MS, LogLines
+from fuchsiapin.daemons.processends import FLUSH_MS, report_resources
+from fuchsiapin.daemons.resources import read_resources
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
 from fuchsiapin.exceptions import MalformedEnvelope, SettingsError
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
@@ -33,7 +35,7 @@
 """Interval of the checks for changed settings, changed readiness and a suspension;
 settings may change without a signal."""
 TRAFFIC_REPORT_MS = 10_000
-"""Interval of the log lines on the bytes sent."""
+"""Interval of the log lines on the bytes sent, memory and descriptors."""
 MIN_SUSPENSION_MS = 1_000
 """Shortest suspension of the VM that is logged and reported to the core."""
 LATE_REPORT_MS = 1_000
@@ -99,6 +101,7 @@
             version=__version__,
             incarnation=self.clock.now(),
         )
+        report_resources(self.log)
         self.loop.on_signal(signal.SIGTERM, self.on_stop)
         self.loop.on_signal(signal.SIGINT, self.on_stop)
         self.loop.on_signal(signal.SIGHUP, self.on_reload)
@@ -110,8 +113,9 @@
         self.report_traffic_later(self.clock.now())
         self.loop.run()
         self.report_traffic()
+        report_resources(self.log)
         self.log.report(1103)
-        self.log.flush()
+        self.log.drain(FLUSH_MS)
 
     def listen(self, port: int, handler: Callable[[str, str, bytes], Reply]) -> None:
         """Serve HTTP on a port of this VM."""
@@ -292,10 +296,11 @@
         self.loop.call_later(FLUSH_INTERVAL_MS, self.flush)
 
     def report_traffic_later(self, now: int) -> None:
-        """Schedule the periodic reports of the bytes sent."""
+        """Schedule the periodic reports of bytes sent, memory and descriptors."""
 
         def report(later: int) -> None:
             self.report_traffic()
+            report_resources(self.log)
             self.report_traffic_later(later)
 
         self.loop.call_later(TRAFFIC_REPORT_MS, report)
@@ -325,6 +330,7 @@
         lag of the last interval of `STATE_CHECK_MS`.
         """
         load = self.loop.load
+        figures = read_resources()
         events = {str(number): count for number, count in self.log.tally.items()}
         return {
             "events_total": events,
@@ -337,6 +343,10 @@
             "processor_ms_total": {"": load.processor_ms},
             "datagrams_total": {"": load.datagrams},
             "full_reads_total": {"": load.full_reads},
+            "memory_kb": {"": figures.memory_kb},
+            "peak_memory_kb": {"": figures.peak_memory_kb},
+            "open_descriptors": {"": figures.descriptors},
+            "descriptor_limit": {"": figures.descriptor_limit},
             "log_lines_left_out_total": {
                 str(number): count for number, count in self.log.left_out.items()
             },
--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -7,6 +7,7 @@
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply
+from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.adapter import FlowAdapter, FlowSettings, LeaveNotice
 from fuchsiapin.flows.effects import Probe, ToUpstream
@@ -118,4 +119,4 @@
 
 def run_flow_side(adapter: FlowAdapter) -> None:
     """Run a side process of packet flows."""
-    FlowSideShell(adapter, adapter.read_settings()).run()
+    run_process(adapter, FlowSideShell)
--- a/fuchsiapin/daemons/httpserving.py
+++ b/fuchsiapin/daemons/httpserving.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from fuchsiapin.daemons.eventloop import EventLoop
+from fuchsiapin.daemons.eventloop import EventLoop, bind_socket
 from fuchsiapin.lightclasses import dataclass
 
 __all__ = ["Reply", "listen_http"]
@@ -155,7 +155,7 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setblocking(False)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    bind_socket(listener, host, port)
     listener.listen(BACKLOG)
     connections: dict[ServerConnection, None] = {}
 
--- a/fuchsiapin/daemons/loglines.py
+++ b/fuchsiapin/daemons/loglines.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 from collections import Counter
 from typing import Any
 from zlib import crc32
@@ -46,6 +47,8 @@
         Lines left out by the rate limit since the last one written, by number.
     unread_lines : int
         Lines dropped because the buffer was full, until event 1106 reports them.
+    is_closed : bool
+        Whether a write failed because nobody can read it.
     """
 
     def __init__(self, clock: Clock, process: str, file: int = 1) -> None:
@@ -58,7 +61,11 @@
         self.buffer: list[bytes] = []
         self.buffered_bytes = 0
         self.unread_lines = 0
-        os.set_blocking(file, False)
+        self.is_closed = False
+        try:
+            os.set_blocking(file, False)
+        except OSError:
+            return  # closed; `flush` drops the lines
 
     def report(self, number: int, **fields: Any) -> None:
         """Count an event and log it if its rate limit allows a line."""
@@ -106,6 +113,30 @@
         self.buffer.append(line)
         self.buffered_bytes += len(line)
 
+    def drop_unread(self) -> None:
+        """Drop the buffered lines, so that there is room for the last ones."""
+        if self.buffer:
+            self.unread_lines += b"".join(self.buffer).count(b"\n")
+            self.buffer = [b"\n"]  # a part of the first line may have been written
+            self.buffered_bytes = 1
+
+    def drain(self, timeout_ms: int) -> bytes:
+        """Write all lines, waiting for the reader; return what it hasn't taken."""
+        deadline = self.clock.now() + timeout_ms
+        writable = select.poll()
+        writable.register(self.file, select.POLLOUT)
+        while self.buffer:
+            unread = b"".join(self.buffer)
+            self.flush()
+            if self.is_closed:
+                return unread
+            left_ms = deadline - self.clock.now()
+            if left_ms <= 0:
+                break
+            if self.buffer:
+                writable.poll(left_ms)
+        return b"".join(self.buffer)
+
     def flush(self) -> None:
         """Write as much as the pipe accepts; keep the rest in the buffer."""
         if not self.buffer:
@@ -117,6 +148,7 @@
             written = 0
         except OSError:
             written = len(data)  # the reader has closed its end; drop the lines
+            self.is_closed = True
         rest = data[written:]
         self.buffer = [rest] if rest else []
         self.buffered_bytes = len(rest)
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -107,6 +107,31 @@
             Field("unknown_zone", "list of text"),
         ),
     ),
+    Event(
+        1110,
+        "resources in use",
+        "info",
+        "Memory of the process and its peak, and its open descriptors and how many may "
+        "be open; -1 if the system doesn't tell. Written at the start and the end and "
+        "every ten seconds.",
+        "If a figure comes near its limit: find out what it grows with.",
+        (
+            Field("memory_kb", "integer"),
+            Field("peak_memory_kb", "integer"),
+            Field("descriptors", "integer"),
+            Field("descriptor_limit", "integer"),
+        ),
+    ),
+    Event(
+        1111,
+        "process failed",
+        "error",
+        "The process ends by an error, or can't start; its exit status is 1. `trace` "
+        "lists the innermost calls.",
+        "Correct the settings or the address that the error names; report any other "
+        "error with the log line.",
+        (ERROR, Field("where"), Field("trace", "list of text")),
+    ),
     Event(
         1201,
         "object API unreachable",
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -12,7 +12,7 @@
 TIME_TOLERANCE_MS = 100
 """Tolerance around a given time within which lines match."""
 STATE_EVENTS = frozenset(
-    {1101, 1102, 1103, 1104, 1105, 1107, 1108, 6302, 6303, 6304, 6311}
+    {1101, 1102, 1103, 1104, 1105, 1107, 1108, 1111, 6302, 6303, 6304, 6311}
 )
 """Events that affect all flows of a process."""
 MEMBER_EVENTS = frozenset({6106, 6201, 6204, 6306, 6307, 6308})
