Keep a process running when one event fails

What callers saw: every balancer ended, again after each start, as long as one odd entry was in the store.

Cause: errors were caught only while the core handled an event. An error of a timer call, a socket's callback, a signal's handler or an effect that was executed left the loop, and a failed timer call didn't schedule itself again.

Change: the loop passes the error of each callback to `on_error`, which reports event 1302, and goes on. A failed timer call is repeated after a delay that doubles up to 8 s, unless it has scheduled itself; a socket whose callback failed isn't watched for 50 ms; a failed effect doesn't drop those after it. A log line that can't be encoded is shortened. A planned stop ends in time even if the check for it fails. `fuchsiapin-ctl`, which uses the same loop, still gets the errors raised.

Evidence: test_processends.LoopErrorTest.

--- a/fuchsiapin/daemons/eventloop.py
+++ b/fuchsiapin/daemons/eventloop.py
@@ -25,11 +25,28 @@
 MAX_DATAGRAM_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 1 << 20
 """Holds bursts that arrive while the process waits for CPU time."""
+FAILED_SOCKET_MS = 50
+"""Pause after a socket's callback failed, as the socket may still be ready."""
+FIRST_REPEAT_MS = 250
+"""Delay until a timer call that failed is repeated; doubled at each failure."""
+MAX_REPEAT_MS = 8_000
+MAX_REPEATED_CALLS = 256
+"""Failed timer calls that are repeated; further ones that aren't periodic are
+dropped."""
+
+
+def raise_error(name: str, error: Exception) -> None:
+    """Raise the error of a callback."""
+    raise error
 
 
 class EventLoop:
     """Single-threaded event loop.
 
+    An error of a callback is passed to `on_error`, and everything else goes on. A timer
+    call that failed is repeated unless it has scheduled itself again, so that periodic
+    work doesn't end.
+
     Parameters
     ----------
     clock : Clock
@@ -41,6 +58,10 @@
     ----------
     load : LoopLoad
         Load figures; whoever runs the loop ends their intervals.
+    on_error : callable
+        Called with the name of a callback and its error; raises the error by default.
+    failures : dict
+        Number of consecutive failures of each timer call that is repeated.
     """
 
     def __init__(self, clock: Clock, timers: Timers) -> None:
@@ -49,6 +70,8 @@
         self.load = LoopLoad(clock.now())
         self.selector = selectors.DefaultSelector()
         self.is_running = False
+        self.on_error: Callable[[str, Exception], None] = raise_error
+        self.failures: dict[Callable[[int], None], int] = {}
         self.after_events: Callable[[], None] = lambda: None
         self.signal_handlers: dict[int, Callable[[], None]] = {}
         self.pending_signals: list[int] = []
@@ -108,21 +131,70 @@
         if wait_ms:
             load.waited_ms += min(wait_ms, self.clock.now() - started_at)
         for key, mask in ready:
-            key.data(mask)
+            try:
+                key.data(mask)
+            except Exception as error:
+                self.on_error(name_of(key.data), error)
+                self.pause(key.fileobj, FAILED_SOCKET_MS)
         while self.pending_signals:
-            self.signal_handlers[self.pending_signals.pop(0)]()
+            self.execute(self.signal_handlers[self.pending_signals.pop(0)])
         now = self.clock.now()
         # Timers that the handlers above added may have been due when they were added.
         if due is not None and now - due > load.lag_ms:
             load.lag_ms = now - due
-        self.timers.run(now)
-        self.after_events()
+        while (call := self.timers.pop_due(now)) is not None:
+            try:
+                call(now)
+            except Exception as error:
+                self.on_error(name_of(call), error)
+                self.repeat_later(call)
+            else:
+                if self.failures:
+                    self.failures.pop(call, None)
+        self.execute(self.after_events)
+
+    def execute(self, callback: Callable[[], None]) -> None:
+        """Call a function; pass on its error."""
+        try:
+            callback()
+        except Exception as error:
+            self.on_error(name_of(callback), error)
+
+    def repeat_later(self, call: Callable[[int], None]) -> None:
+        """Repeat a timer call that failed, unless it has scheduled itself again."""
+        count = self.failures.pop(call, 0)
+        is_periodic = hasattr(call, "__self__")  # methods that schedule themselves
+        is_over = len(self.failures) >= MAX_REPEATED_CALLS and not is_periodic
+        if is_over or self.timers.has(call):
+            return
+        self.failures[call] = count + 1
+        self.call_later(min(FIRST_REPEAT_MS << min(count, 8), MAX_REPEAT_MS), call)
+
+    def pause(self, sock: Any, delay_ms: int) -> None:
+        """Stop watching a socket for some time."""
+        try:
+            key = self.selector.get_key(sock)
+        except (KeyError, ValueError):
+            return  # is not watched any more
+        self.unwatch(sock)
+
+        def resume(now: int) -> None:
+            is_open = isinstance(sock, int) or sock.fileno() >= 0
+            if is_open and sock not in self.selector.get_map():
+                self.watch(sock, key.data, key.events)
+
+        self.call_later(delay_ms, resume)
 
     def stop(self) -> None:
         """Make `run` return after this iteration."""
         self.is_running = False
 
 
+def name_of(callback: Callable[..., Any]) -> str:
+    """Return the name of a callback, for log lines."""
+    return getattr(callback, "__qualname__", type(callback).__name__)
+
+
 def bind_socket(unbound: socket.socket, host: str, port: int) -> None:
     """Bind a socket to an address; close it if that fails.
 
--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -25,8 +25,6 @@
 QUIET_MS = 700
 """Time without a packet after which, beyond `ROUTER_WITHDRAWAL_MS`, the routers are
 assumed to have stopped using the balancer."""
-EXIT_MARGIN_MS = 500
-"""Time reserved for exiting before the process is killed."""
 
 
 class FlowBalancerShell(FlowShell):
@@ -71,9 +69,7 @@
         return Reply(503 if self.core.not_ready(self.clock.now()) else 200)
 
     def may_exit(self, now: int, elapsed_ms: int) -> bool:
-        """Return whether routers stopped using the balancer, or time is nearly up."""
-        if elapsed_ms >= self.settings.grace_ms - EXIT_MARGIN_MS:
-            return True
+        """Return whether routers stopped using the balancer."""
         return (
             elapsed_ms >= ROUTER_WITHDRAWAL_MS
             and now - self.core.last_packet_at > QUIET_MS
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -15,7 +15,11 @@
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import FLUSH_INTERVAL_MS, LogLines
-from fuchsiapin.daemons.processends import FLUSH_MS, report_resources
+from fuchsiapin.daemons.processends import (
+    FLUSH_MS,
+    MAX_ERROR_CHARACTERS,
+    report_resources,
+)
 from fuchsiapin.daemons.resources import read_resources
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
 from fuchsiapin.exceptions import MalformedEnvelope, SettingsError
@@ -29,8 +33,6 @@
 
 __all__ = ["FlowShell"]
 
-SETTINGS_MS = 1_000
-"""Not used: settings are checked every `STATE_CHECK_MS`."""
 STATE_CHECK_MS = 250
 """Interval of the checks for changed settings, changed readiness and a suspension;
 settings may change without a signal."""
@@ -41,6 +43,9 @@
 LATE_REPORT_MS = 1_000
 """Shortest time between two reports that the process is late. An interval that is
 itself longer, as after a pause, is always reported."""
+EXIT_CHECK_MS = 50
+EXIT_MARGIN_MS = 500
+"""Time reserved for exiting before the process is killed."""
 NS_PER_MS = 1_000_000
 
 
@@ -75,6 +80,7 @@
         self.core = make_core(self.log.report, self.rng)
         self.loop = EventLoop(self.clock, self.core.timers)
         self.loop.after_events = self.run_effects
+        self.loop.on_error = self.report_error
         self.settings_fingerprint = adapter.settings_fingerprint()
         self.store = HttpClient(self.loop, *settings.store)
         self.store_call_counts: dict[str, int] = {}
@@ -110,7 +116,7 @@
         self.core.start(self.clock.now())
         self.check_state(self.clock.now())
         self.flush(self.clock.now())
-        self.report_traffic_later(self.clock.now())
+        self.loop.call_later(TRAFFIC_REPORT_MS, self.report_figures)
         self.loop.run()
         self.report_traffic()
         report_resources(self.log)
@@ -127,7 +133,10 @@
         """Execute the effects that the core has queued."""
         while self.core.effects:
             for effect in self.core.take_effects():
-                self.effect_handlers[type(effect)](effect)
+                try:
+                    self.effect_handlers[type(effect)](effect)
+                except Exception as error:
+                    self.report_error(type(effect).__name__, error)
 
     def send(self, udp_socket: Any, data: bytes, host: str, port: int) -> None:
         """Send a datagram; one that the socket rejects is counted and dropped.
@@ -178,20 +187,24 @@
     def feed(self, handle: Callable[..., Any], *values: Any) -> bool:
         """Pass an event to the core; return whether it was handled.
 
-        Errors are caught and logged, so that no input can end the process.
+        Errors are logged, and later events are still handled.
         """
         try:
             handle(self.clock.now(), *values)
-        except Exception as error:  # noqa: BLE001 - logged; later events are still handled
-            self.log.report(
-                1302,
-                event=handle.__name__,
-                error=repr(error),
-                where=error_location(error),
-            )
+        except Exception as error:
+            self.report_error(handle.__name__, error)
             return False
         return True
 
+    def report_error(self, name: str, error: Exception) -> None:
+        """Report that an event failed."""
+        self.log.report(
+            1302,
+            event=name,
+            error=repr(error)[:MAX_ERROR_CHARACTERS],
+            where=error_location(error),
+        )
+
     def on_peer(self, data: bytes, host: str) -> None:
         """Pass a message of another process to the core."""
         try:
@@ -199,6 +212,9 @@
         except MalformedEnvelope as error:
             self.log.report(6309, host=host, error=str(error))
             return
+        except Exception as error:
+            self.report_error("decode_message", error)
+            return
         self.feed(self.core.on_message, host, message)
 
     def on_stop(self) -> None:
@@ -207,7 +223,7 @@
             return
         self.stop_requested_at = self.clock.now()
         self.log.report(1102)
-        self.core.stop(self.stop_requested_at)
+        self.feed(self.core.stop)
         self.exit_when_done(self.stop_requested_at)
 
     def may_exit(self, now: int, elapsed_ms: int) -> bool:
@@ -216,10 +232,12 @@
 
     def exit_when_done(self, now: int) -> None:
         """Exit if nothing is left to do, else check again later."""
-        if self.may_exit(now, now - self.stop_requested_at):
+        elapsed_ms = now - self.stop_requested_at
+        is_over = elapsed_ms >= self.settings.grace_ms - EXIT_MARGIN_MS
+        if is_over or self.may_exit(now, elapsed_ms):
             self.loop.stop()
         else:
-            self.loop.call_later(50, self.exit_when_done)  # ms
+            self.loop.call_later(EXIT_CHECK_MS, self.exit_when_done)
 
     def on_reload(self) -> None:
         """Reload the settings on a signal."""
@@ -251,8 +269,22 @@
 
     def check_state(self, now: int) -> None:
         """Check for changed settings, readiness, a suspension of the VM, and lag."""
+        self.loop.call_later(STATE_CHECK_MS, self.check_state)
+        for check in (
+            self.check_settings,
+            self.check_readiness,
+            self.check_suspension,
+            self.check_load,
+        ):
+            self.feed(check)
+
+    def check_settings(self, now: int) -> None:
+        """Reload changed settings."""
         if self.adapter.settings_fingerprint() != self.settings_fingerprint:
             self.reload("file changed")
+
+    def check_readiness(self, now: int) -> None:
+        """Report changed readiness."""
         reason = self.core.not_ready(now)
         if bool(reason) == self.was_ready:
             self.was_ready = not reason
@@ -260,14 +292,15 @@
                 self.log.report(1105, reasons=[reason])
             else:
                 self.log.report(1104)
+
+    def check_suspension(self, now: int) -> None:
+        """Report a suspension of the VM, and tell the core."""
         suspended_ns = self.suspended_ns()
         suspended_ms = (suspended_ns - self.last_suspended_ns) // NS_PER_MS
         self.last_suspended_ns = suspended_ns
         if suspended_ms > MIN_SUSPENSION_MS:
             self.log.report(1107, still_ms=suspended_ms)
             self.core.on_suspended(now)
-        self.check_load(now)
-        self.loop.call_later(STATE_CHECK_MS, self.check_state)
 
     def check_load(self, now: int) -> None:
         """End an interval of the load figures; report whether the process was late."""
@@ -292,18 +325,14 @@
 
     def flush(self, now: int) -> None:
         """Write buffered log lines periodically."""
-        self.log.flush()
         self.loop.call_later(FLUSH_INTERVAL_MS, self.flush)
+        self.log.flush()
 
-    def report_traffic_later(self, now: int) -> None:
-        """Schedule the periodic reports of bytes sent, memory and descriptors."""
-
-        def report(later: int) -> None:
-            self.report_traffic()
-            report_resources(self.log)
-            self.report_traffic_later(later)
-
-        self.loop.call_later(TRAFFIC_REPORT_MS, report)
+    def report_figures(self, now: int) -> None:
+        """Report bytes sent, memory and descriptors periodically."""
+        self.loop.call_later(TRAFFIC_REPORT_MS, self.report_figures)
+        self.report_traffic()
+        report_resources(self.log)
 
     def report_traffic(self) -> None:
         """Report the bytes sent since the start."""
--- a/fuchsiapin/daemons/loglines.py
+++ b/fuchsiapin/daemons/loglines.py
@@ -9,6 +9,7 @@
 
 from fuchsiapin.clock import Clock
 from fuchsiapin.events import CATALOGUE
+from fuchsiapin.flows.fields import shown
 
 __all__ = ["LogLines"]
 
@@ -86,13 +87,19 @@
         left_out = self.left_out.pop(number, 0)
         if left_out:
             values["left_out"] = left_out
-        self.buffer_line(ENCODER.encode(values).encode() + b"\n")
+        try:
+            line = ENCODER.encode(values)
+        except (ValueError, TypeError, RecursionError):
+            line = ENCODER.encode(
+                {name: shown(value) for name, value in values.items()}
+            )
+        self.buffer_line(line.encode() + b"\n")
 
     def is_allowed(self, number: int, flow: str | None, now: int) -> bool:
         """Return whether the rate limit of an event or sampled flows allows a line."""
         if self.take_token(number, LINES_PER_SECOND, now):
             return True
-        if flow is None or crc32(flow.encode()) % SAMPLE_ONE_IN:
+        if flow is None or crc32(flow.encode(errors="replace")) % SAMPLE_ONE_IN:
             return False
         # The bucket of sampled lines has the negated number as its key.
         return self.take_token(-number, SAMPLED_LINES_PER_SECOND, now)
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -1,13 +1,59 @@
 """Processes of packet flows start, run on whatever happens, and say why they end."""
 
+import json
 import os
+import selectors
+import socket
 import unittest
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import patch
 
-from fuchsiapin.tests.flowprocess import WAIT_S, RealProcess
+from fuchsiapin.clock import Clock, ManualClock
+from fuchsiapin.daemons.flowshell import FlowShell
+from fuchsiapin.daemons.loglines import LogLines
+from fuchsiapin.flows.effects import ToCaller
+from fuchsiapin.tests.flowprocess import HOST, WAIT_S, RealProcess
+from fuchsiapin.timers import Timers
 
 FULL_PIPE = b"-" * 65_536
 
 
+def make_shell(test: unittest.TestCase, clock: Clock, **settings: object) -> FlowShell:
+    """Return the shell of a core that does nothing, with a log that nobody reads."""
+    reading, writing = os.pipe()
+    test.addCleanup(os.close, reading)
+    test.addCleanup(os.close, writing)
+    values: dict[str, Any] = {
+        "name": "entry-1",
+        "bind": HOST,
+        "zone": "z",
+        "callers": (HOST, 0),
+        "peer_port": 0,
+        "store": (HOST, 1),
+    }
+    core = SimpleNamespace(timers=Timers(), counts={}, effects=[])
+    core.zone_of = lambda host: "z"
+
+    def take_effects() -> list:
+        effects, core.effects = core.effects, []
+        return effects
+
+    core.take_effects = take_effects
+    adapter = SimpleNamespace(settings_fingerprint=lambda: 0)
+    module = "fuchsiapin.daemons.flowshell"
+    with (
+        patch(f"{module}.SystemClock", lambda: clock),
+        patch(f"{module}.LogLines", lambda *args: LogLines(*args, writing)),
+    ):
+        shell = FlowShell(
+            adapter, SimpleNamespace(**values | settings), "side", lambda *args: core
+        )
+    test.addCleanup(shell.peers.close)
+    test.addCleanup(shell.loop.selector.close)
+    return shell
+
+
 class EndTest(unittest.TestCase):
     """A process that ends by an error writes why, with memory and descriptors."""
 
@@ -56,5 +102,92 @@
                     os.close(file)
 
 
+class LoopErrorTest(unittest.TestCase):
+    """One failed event is reported, and everything else goes on."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1_000)
+        self.shell = make_shell(self, self.clock)
+        self.loop = self.shell.loop
+        self.loop.selector.select = self.select
+        self.ready: list = []
+        self.calls: list[str] = []
+
+    def select(self, wait_s: float) -> list:
+        """Return sockets that a test makes ready; let time pass."""
+        self.clock.advance(max(1, int(wait_s * 1_000)))
+        return self.ready
+
+    def raise_error(self, *values: object) -> None:
+        """Note the call, and raise an error."""
+        self.calls.append("failed")
+        raise RuntimeError("x" * 10_000)
+
+    def run_for(self, duration_ms: int) -> int:
+        """Run the loop; return how many lines tell of a failed event."""
+        end = self.clock.now() + duration_ms
+        while self.clock.now() < end:
+            self.loop.run_once()
+        return self.shell.log.tally[1302]
+
+    def test_failed_timer_signal_and_effect_do_not_end_the_process(self) -> None:
+        def queue_effects(now: int) -> None:
+            self.shell.core.effects = ["unknown", ToCaller("h", b"", "z")]
+
+        self.shell.effect_handlers[ToCaller] = lambda effect: self.calls.append("sent")
+        self.loop.signal_handlers[1] = self.raise_error
+        self.loop.pending_signals.append(1)
+        self.loop.call_later(10, queue_effects)
+        self.assertEqual(self.run_for(100), 2)
+        self.assertEqual(self.calls, ["failed", "sent"])
+
+    def test_failed_periodic_call_is_repeated_at_a_bounded_rate(self) -> None:
+        ends_at = self.clock.now() + 60_000
+
+        def fail_for_a_minute(now: int) -> None:
+            if now < ends_at:
+                self.raise_error()
+            self.calls.append("done")
+
+        self.loop.call_later(10, fail_for_a_minute)
+        self.run_for(120_000)
+        self.assertEqual(self.calls[-1], "done")
+        self.assertLess(len(self.calls), 20)
+
+    def test_call_that_scheduled_itself_before_it_failed_is_not_repeated(self) -> None:
+        class Chain:
+            def run(chain, now: int) -> None:  # noqa: N805
+                self.loop.call_later(1_000, chain.run)
+                self.raise_error()
+
+        self.loop.call_later(0, Chain().run)
+        self.assertLessEqual(self.run_for(10_500), 12)
+
+    def test_socket_that_stays_ready_while_its_callback_fails_is_no_busy_loop(
+        self,
+    ) -> None:
+        del self.loop.selector.select
+        ours, other = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(other.close)
+        other.send(b"x")
+        self.loop.watch(ours, self.raise_error, selectors.EVENT_READ)
+        for _ in range(10):
+            self.loop.run_once()
+        self.assertEqual(len(self.calls), 1)
+        self.clock.advance(1_000)
+        self.loop.run_once()
+        self.loop.run_once()
+        self.assertEqual(len(self.calls), 2)
+
+    def test_line_that_cannot_be_encoded_is_shortened(self) -> None:
+        deep: list = []
+        for _ in range(100_000):
+            deep = [deep]
+        self.shell.log.report(1302, event="e", error=10**6_000, where=deep)
+        [line] = map(json.loads, self.shell.log.buffer)
+        self.assertEqual((line["where"], line["event"]), ("list", "'e'"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fuchsiapin/timers.py
+++ b/fuchsiapin/timers.py
@@ -34,6 +34,15 @@
 
     def run(self, now: int) -> None:
         """Run the calls that are due at `now`, including due ones that they add."""
-        while self.heap and self.heap[0][0] <= now:
-            _, _, call = heapq.heappop(self.heap)
+        while (call := self.pop_due(now)) is not None:
             call(now)
+
+    def pop_due(self, now: int) -> Callable[[int], None] | None:
+        """Remove and return the earliest call that is due, None if there is none."""
+        if not self.heap or self.heap[0][0] > now:
+            return None
+        return heapq.heappop(self.heap)[2]
+
+    def has(self, call: Callable[[int], None]) -> bool:
+        """Return whether a call is scheduled."""
+        return any(scheduled == call for _, _, scheduled in self.heap)
