Give each call to the store exactly one result

What callers saw: balancers stopped following the store for good after an odd entry; later configurations and members weren't used.

Cause: the callback of a call ran within the HTTP parser, which wrapped its errors and closed the connection, when the call was already taken as done. A response that can't be decoded, such as deeply nested JSON, or a request that can't be encoded left the follower without a result. A provisional response (status 100) ended the call, as the outcome of a later one.

Change: the callback runs after the parser. Provisional responses are skipped; data beyond a response closes the connection; a path with line breaks or spaces is not sent.

Evidence: test_processends.StoreCallTest, a table of nine calls.

--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -25,7 +25,7 @@
 from fuchsiapin.exceptions import MalformedEnvelope, SettingsError
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.metrics import render_counts
-from fuchsiapin.flows.storage import StoreResult
+from fuchsiapin.flows.storage import StoreCall, StoreResult
 from fuchsiapin.flows.wire import decode_message, encode_message
 
 if TYPE_CHECKING:
@@ -43,6 +43,8 @@
 LATE_REPORT_MS = 1_000
 """Shortest time between two reports that the process is late. An interval that is
 itself longer, as after a pause, is always reported."""
+UNSENT_CALL_MS = 100
+"""Delay of the result of a call that can't be sent, so that repeats are bounded."""
 EXIT_CHECK_MS = 50
 EXIT_MARGIN_MS = 500
 """Time reserved for exiting before the process is killed."""
@@ -161,27 +163,44 @@
         self.send(self.peers, data, effect.host, self.settings.peer_port)
 
     def call_store(self, effect: ToStore) -> None:
-        """Make a call to the store."""
-        method, path, body = self.adapter.store.build_request(effect.request)
+        """Make a call to the store; the core gets exactly one result.
+
+        Otherwise it would wait for it, and no longer follow the store.
+        """
         kind = f"{effect.request.verb} {effect.request.kind}"
+        try:
+            method, path, body = self.adapter.store.build_request(effect.request)
+        except Exception as error:
+            self.report_error(kind, error)
+            result = StoreResult("unreachable", detail=f"can't be encoded: {error!r}")
+            self.loop.call_later(
+                UNSENT_CALL_MS,
+                lambda now: self.feed(self.core.on_store, effect.purpose, result),
+            )
+            return
         self.traffic.count("store request", "", len(path) + len(body))
 
         def done(response: HttpResponse) -> None:
-            result = StoreResult("unreachable", detail=response.error)
             self.traffic.count("store answer", "", len(response.body))
-            if response.status:
-                result = self.adapter.store.parse_response(
-                    effect.request,
-                    response.status,
-                    response.body,
-                    response.headers or {},
-                )
+            result = self.read_result(effect.request, response)
             name = f"{kind}: {result.outcome}"
             self.store_call_counts[name] = self.store_call_counts.get(name, 0) + 1
             self.feed(self.core.on_store, effect.purpose, result)
 
         self.store.call(method, path, body, effect.timeout_ms, done)
 
+    def read_result(self, call: StoreCall, response: HttpResponse) -> StoreResult:
+        """Return the result of a call to the store."""
+        if not response.status:
+            return StoreResult("unreachable", detail=response.error)
+        try:
+            return self.adapter.store.parse_response(
+                call, response.status, response.body, response.headers or {}
+            )
+        except Exception as error:
+            self.report_error(f"answer to {call.verb} {call.kind}", error)
+            return StoreResult("unreachable", detail=f"can't be decoded: {error!r}")
+
     # Events
 
     def feed(self, handle: Callable[..., Any], *values: Any) -> bool:
--- a/fuchsiapin/daemons/httpcalls.py
+++ b/fuchsiapin/daemons/httpcalls.py
@@ -7,6 +7,7 @@
 import httptools
 
 from fuchsiapin.daemons.eventloop import EventLoop
+from fuchsiapin.flows.fields import shown
 from fuchsiapin.lightclasses import dataclass
 
 __all__ = ["HttpResponse", "HttpClient"]
@@ -21,6 +22,7 @@
 )
 """Probes each second (s); a connection ends after two seconds (ms) without an
 acknowledgement, so that a call that waits for long notices a path that went silent."""
+FIRST_FINAL_STATUS = 200
 MAX_IDLE = 4
 """Idle keep-alive connections to one server."""
 
@@ -61,7 +63,7 @@
             self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
         self.unsent = b""
         self.is_open = True
-        self.is_fresh = True
+        self.keeps_alive = True
         self.call_number = 0
         self.on_done: Callable[[HttpResponse], None] | None = None
         self.reset_parser()
@@ -77,6 +79,7 @@
     def reset_parser(self) -> None:
         """Reset the parser for the next response."""
         self.parser = httptools.HttpResponseParser(self)
+        self.response: HttpResponse | None = None
         self.body_parts: list[bytes] = []
         self.body_length = 0
         self.headers: dict[str, str] = {}
@@ -127,12 +130,23 @@
         if not data:
             self.fail("broken")
             return
-        self.is_fresh = False
+        if self.on_done is None:
+            self.close()  # data that belongs to no call
+            self.client.release(self)
+            return
+        error = ""
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            # Also raised, as HttpParserCallbackError, if `on_done` raises an exception.
-            self.fail(f"malformed response: {error}")
+        except httptools.HttpParserError as found:
+            error = f"malformed response: {found}"
+        # Not called within the parser, which would wrap the errors of `on_done`.
+        if self.response is None:
+            if error:
+                self.fail(error)
+            return
+        if error or not self.keeps_alive:
+            self.close()
+        self.finish(self.response)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -147,13 +161,15 @@
     def on_message_complete(self) -> None:
         """Finish the call with the complete response."""
         status = self.parser.get_status_code()
+        if status < FIRST_FINAL_STATUS or self.response is not None:
+            return  # a provisional response, or more than the call asked for
         error = ""
         if self.body_length > MAX_BODY_BYTES:
             status, error = 0, f"body of {self.body_length} bytes is too long"
-        response = HttpResponse(status, b"".join(self.body_parts), error, self.headers)
-        if not self.parser.should_keep_alive():
-            self.close()
-        self.finish(response)
+        self.keeps_alive = self.parser.should_keep_alive()
+        self.response = HttpResponse(
+            status, b"".join(self.body_parts), error, self.headers
+        )
 
     def fail(self, error: str) -> None:
         """Close the connection and finish the call with an error."""
@@ -208,6 +224,10 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         elif method != "GET":
             head += "Content-Length: 0\r\n"
+        if not is_target(path):
+            answer = HttpResponse(0, error=f"path {shown(path)} can't be sent")
+            self.loop.call_later(0, lambda now: on_done(answer))
+            return
         request = f"{head}\r\n".encode() + body
         connection = self.idle.pop() if self.idle else Connection(self)
         connection.call(request, timeout_ms, on_done)
@@ -224,6 +244,13 @@
             connection.close()
 
 
+def is_target(path: str) -> bool:
+    """Return whether a path can be sent as the target of a request."""
+    if not path.isprintable() or " " in path:
+        return False
+    return all(not "\ud800" <= character <= "\udfff" for character in path)
+
+
 def error_label(error: OSError) -> str:
     """Return a short label for a connection error."""
     if isinstance(error, ConnectionRefusedError):
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -1,5 +1,6 @@
 """Processes of packet flows start, run on whatever happens, and say why they end."""
 
+import contextlib
 import json
 import os
 import selectors
@@ -9,14 +10,16 @@
 from typing import Any
 from unittest.mock import patch
 
-from fuchsiapin.clock import Clock, ManualClock
+from fuchsiapin.clock import Clock, ManualClock, SystemClock
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.loglines import LogLines
-from fuchsiapin.flows.effects import ToCaller
+from fuchsiapin.flows.effects import ToCaller, ToStore
+from fuchsiapin.flows.storage import LIST, MEMBERS, StoreCall, StoreResult
 from fuchsiapin.tests.flowprocess import HOST, WAIT_S, RealProcess
 from fuchsiapin.timers import Timers
 
 FULL_PIPE = b"-" * 65_536
+MAX_ITERATIONS = 200
 
 
 def make_shell(test: unittest.TestCase, clock: Clock, **settings: object) -> FlowShell:
@@ -189,5 +192,70 @@
         self.assertEqual((line["where"], line["event"]), ("list", "'e'"))
 
 
+class StoreCallTest(unittest.TestCase):
+    """Each call to the store gets exactly one result, so that it is followed on."""
+
+    def test_each_call_has_one_result(self) -> None:
+        deep = b"[" * 100_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
+        valid = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+        for path, response, wanted in (
+            ("/a", valid, "done"),
+            ("/a", b"HTTP/1.1 100 Continue\r\n\r\n" + valid, "done"),
+            ("/a", valid + valid, "done"),
+            ("/a", valid + b"rest", "done"),
+            ("/deep", head + deep, "unreachable"),
+            ("/a", b"HTTP/1.1 200 OK\r\n: \r\n" + valid, "unreachable"),
+            ("/a\r\nX: 1", valid, "unreachable"),
+            ("/\ud800", valid, "unreachable"),
+            ("", valid, "unreachable"),
+        ):
+            with self.subTest(path=path, response=response[:40]):
+                self.check(path, response, wanted)
+
+    def check(self, path: str, response: bytes, wanted: str) -> None:
+        """Make a call to a store with this answer; compare the outcome."""
+        server = socket.create_server((HOST, 0))
+        self.addCleanup(server.close)
+        shell = make_shell(self, SystemClock(), store=server.getsockname())
+        results: list[StoreResult] = []
+
+        def on_store(now: int, purpose: str, result: StoreResult) -> None:
+            results.append(result)
+            raise RuntimeError
+
+        def build_request(call: StoreCall) -> tuple[str, str, bytes]:
+            if not path:
+                raise RecursionError
+            return "GET", path, b""
+
+        def parse_response(call: StoreCall, status: int, body: bytes, _: dict) -> Any:
+            return StoreResult("done", detail=str(json.loads(body)))
+
+        shell.core.on_store = on_store
+        shell.adapter.store = SimpleNamespace(
+            build_request=build_request, parse_response=parse_response
+        )
+        shell.core.effects = [ToStore("follow", StoreCall(LIST, MEMBERS), 60_000)]
+        server.settimeout(0.01)
+        accepted = None
+        shell.run_effects()
+        for _ in range(MAX_ITERATIONS):
+            if results:
+                break
+            with contextlib.suppress(TimeoutError):
+                accepted, _ = server.accept()
+                accepted.sendall(response)
+                accepted.shutdown(socket.SHUT_WR)
+            shell.loop.call_later(1, lambda now: None)
+            shell.loop.run_once()
+        for _ in range(3):
+            shell.loop.call_later(1, lambda now: None)
+            shell.loop.run_once()
+        self.assertEqual([result.outcome for result in results], [wanted])
+        if accepted is not None:
+            accepted.close()
+
+
 if __name__ == "__main__":
     unittest.main()
