Drop datagrams to what is no address

What callers saw: every balancer ended when it sent to a member or balancer whose address in the store can't be encoded or has a NUL.

Cause: the socket takes any text as the name of a host. Encoding it fails with a `TypeError`, a port out of range with an `OverflowError`; neither is an `OSError`. Other texts are looked up, which blocks the process.

Change: `FlowShell.send` counts and drops a datagram unless the host is the IPv4 address of a single host and the port is in range.

Evidence: LoopErrorTest.test_datagram_to_no_address_is_dropped_without_a_lookup, a table of eleven targets. On the former code nine failed: `TypeError: encoding of hostname failed`, `TypeError: host name must not contain null character`, `OverflowError: sendto(): port must be 0-65535`, and `0 != 1` for `localhost`, which was looked up. All pass now.

--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -24,6 +24,7 @@
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
 from fuchsiapin.exceptions import MalformedEnvelope, SettingsError
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
+from fuchsiapin.flows.fields import is_host
 from fuchsiapin.flows.metrics import render_counts
 from fuchsiapin.flows.storage import StoreCall, StoreResult
 from fuchsiapin.flows.wire import decode_message, encode_message
@@ -48,6 +49,7 @@
 EXIT_CHECK_MS = 50
 EXIT_MARGIN_MS = 500
 """Time reserved for exiting before the process is killed."""
+MAX_PORT = 65_535
 NS_PER_MS = 1_000_000
 
 
@@ -141,10 +143,14 @@
                     self.report_error(type(effect).__name__, error)
 
     def send(self, udp_socket: Any, data: bytes, host: str, port: int) -> None:
-        """Send a datagram; one that the socket rejects is counted and dropped.
+        """Send a datagram; one that can't be sent is counted and dropped.
 
         Datagrams can be lost on any network, so the core has to cope with it anyway.
+        The socket would look up a host that is no address, and block meanwhile.
         """
+        if not is_host(host) or not 0 < port <= MAX_PORT:
+            self.unsent_datagrams += 1
+            return
         try:
             udp_socket.sendto(data, (host, port))
         except OSError:
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -183,6 +183,16 @@
         self.loop.run_once()
         self.assertEqual(len(self.calls), 2)
 
+    def test_datagram_to_no_address_is_dropped_without_a_lookup(self) -> None:
+        hosts = ("db", "localhost", "\udc80", "1.2.3.4\0", "", "224.0.0.1", 7)
+        targets = [(host, 9) for host in hosts]
+        targets += [(HOST, port) for port in (0, -1, 65_536, 10**30)]
+        for host, port in targets:
+            with self.subTest(host=host, port=port):
+                self.shell.unsent_datagrams = 0
+                self.shell.send(self.shell.peers, b"x", host, port)
+                self.assertEqual(self.shell.unsent_datagrams, 1)
+
     def test_line_that_cannot_be_encoded_is_shortened(self) -> None:
         deep: list = []
         for _ in range(100_000):
