--- a/fuchsiapin/tests/flowprocess.py
+++ b/fuchsiapin/tests/flowprocess.py
@@ -1,5 +1,6 @@
 """Runs one process of packet flows as on the platform, with settings of its own."""
 
+import contextlib
 import json
 import os
 import signal
@@ -12,23 +13,27 @@
 from collections.abc import Callable
 from pathlib import Path
 
-__all__ = ["HOST", "WAIT_S", "RealProcess", "free_port", "read_lines"]
+__all__ = ["HOST", "ROOT", "WAIT_S", "RealProcess", "free_ports", "read_lines"]
 
 ROOT = Path(__file__).parent.parent.parent
 HOST = "127.0.0.1"
 WAIT_S = 60
 
 
-def free_port() -> int:
-    """Return a port that is free for both protocols."""
-    while True:
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as other:
+def free_ports(count: int) -> list[int]:
+    """Return different ports that are free for both protocols."""
+    ports: list[int] = []
+    with contextlib.ExitStack() as opened:
+        while len(ports) < count:
+            stream = opened.enter_context(socket.socket())
             stream.bind((HOST, 0))
-            try:
-                other.bind(stream.getsockname())
-            except OSError:
-                continue
-            return stream.getsockname()[1]
+            with socket.socket(type=socket.SOCK_DGRAM) as other:
+                try:
+                    other.bind(stream.getsockname())
+                except OSError:
+                    continue
+            ports.append(stream.getsockname()[1])
+    return ports
 
 
 def read_lines(text: bytes) -> list[dict]:
@@ -57,7 +62,7 @@
         self.path = Path(folder.name) / "settings.json"
         self.log = Path(folder.name) / "log"
         self.role = role
-        ports = [free_port() for _ in range(7)]
+        ports = free_ports(7)
         callers, ready, control, store, peers, metrics, outbound = ports
         self.values = {
             "name": f"{role}-1",
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -4,7 +4,10 @@
 import json
 import os
 import selectors
+import signal
 import socket
+import subprocess
+import sys
 import unittest
 from types import SimpleNamespace
 from typing import Any
@@ -15,11 +18,24 @@
 from fuchsiapin.daemons.loglines import LogLines
 from fuchsiapin.flows.effects import ToCaller, ToStore
 from fuchsiapin.flows.storage import LIST, MEMBERS, StoreCall, StoreResult
-from fuchsiapin.tests.flowprocess import HOST, WAIT_S, RealProcess
+from fuchsiapin.tests.flowprocess import HOST, ROOT, WAIT_S, RealProcess
 from fuchsiapin.timers import Timers
 
 FULL_PIPE = b"-" * 65_536
 MAX_ITERATIONS = 200
+SIGNAL_DURING_IMPORTS = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, *others):
+        if name.startswith("fuchsiapin"):
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.path.insert(0, "platform")
+sys.meta_path.insert(0, Finder())
+sys.argv[1:] = ["other"]
+runpy.run_path("platform/main.py")
+"""
 
 
 def make_shell(test: unittest.TestCase, clock: Clock, **settings: object) -> FlowShell:
@@ -105,6 +121,22 @@
                     os.close(file)
 
 
+class StartTest(unittest.TestCase):
+    """A process starts although something isn't in place yet."""
+
+    def test_signal_for_changed_settings_never_ends_the_process(self) -> None:
+        process = RealProcess(self)
+        command = [sys.executable, "-c", SIGNAL_DURING_IMPORTS]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True)
+        self.assertEqual((done.returncode, done.stderr[:5]), (1, b"usage"))
+        started = process.start()
+        process.wait_until_started()
+        for _ in range(20):
+            started.send_signal(signal.SIGHUP)
+        process.wait_for(lambda: process.lines(6310))
+        self.assertEqual(process.end(), 0)
+
+
 class LoopErrorTest(unittest.TestCase):
     """One failed event is reported, and everything else goes on."""
 
