Wait for settings and ports that aren't there yet at the start

What callers saw: the system didn't start, or processes ended at their start.

Cause: a settings file that was missing, empty or half written ended the process, and so did a port in use: that of a former process that isn't gone, or the port of the metrics, which may coincide with one of the deployment. A change while the settings were read wasn't noticed, because the fingerprint was taken after it.

Change: the settings are tried again for 3 s, an address in use for 10 s; event 1112 tells of it. Only then the process ends, with event 1111. Metrics are served as soon as their port is free, and not on the upstream's port; the process never ends by them. The fingerprint is taken before the settings are read.

Evidence: test_processends.StartTest with real processes.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from fuchsiapin.daemons.eventloop import open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpserving import Reply
 from fuchsiapin.daemons.processends import run_process
@@ -52,7 +51,7 @@
             )
 
         super().__init__(adapter, settings, "balancer", make_core)
-        open_udp_socket(self.loop, *settings.callers, self.on_packet)
+        self.open_udp(*settings.callers, self.on_packet)
         self.listen(settings.ready[1], self.on_readiness_probe)
         if settings.control[1]:
             # Upstreams report to side processes; a balancer has no control calls.
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -6,6 +6,8 @@
 import signal
 import time
 from collections.abc import Callable
+from errno import EADDRINUSE
+from socket import socket
 from typing import TYPE_CHECKING, Any
 
 from fuchsiapin import __version__
@@ -13,12 +15,15 @@
 from fuchsiapin.daemons.errorlocation import error_location
 from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
-from fuchsiapin.daemons.httpserving import Reply, listen_http
+from fuchsiapin.daemons.httpserving import Handler, Reply, listen_http
 from fuchsiapin.daemons.loglines import FLUSH_INTERVAL_MS, LogLines
 from fuchsiapin.daemons.processends import (
+    ADDRESS_WAIT_MS,
     FLUSH_MS,
     MAX_ERROR_CHARACTERS,
+    report_delay,
     report_resources,
+    try_for,
 )
 from fuchsiapin.daemons.resources import read_resources
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
@@ -46,6 +51,7 @@
 itself longer, as after a pause, is always reported."""
 UNSENT_CALL_MS = 100
 """Delay of the result of a call that can't be sent, so that repeats are bounded."""
+METRICS_RETRY_MS = 5_000
 EXIT_CHECK_MS = 50
 EXIT_MARGIN_MS = 500
 """Time reserved for exiting before the process is killed."""
@@ -85,7 +91,7 @@
         self.loop = EventLoop(self.clock, self.core.timers)
         self.loop.after_events = self.run_effects
         self.loop.on_error = self.report_error
-        self.settings_fingerprint = adapter.settings_fingerprint()
+        self.settings_fingerprint: object = adapter.settings_fingerprint()
         self.store = HttpClient(self.loop, *settings.store)
         self.store_call_counts: dict[str, int] = {}
         self.unsent_datagrams = 0
@@ -94,9 +100,7 @@
         self.was_ready = True  # a process that is ready at once logs no event 1104
         self.last_suspended_ns = self.suspended_ns()
         self.late_reported_at = 0
-        self.peers = open_udp_socket(
-            self.loop, settings.bind, settings.peer_port, self.on_peer
-        )
+        self.peers = self.open_udp(settings.bind, settings.peer_port, self.on_peer)
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             ToCaller: self.send_to_caller,
             ToPeer: self.send_to_peer,
@@ -115,8 +119,7 @@
         self.loop.on_signal(signal.SIGTERM, self.on_stop)
         self.loop.on_signal(signal.SIGINT, self.on_stop)
         self.loop.on_signal(signal.SIGHUP, self.on_reload)
-        if self.settings.metrics_port:
-            self.listen(self.settings.metrics_port, self.on_metrics)
+        self.listen_for_metrics(self.clock.now())
         self.core.start(self.clock.now())
         self.check_state(self.clock.now())
         self.flush(self.clock.now())
@@ -127,9 +130,40 @@
         self.log.report(1103)
         self.log.drain(FLUSH_MS)
 
-    def listen(self, port: int, handler: Callable[[str, str, bytes], Reply]) -> None:
+    def await_address(self, open_socket: Callable[[], socket]) -> socket:
+        """Open a socket; wait if its address is in use, as by a former process."""
+        return try_for(
+            ADDRESS_WAIT_MS,
+            open_socket,
+            lambda error: error.errno == EADDRINUSE,
+            lambda error: report_delay(self.log, error),
+        )
+
+    def open_udp(
+        self, host: str, port: int, on_datagram: Callable[[bytes, str], None]
+    ) -> socket:
+        """Open a UDP socket."""
+        return self.await_address(
+            lambda: open_udp_socket(self.loop, host, port, on_datagram)
+        )
+
+    def listen(self, port: int, handler: Handler) -> None:
         """Serve HTTP on a port of this VM."""
-        listen_http(self.loop, self.settings.bind, port, handler)
+        self.await_address(
+            lambda: listen_http(self.loop, self.settings.bind, port, handler)
+        )
+
+    def listen_for_metrics(self, now: int) -> None:
+        """Serve metrics; callers are served without them while the port is in use."""
+        settings = self.settings
+        port = settings.metrics_port
+        if not port or port == settings.upstream[1]:
+            return  # the upstream needs the port
+        try:
+            listen_http(self.loop, settings.bind, port, self.on_metrics)
+        except OSError as error:
+            report_delay(self.log, error)
+            self.loop.call_later(METRICS_RETRY_MS, self.listen_for_metrics)
 
     # Effects
 
--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 
-from fuchsiapin.daemons.eventloop import open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply
@@ -43,9 +42,7 @@
         super().__init__(adapter, settings, "side", make_core)
         self.effect_handlers[ToUpstream] = self.send_to_upstream
         self.effect_handlers[Probe] = self.probe
-        self.upstream = open_udp_socket(
-            self.loop, *settings.outbound, self.on_upstream_packet
-        )
+        self.upstream = self.open_udp(*settings.outbound, self.on_upstream_packet)
         self.listen(settings.control[1], self.on_control)
         if settings.ready[1]:
             # A side process is always ready.
--- a/fuchsiapin/daemons/httpserving.py
+++ b/fuchsiapin/daemons/httpserving.py
@@ -9,7 +9,7 @@
 from fuchsiapin.daemons.eventloop import EventLoop, bind_socket
 from fuchsiapin.lightclasses import dataclass
 
-__all__ = ["Reply", "listen_http"]
+__all__ = ["Handler", "Reply", "listen_http"]
 
 BACKLOG = 128
 READ_BYTES = 65_536
--- a/fuchsiapin/daemons/processends.py
+++ b/fuchsiapin/daemons/processends.py
@@ -5,17 +5,26 @@
 import os
 import select
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NoReturn
+from time import monotonic_ns, sleep
+from typing import TYPE_CHECKING, Any, NoReturn, TypeVar
 
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.daemons.errorlocation import error_location, error_trace
 from fuchsiapin.daemons.loglines import LogLines
 from fuchsiapin.daemons.resources import read_resources
+from fuchsiapin.exceptions import SettingsError
 
 if TYPE_CHECKING:
     from fuchsiapin.flows.adapter import FlowAdapter
 
-__all__ = ["end_process", "report_end", "report_resources", "run_process"]
+__all__ = [
+    "end_process",
+    "report_delay",
+    "report_end",
+    "report_resources",
+    "run_process",
+    "try_for",
+]
 
 EXIT_STATUS = 1
 FLUSH_MS = 500
@@ -25,6 +34,13 @@
 MAX_LAST_BYTES = 4_096
 """A pipe that is ready takes as many bytes at once."""
 STANDARD_ERROR = 2
+SETTINGS_WAIT_MS = 3_000
+"""Longest wait for settings, which the platform writes at each start."""
+ADDRESS_WAIT_MS = 10_000
+"""Longest wait for an address, which a former process may still use."""
+REPEAT_S = 0.02
+NS_PER_MS = 1_000_000
+T = TypeVar("T")
 
 
 def run_process(adapter: FlowAdapter, make_shell: Callable[..., Any]) -> None:
@@ -44,15 +60,65 @@
     """
     name, log = "", None
     try:
-        settings = adapter.read_settings()
+        # Taken first: what changes from here on differs from it.
+        fingerprint = adapter.settings_fingerprint()
+        settings = try_for(
+            SETTINGS_WAIT_MS, adapter.read_settings, lambda error: True, tell_delay
+        )
         name = settings.name
         shell = make_shell(adapter, settings)
+        shell.settings_fingerprint = fingerprint
         log = shell.log
         shell.run()
     except Exception as error:
         end_process(error, log or LogLines(SystemClock(), name))
 
 
+def tell_delay(error: Exception) -> None:
+    """Write that the settings can't be read yet."""
+    log = LogLines(SystemClock(), "")
+    report_delay(log, error)
+
+
+def report_delay(log: LogLines, error: Exception) -> None:
+    """Write that the process waits for something that it needs."""
+    log.report(1112, error=str(error)[:MAX_ERROR_CHARACTERS])
+    log.flush()
+
+
+def try_for(
+    duration_ms: int,
+    call: Callable[[], T],
+    may_repeat: Callable[[Any], bool],
+    on_delay: Callable[[Exception], None],
+) -> T:
+    """Return the result of a call, which is repeated while it fails.
+
+    Parameters
+    ----------
+    duration_ms : int
+        Time after which the error of the call is raised.
+    call : callable
+        The call.
+    may_repeat : callable
+        Returns whether an error may be over soon.
+    on_delay : callable
+        Called with the first error.
+    """
+    deadline = monotonic_ns() + duration_ms * NS_PER_MS
+    is_told = False
+    while True:
+        try:
+            return call()
+        except (OSError, SettingsError) as error:
+            if not may_repeat(error) or monotonic_ns() >= deadline:
+                raise
+            if not is_told:
+                on_delay(error)
+            is_told = True
+        sleep(REPEAT_S)
+
+
 def end_process(error: BaseException, log: LogLines | None = None) -> NoReturn:
     """Report why the process ends, and end it."""
     report_end(log or LogLines(SystemClock(), ""), error)
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -132,6 +132,15 @@
         "error with the log line.",
         (ERROR, Field("where"), Field("trace", "list of text")),
     ),
+    Event(
+        1112,
+        "start delayed",
+        "warning",
+        "The settings can't be read yet, or an address is in use; the process tries "
+        "again for some seconds, and for a port of the metrics as long as it runs.",
+        "If it persists: correct the settings, or find out what uses the port.",
+        (ERROR,),
+    ),
     Event(
         1201,
         "object API unreachable",
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -16,6 +16,7 @@
 from fuchsiapin.clock import Clock, ManualClock, SystemClock
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.loglines import LogLines
+from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.effects import ToCaller, ToStore
 from fuchsiapin.flows.storage import LIST, MEMBERS, StoreCall, StoreResult
 from fuchsiapin.tests.flowprocess import HOST, ROOT, WAIT_S, RealProcess
@@ -103,7 +104,7 @@
     def test_cause_is_written_if_standard_output_is_closed_or_full(self) -> None:
         for kind in ("closed", "full", "unread"):
             with self.subTest(kind):
-                process = RealProcess(self, store=7)
+                process = RealProcess(self, bind="192.0.2.1")
                 reading, writing = os.pipe()
                 options: dict = {"stdout": writing}
                 if kind == "closed":
@@ -136,6 +137,62 @@
         process.wait_for(lambda: process.lines(6310))
         self.assertEqual(process.end(), 0)
 
+    def test_settings_that_are_written_late_are_awaited(self) -> None:
+        for text in (None, "", '{"name": "balancer-1", "ho'):
+            with self.subTest(text):
+                process = RealProcess(self)
+                if text is None:
+                    process.path.unlink()
+                else:
+                    process.path.write_text(text)
+                process.start()
+                process.wait_for(lambda p=process: p.lines(1112))
+                process.path.write_text(json.dumps(process.values))
+                process.wait_until_started()
+                self.assertEqual(process.end(), 0)
+
+    def test_change_while_the_settings_are_read_is_noticed(self) -> None:
+        fingerprints = iter((1, 2, 2))
+        settings = SimpleNamespace(name="n")
+        adapter = SimpleNamespace(
+            read_settings=lambda: next(fingerprints) and settings,
+            settings_fingerprint=lambda: next(fingerprints),
+        )
+        shell = SimpleNamespace(run=lambda: None, log=None)
+        run_process(adapter, lambda *args: shell)
+        self.assertEqual(shell.settings_fingerprint, 1)
+
+    def test_port_that_is_still_in_use_is_awaited(self) -> None:
+        for name, kind in (
+            ("ready", socket.SOCK_STREAM),
+            ("callers", socket.SOCK_DGRAM),
+        ):
+            with self.subTest(name), socket.socket(type=kind) as former:
+                process = RealProcess(self)
+                host, _, port = process.values[name].rpartition(":")
+                former.bind((host, int(port)))
+                if kind == socket.SOCK_STREAM:
+                    former.listen()
+                process.start()
+                process.wait_for(lambda p=process: p.lines(1112))
+                self.assertIn(port, process.lines(1112)[0]["error"])
+                former.close()
+                process.wait_until_started()
+                self.assertEqual(process.end(), 0)
+
+    def test_port_of_the_metrics_never_prevents_the_start(self) -> None:
+        for name in ("ready", "callers", "control", "store"):
+            with self.subTest(name):
+                process = RealProcess(self, "side" if name == "store" else "balancer")
+                process.values["metrics_port"] = int(process.values[name].split(":")[1])
+                process.path.write_text(json.dumps(process.values))
+                process.start()
+                process.wait_until_started()
+                if name == "store":  # its upstream's port too
+                    port = process.values["metrics_port"]
+                    socket.create_server((HOST, port)).close()
+                self.assertEqual(process.end(), 0)
+
 
 class LoopErrorTest(unittest.TestCase):
     """One failed event is reported, and everything else goes on."""
