Bound what others can use up, and run on without descriptors

What callers saw: processes that ended, by an `OSError` or by their limit of memory.

Cause: an error of `accept`, of a new connection's socket, of its registration or of a read left its callback; a call that couldn't be sent got no outcome. The URL and headers of a request, the headers of a response and the replies to a client that doesn't read them were kept without a limit. A failed handler of a request closed the connection without a line. Connections to a former address of the store stayed open.

Change: a call that can't be sent fails once, with the system's reason. A listener closes its oldest connection and is paused for 50 ms if it can't accept; a UDP socket is paused after 16 errors of a read. A request of more than 128 kB, a client with 256 kB of unread replies that asks again, and a response whose headers exceed 128 kB end the connection. A failed handler is reported and answered with 503. A missing TCP option doesn't end a connection. Connections to the former store are closed.

Evidence: test_processends.LimitTest. On the parent commit: `OSError: [Errno 24] Too many open files` for the call, `OSError: [Errno 12] no memory` for its registration, `1 MB of one request was taken` (four kinds), `1000 not less than 20` for requests of a client that doesn't read, `Lists differ: [] != [0]` for endless headers (two kinds), `b'' != b'HTTP/1.1 503'`, `100 != 6` for errors of reads. They pass now. The tests of `accept` and of a process with 30 descriptors passed on the parent too, by its pause of sockets that fail.

--- a/fuchsiapin/daemons/eventloop.py
+++ b/fuchsiapin/daemons/eventloop.py
@@ -22,6 +22,8 @@
 MAX_WAIT_MS = 1_000
 MAX_DATAGRAMS_PER_WAKEUP = 64
 """Datagrams read from one socket before the loop serves other sockets."""
+MAX_READ_ERRORS = 16
+"""Errors of one socket after which it is paused."""
 MAX_DATAGRAM_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 1 << 20
 """Holds bursts that arrive while the process waits for CPU time."""
@@ -251,8 +253,11 @@
             except BlockingIOError:
                 load.datagrams += count - errors
                 return
-            except ConnectionError:
-                errors += 1  # ICMP port unreachable for a datagram sent earlier
+            except OSError:
+                # An ICMP error of a datagram sent earlier, or no memory for the next.
+                errors += 1
+                if errors == MAX_READ_ERRORS:
+                    raise
                 continue
             on_datagram(data, address[0])
         load.datagrams += MAX_DATAGRAMS_PER_WAKEUP - errors
--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -317,6 +317,7 @@
             self.log.report(6311, cause=cause, error=str(error))
             return
         if settings.store != self.settings.store:
+            self.store.close()
             self.store = HttpClient(self.loop, *settings.store)
         changed = sorted(
             name
@@ -408,7 +409,7 @@
         if path != self.adapter.metrics_path:
             return Reply(404)
         text = render_counts(self.role, self.settings.zone, self.metric_values())
-        return Reply(200, text.encode(), "text/plain; version=0.0.4")
+        return Reply(200, text.encode(errors="replace"), "text/plain; version=0.0.4")
 
     def metric_values(self) -> dict[str, dict[str, float]]:
         """Return the metrics of the process: values by series name, then by label.
--- a/fuchsiapin/daemons/httpcalls.py
+++ b/fuchsiapin/daemons/httpcalls.py
@@ -15,6 +15,8 @@
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Longest response body that is accepted."""
+MAX_HEAD_BYTES = 128 * 1024
+"""Longest status line and headers, with what is read together with them."""
 KEEPALIVE_OPTIONS = (
     (socket.TCP_KEEPIDLE, 1),
     (socket.TCP_KEEPINTVL, 1),
@@ -60,7 +62,10 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in KEEPALIVE_OPTIONS:
-            self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+            try:
+                self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+            except OSError:
+                continue  # not supported; each call has a timeout besides
         self.unsent = b""
         self.is_open = True
         self.keeps_alive = True
@@ -80,6 +85,8 @@
         """Reset the parser for the next response."""
         self.parser = httptools.HttpResponseParser(self)
         self.response: HttpResponse | None = None
+        self.received = 0
+        self.is_head_complete = False
         self.body_parts: list[bytes] = []
         self.body_length = 0
         self.headers: dict[str, str] = {}
@@ -99,7 +106,11 @@
                 self.fail("timeout")
 
         self.loop.call_later(timeout_ms, expire)
-        self.watch()
+        try:
+            self.watch()
+        except OSError as error:
+            label = error_label(error)
+            self.loop.call_later(0, lambda now: self.fail(label))
 
     def watch(self) -> None:
         """Watch for input, and for output while data is unsent."""
@@ -134,6 +145,11 @@
             self.close()  # data that belongs to no call
             self.client.release(self)
             return
+        self.received += len(data)
+        limit = MAX_HEAD_BYTES + (MAX_BODY_BYTES if self.is_head_complete else 0)
+        if self.received > limit:
+            self.fail(f"response of more than {limit} bytes")
+            return
         error = ""
         try:
             self.parser.feed_data(data)
@@ -148,6 +164,10 @@
             self.close()
         self.finish(self.response)
 
+    def on_headers_complete(self) -> None:
+        """Note the end of the headers."""
+        self.is_head_complete = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
@@ -209,6 +229,7 @@
         self.address = (host, port)
         self.host_header = f"{host}:{port}"
         self.idle: list[Connection] = []
+        self.is_closed = False
 
     def call(
         self,
@@ -225,20 +246,43 @@
         elif method != "GET":
             head += "Content-Length: 0\r\n"
         if not is_target(path):
-            answer = HttpResponse(0, error=f"path {shown(path)} can't be sent")
-            self.loop.call_later(0, lambda now: on_done(answer))
+            error = f"path {shown(path)} can't be sent"
+            self.answer_later(on_done, HttpResponse(0, error=error))
             return
         request = f"{head}\r\n".encode() + body
-        connection = self.idle.pop() if self.idle else Connection(self)
+        try:
+            connection = self.idle.pop() if self.idle else Connection(self)
+        except OSError as error:  # no descriptor or memory is left
+            self.answer_later(on_done, HttpResponse(0, error=error_label(error)))
+            return
         connection.call(request, timeout_ms, on_done)
 
+    def answer_later(
+        self, on_done: Callable[[HttpResponse], None], answer: HttpResponse
+    ) -> None:
+        """Finish a call that wasn't sent."""
+        waiting = [on_done]
+
+        def finish(now: int) -> None:
+            if waiting:  # not again if the first call of `on_done` failed
+                waiting.pop()(answer)
+
+        self.loop.call_later(0, finish)
+
+    def close(self) -> None:
+        """Close idle connections, and others once their call is finished."""
+        self.is_closed = True
+        for connection in list(self.idle):
+            connection.close()
+        self.idle.clear()
+
     def release(self, connection: Connection) -> None:
         """Return an open connection to the pool, or close it if the pool is full."""
         if connection in self.idle:
             self.idle.remove(connection)
         if not connection.is_open:
             return
-        if len(self.idle) < MAX_IDLE:
+        if len(self.idle) < MAX_IDLE and not self.is_closed:
             self.idle.append(connection)
         else:
             connection.close()
--- a/fuchsiapin/daemons/httpserving.py
+++ b/fuchsiapin/daemons/httpserving.py
@@ -14,9 +14,14 @@
 BACKLOG = 128
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 65_536
+MAX_REQUEST_BYTES = 2 * MAX_BODY_BYTES
+"""Bytes of one request, with its headers, after which a connection is closed."""
+MAX_UNSENT_BYTES = 256 * 1024
+"""Unsent bytes of replies after which no further request is handled."""
 MAX_CONNECTIONS = 256
 IDLE_MS = 60_000
 """Idle time after which a connection may be closed, and the interval of that check."""
+MAX_SHOWN_CHARACTERS = 100
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -63,6 +68,7 @@
         """Clear the state of the last request."""
         self.path = b""
         self.body = b""
+        self.received = 0
 
     def watch(self) -> None:
         """Watch for input, and for output while data is unsent."""
@@ -82,11 +88,14 @@
                     self.close()
                     return
                 self.last_used = self.loop.clock.now()
+                self.received += len(data)
                 self.parser.feed_data(data)
+                if self.received > MAX_REQUEST_BYTES:
+                    self.close()
         except BlockingIOError:
             return
         except (OSError, httptools.HttpParserError):
-            self.close()  # connection lost, invalid HTTP or an error in the handler
+            self.close()  # connection lost or invalid HTTP
 
     def on_url(self, url: bytes) -> None:
         """Store the path."""
@@ -98,6 +107,10 @@
 
     def on_message_complete(self) -> None:
         """Handle a complete request and send the reply."""
+        if len(self.unsent) > MAX_UNSENT_BYTES:
+            self.close()  # the client doesn't read
+        if not self.is_open:
+            return
         method = self.parser.get_method().decode("latin-1")
         path = self.path.decode("latin-1")
         body = self.body
@@ -105,7 +118,7 @@
         if len(body) > MAX_BODY_BYTES:
             reply = Reply(400, b'{"error": "body is too long"}')
         else:
-            reply = self.handler(method, path, body)
+            reply = self.handle(method, path, body)
         reason = REASON_PHRASES.get(reply.status, "Status")
         head = (
             f"HTTP/1.1 {reply.status} {reason}\r\n"
@@ -115,6 +128,14 @@
         self.unsent += head.encode() + reply.body
         self.write()
 
+    def handle(self, method: str, path: str, body: bytes) -> Reply:
+        """Return the reply of the handler, 503 if it fails."""
+        try:
+            return self.handler(method, path, body)
+        except Exception as error:
+            self.loop.on_error(f"{method} {path[:MAX_SHOWN_CHARACTERS]}", error)
+            return Reply(503)
+
     def write(self) -> None:
         """Send as much of the unsent data as the socket accepts."""
         try:
@@ -165,16 +186,27 @@
                 accepted, _ = listener.accept()
             except (BlockingIOError, ConnectionError):
                 return
-            accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # The dictionary is ordered by acceptance: the oldest connection is closed.
-            while len(connections) >= MAX_CONNECTIONS:
-                next(iter(connections)).close()
-            connections[
-                ServerConnection(
+            except OSError:
+                # Usually no descriptor is left; the loop pauses the listener.
+                close_oldest()
+                raise
+            if len(connections) >= MAX_CONNECTIONS:
+                close_oldest()
+            try:
+                accepted.setblocking(False)
+                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection = ServerConnection(
                     loop, accepted, handler, lambda c: connections.pop(c, None)
                 )
-            ] = None
+            except OSError:
+                accepted.close()
+                raise
+            connections[connection] = None
+
+    def close_oldest() -> None:
+        for connection in connections:  # ordered by acceptance
+            connection.close()
+            return
 
     def close_idle(now: int) -> None:
         for connection in list(connections):
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -3,18 +3,25 @@
 import contextlib
 import json
 import os
+import resource
+import select
 import selectors
 import signal
 import socket
 import subprocess
 import sys
+import time
 import unittest
+from collections.abc import Callable, Iterator
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import patch
 
 from fuchsiapin.clock import Clock, ManualClock, SystemClock
+from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
+from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
+from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import LogLines
 from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.effects import ToCaller, ToStore
@@ -356,5 +363,196 @@
             accepted.close()
 
 
+class LimitTest(unittest.TestCase):
+    """Descriptors and memory that run out, or that others use up."""
+
+    def setUp(self) -> None:
+        self.loop = EventLoop(SystemClock(), Timers())
+        self.addCleanup(self.loop.selector.close)
+        self.errors: list[str] = []
+        self.loop.on_error = lambda name, error: self.errors.append(repr(error))
+
+    def run_until(self, condition: Callable[[], object]) -> None:
+        """Run the loop until a condition holds."""
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, self.errors)
+            self.loop.call_later(10, lambda now: None)
+            self.loop.run_once()
+
+    @contextlib.contextmanager
+    def no_descriptor(self) -> Iterator[None]:
+        """Leave the test's process no descriptor to open."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        with socket.socket() as first_free:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (first_free.fileno(), hard))
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    def serve(self, reply: Callable[..., Reply] = lambda *call: Reply(200)) -> Any:
+        """Start a server; return its socket."""
+        opened = listen_http(self.loop, HOST, 0, reply)
+        self.addCleanup(opened.close)
+        return opened
+
+    def connect(self, listener: socket.socket) -> socket.socket:
+        """Return a connection that doesn't block."""
+        client = socket.create_connection(listener.getsockname())
+        self.addCleanup(client.close)
+        client.setblocking(False)
+        return client
+
+    def is_closed(self, client: socket.socket) -> bool:
+        """Return whether the server has closed a connection."""
+        try:
+            return not client.recv(10)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
+    def test_accept_without_descriptors_resumes_and_is_no_busy_loop(self) -> None:
+        listener = self.serve()
+        client = self.connect(listener)
+        client.send(b"GET / HTTP/1.1\r\n\r\n")
+        with self.no_descriptor():
+            for _ in range(20):
+                self.loop.run_once()
+                if self.errors:
+                    break
+            self.assertNotIn(listener, self.loop.selector.get_map())
+        self.assertIn("Too many open files", self.errors[0])
+        self.run_until(lambda: select.select([client], [], [], 0)[0])
+        self.assertEqual(client.recv(12), b"HTTP/1.1 200")
+
+    def test_call_without_descriptors_fails_and_later_ones_succeed(self) -> None:
+        client = HttpClient(self.loop, *self.serve().getsockname())
+        self.addCleanup(lambda: [found.close() for found in client.idle])
+        got: list[HttpResponse] = []
+        with self.no_descriptor():
+            client.call("GET", "/", b"", 60_000, got.append)
+            self.run_until(lambda: got)
+        client.call("GET", "/", b"", 60_000, got.append)
+        self.run_until(lambda: len(got) == 2)
+        self.assertEqual([found.status for found in got], [0, 200])
+        self.assertEqual(got[0].error, "Too many open files")
+
+    def test_call_whose_socket_cannot_be_watched_fails_once(self) -> None:
+        client = HttpClient(self.loop, *self.serve().getsockname())
+        got: list[HttpResponse] = []
+        with patch.object(self.loop, "watch", side_effect=OSError(12, "no memory")):
+            client.call("GET", "/", b"", 60_000, got.append)
+        self.run_until(lambda: got)
+        self.assertEqual([found.error for found in got], ["no memory"])
+
+    def test_socket_that_fails_to_read_is_paused_and_read_again(self) -> None:
+        class FailingSocket(socket.socket):
+            failures = 100
+
+            def recvfrom(self, size: int) -> tuple[bytes, tuple[str, int]]:
+                if FailingSocket.failures:
+                    FailingSocket.failures -= 1
+                    raise OSError(105, "no buffer space")
+                return super().recvfrom(size)
+
+        got: list = []
+        with patch("fuchsiapin.daemons.eventloop.socket.socket", FailingSocket):
+            receiver = open_udp_socket(
+                self.loop, HOST, 0, lambda *values: got.append(values)
+            )
+        self.addCleanup(receiver.close)
+        with socket.socket(type=socket.SOCK_DGRAM) as sender:
+            sender.sendto(b"x", receiver.getsockname())
+        self.run_until(lambda: got)
+        self.assertEqual(len(self.errors), 6)
+
+    def test_endless_request_is_closed(self) -> None:
+        for start, part in (
+            (b"GET /", b"a" * 1_000),
+            (b"GET / HTTP/1.1\r\n", b"a: " + b"b" * 1_000 + b"\r\n"),
+            (b"GET / HTTP/1.1\r\na: ", b"b" * 1_000),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"3e8\r\n" + b"b" * 1_000 + b"\r\n",
+            ),
+        ):
+            with self.subTest(start):
+                client = self.connect(self.serve())
+                client.send(start)
+                for _ in range(1_000):
+                    with contextlib.suppress(OSError):
+                        client.send(part)
+                    self.loop.call_later(1, lambda now: None)
+                    self.loop.run_once()
+                    if self.is_closed(client):
+                        break
+                else:
+                    self.fail("1 MB of one request was taken")
+
+    def test_client_that_does_not_read_its_replies_is_closed(self) -> None:
+        handled: list = []
+
+        def reply(*call: object) -> Reply:
+            handled.append(call)
+            return Reply(200, b"x" * 1_000_000)
+
+        client = self.connect(self.serve(reply))
+        for _ in range(100):
+            with contextlib.suppress(OSError):
+                client.send(b"GET / HTTP/1.1\r\n\r\n" * 10)
+            self.loop.call_later(1, lambda now: None)
+            self.loop.run_once()
+        self.assertLess(len(handled), 100)
+
+    def test_endless_response_ends_the_call(self) -> None:
+        for start, part in (
+            (b"HTTP/1.1 200 OK\r\n", b"a: " + b"b" * 10_000 + b"\r\n"),
+            (b"HTTP/1.1 200 OK\r\na: ", b"b" * 10_000),
+        ):
+            with self.subTest(start), socket.create_server((HOST, 0)) as server:
+                got: list[HttpResponse] = []
+                client = HttpClient(self.loop, *server.getsockname())
+                client.call("GET", "/", b"", 600_000, got.append)
+                accepted, _ = server.accept()
+                accepted.setblocking(False)
+                accepted.send(start)
+                for _ in range(1_000):
+                    with contextlib.suppress(OSError):
+                        accepted.send(part)
+                    self.loop.call_later(1, lambda now: None)
+                    self.loop.run_once()
+                    if got:
+                        break
+                accepted.close()
+                self.assertEqual([found.status for found in got], [0])
+
+    def test_handler_that_fails_is_answered(self) -> None:
+        client = self.connect(self.serve(lambda *call: 1 // 0))
+        client.send(b"GET / HTTP/1.1\r\n\r\n")
+        self.run_until(lambda: select.select([client], [], [], 0)[0])
+        self.assertEqual(client.recv(12), b"HTTP/1.1 503")
+        self.assertIn("ZeroDivisionError", self.errors[0])
+
+    def test_process_out_of_descriptors_serves_again(self) -> None:
+        process = RealProcess(self)
+        limit = 30, 30
+        process.start(
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+        )
+        process.wait_until_started()
+        host, _, port = process.values["ready"].rpartition(":")
+        address = host, int(port)
+        waiting = [socket.create_connection(address) for _ in range(60)]
+        process.wait_for(lambda: process.lines(1302))
+        for client in waiting:
+            client.close()
+        with socket.create_connection(address, WAIT_S) as client:
+            client.send(b"GET /fuchsiapin/readiness HTTP/1.1\r\n\r\n")
+            self.assertEqual(client.recv(10), b"HTTP/1.1 5")
+        self.assertEqual(process.end(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
