Follow the store on after a result that the core fails to handle

What callers saw: balancers that stopped following the store, or one kind of its objects, after an odd entry.

Cause: an error while an item was applied left the follower's handling of the answer before it made its next call; event 1302 was written, and no call followed.

Change: a result that the core fails to handle is passed to it again as `unreachable`, unless it has already made its next call.

Other items of the failed answer are not applied until they are listed again.

--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -214,8 +214,7 @@
             self.report_error(kind, error)
             result = StoreResult("unreachable", detail=f"can't be encoded: {error!r}")
             self.loop.call_later(
-                UNSENT_CALL_MS,
-                lambda now: self.feed(self.core.on_store, effect.purpose, result),
+                UNSENT_CALL_MS, lambda now: self.pass_result(effect.purpose, result)
             )
             return
         self.traffic.count("store request", "", len(path) + len(body))
@@ -225,10 +224,23 @@
             result = self.read_result(effect.request, response)
             name = f"{kind}: {result.outcome}"
             self.store_call_counts[name] = self.store_call_counts.get(name, 0) + 1
-            self.feed(self.core.on_store, effect.purpose, result)
+            self.pass_result(effect.purpose, result)
 
         self.store.call(method, path, body, effect.timeout_ms, done)
 
+    def pass_result(self, purpose: str, result: StoreResult) -> None:
+        """Pass a result to the core, as unreachable if the core fails to handle it.
+
+        The core then makes its next call after a pause, as after an outage.
+        """
+        if self.feed(self.core.on_store, purpose, result):
+            return
+        for effect in self.core.effects:
+            if isinstance(effect, ToStore) and effect.purpose == purpose:
+                return  # the core failed after it had made its next call
+        failed = StoreResult("unreachable", detail="the result can't be handled")
+        self.feed(self.core.on_store, purpose, failed)
+
     def read_result(self, call: StoreCall, response: HttpResponse) -> StoreResult:
         """Return the result of a call to the store."""
         if not response.status:
