--- a/fuchsiapin/daemons/eventloop.py
+++ b/fuchsiapin/daemons/eventloop.py
@@ -197,8 +197,12 @@
     return getattr(callback, "__qualname__", type(callback).__name__)
 
 
-def bind_socket(unbound: socket.socket, host: str, port: int) -> None:
-    """Bind a socket to an address; close it if that fails.
+def bind_socket(
+    unbound: socket.socket, host: str, port: int, backlog: int | None = None
+) -> None:
+    """Bind a socket to an address, and listen if a backlog is given.
+
+    The socket is closed if that fails.
 
     Raises
     ------
@@ -207,6 +211,8 @@
     """
     try:
         unbound.bind((host, port))
+        if backlog is not None:
+            unbound.listen(backlog)
     except OSError as error:
         unbound.close()
         text = f"can't bind {host}:{port}: {error.strerror}"
--- a/fuchsiapin/daemons/httpserving.py
+++ b/fuchsiapin/daemons/httpserving.py
@@ -176,8 +176,7 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setblocking(False)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bind_socket(listener, host, port)
-    listener.listen(BACKLOG)
+    bind_socket(listener, host, port, BACKLOG)
     connections: dict[ServerConnection, None] = {}
 
     def accept(mask: int) -> None:
--- a/fuchsiapin/daemons/processends.py
+++ b/fuchsiapin/daemons/processends.py
@@ -27,7 +27,7 @@
 ]
 
 EXIT_STATUS = 1
-FLUSH_MS = 500
+FLUSH_MS = 200
 """Longest wait for the reader of the log; the process is started again only after its
 end."""
 MAX_ERROR_CHARACTERS = 500
