--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from fuchsiapin.daemons.eventloop import open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpserving import Reply
+from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
 from fuchsiapin.flows.coldrates import ColdBounds
 from fuchsiapin.flows.gossip import BalancerRecord
@@ -24,8 +24,6 @@
 QUIET_MS = 700
 """Time without a packet after which, beyond `ROUTER_WITHDRAWAL_MS`, the routers are
 assumed to have stopped using the balancer."""
-EXIT_MARGIN_MS = 500
-"""Time reserved for exiting before the process is killed."""
 
 
 class FlowBalancerShell(FlowShell):
@@ -53,7 +51,7 @@
             )
 
         super().__init__(adapter, settings, "balancer", make_core)
-        open_udp_socket(self.loop, *settings.callers, self.on_packet)
+        self.open_udp(*settings.callers, self.on_packet)
         self.listen(settings.ready[1], self.on_readiness_probe)
         if settings.control[1]:
             # Upstreams report to side processes; a balancer has no control calls.
@@ -70,9 +68,7 @@
         return Reply(503 if self.core.not_ready(self.clock.now()) else 200)
 
     def may_exit(self, now: int, elapsed_ms: int) -> bool:
-        """Return whether routers stopped using the balancer, or time is nearly up."""
-        if elapsed_ms >= self.settings.grace_ms - EXIT_MARGIN_MS:
-            return True
+        """Return whether routers stopped using the balancer."""
         return (
             elapsed_ms >= ROUTER_WITHDRAWAL_MS
             and now - self.core.last_packet_at > QUIET_MS
@@ -81,4 +77,4 @@
 
 def run_flow_balancer(adapter: FlowAdapter) -> None:
     """Run a balancer of packet flows."""
-    FlowBalancerShell(adapter, adapter.read_settings()).run()
+    run_process(adapter, FlowBalancerShell)
--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -5,10 +5,10 @@
 import time
 from collections.abc import Callable
 
-from fuchsiapin.daemons.eventloop import open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply
+from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.adapter import FlowAdapter, FlowSettings, LeaveNotice
 from fuchsiapin.flows.effects import Probe, ToUpstream
@@ -51,9 +51,7 @@
         super().__init__(adapter, settings, "side", make_core)
         self.effect_handlers[ToUpstream] = self.send_to_upstream
         self.effect_handlers[Probe] = self.probe
-        self.upstream = open_udp_socket(
-            self.loop, *settings.outbound, self.on_upstream_packet
-        )
+        self.upstream = self.open_udp(*settings.outbound, self.on_upstream_packet)
         self.listen(settings.control[1], self.on_control)
         if settings.ready[1]:
             # A side process is always ready.
@@ -169,4 +167,4 @@
 
 def run_flow_side(adapter: FlowAdapter) -> None:
     """Run a side process of packet flows."""
-    FlowSideShell(adapter, adapter.read_settings()).run()
+    run_process(adapter, FlowSideShell)
--- a/fuchsiapin/daemons/httpcalls.py
+++ b/fuchsiapin/daemons/httpcalls.py
@@ -7,6 +7,7 @@
 import httptools
 
 from fuchsiapin.daemons.eventloop import EventLoop
+from fuchsiapin.flows.fields import shown
 from fuchsiapin.lightclasses import dataclass
 
 __all__ = ["HttpResponse", "HttpClient"]
@@ -14,6 +15,8 @@
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Longest response body that is accepted."""
+MAX_HEAD_BYTES = 128 * 1024
+"""Longest status line and headers, with what is read together with them."""
 KEEPALIVE_OPTIONS = (
     (socket.TCP_KEEPIDLE, 1),
     (socket.TCP_KEEPINTVL, 1),
@@ -21,6 +24,7 @@
 )
 """Probes each second (s); a connection ends after two seconds (ms) without an
 acknowledgement, so that a call that waits for long notices a path that went silent."""
+FIRST_FINAL_STATUS = 200
 MAX_IDLE = 4
 """Idle keep-alive connections to one server."""
 
@@ -58,10 +62,13 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in KEEPALIVE_OPTIONS:
-            self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+            try:
+                self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+            except OSError:
+                continue  # not supported; each call has a timeout besides
         self.unsent = b""
         self.is_open = True
-        self.is_fresh = True
+        self.keeps_alive = True
         self.call_number = 0
         self.on_done: Callable[[HttpResponse], None] | None = None
         self.reset_parser()
@@ -77,6 +84,9 @@
     def reset_parser(self) -> None:
         """Reset the parser for the next response."""
         self.parser = httptools.HttpResponseParser(self)
+        self.response: HttpResponse | None = None
+        self.received = 0
+        self.is_head_complete = False
         self.body_parts: list[bytes] = []
         self.body_length = 0
         self.headers: dict[str, str] = {}
@@ -96,7 +106,11 @@
                 self.fail("timeout")
 
         self.loop.call_later(timeout_ms, expire)
-        self.watch()
+        try:
+            self.watch()
+        except OSError as error:
+            label = error_label(error)
+            self.loop.call_later(0, lambda now: self.fail(label))
 
     def watch(self) -> None:
         """Watch for input, and for output while data is unsent."""
@@ -127,12 +141,32 @@
         if not data:
             self.fail("broken")
             return
-        self.is_fresh = False
+        if self.on_done is None:
+            self.close()  # data that belongs to no call
+            self.client.release(self)
+            return
+        self.received += len(data)
+        limit = MAX_HEAD_BYTES + (MAX_BODY_BYTES if self.is_head_complete else 0)
+        if self.received > limit:
+            self.fail(f"response of more than {limit} bytes")
+            return
+        error = ""
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            # Also raised, as HttpParserCallbackError, if `on_done` raises an exception.
-            self.fail(f"malformed response: {error}")
+        except httptools.HttpParserError as found:
+            error = f"malformed response: {found}"
+        # Not called within the parser, which would wrap the errors of `on_done`.
+        if self.response is None:
+            if error:
+                self.fail(error)
+            return
+        if error or not self.keeps_alive:
+            self.close()
+        self.finish(self.response)
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the headers."""
+        self.is_head_complete = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -147,13 +181,15 @@
     def on_message_complete(self) -> None:
         """Finish the call with the complete response."""
         status = self.parser.get_status_code()
+        if status < FIRST_FINAL_STATUS or self.response is not None:
+            return  # a provisional response, or more than the call asked for
         error = ""
         if self.body_length > MAX_BODY_BYTES:
             status, error = 0, f"body of {self.body_length} bytes is too long"
-        response = HttpResponse(status, b"".join(self.body_parts), error, self.headers)
-        if not self.parser.should_keep_alive():
-            self.close()
-        self.finish(response)
+        self.keeps_alive = self.parser.should_keep_alive()
+        self.response = HttpResponse(
+            status, b"".join(self.body_parts), error, self.headers
+        )
 
     def fail(self, error: str) -> None:
         """Close the connection and finish the call with an error."""
@@ -193,6 +229,7 @@
         self.address = (host, port)
         self.host_header = f"{host}:{port}"
         self.idle: list[Connection] = []
+        self.is_closed = False
 
     def call(
         self,
@@ -208,22 +245,56 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         elif method != "GET":
             head += "Content-Length: 0\r\n"
+        if not is_target(path):
+            error = f"path {shown(path)} can't be sent"
+            self.answer_later(on_done, HttpResponse(0, error=error))
+            return
         request = f"{head}\r\n".encode() + body
-        connection = self.idle.pop() if self.idle else Connection(self)
+        try:
+            connection = self.idle.pop() if self.idle else Connection(self)
+        except OSError as error:  # no descriptor or memory is left
+            self.answer_later(on_done, HttpResponse(0, error=error_label(error)))
+            return
         connection.call(request, timeout_ms, on_done)
 
+    def answer_later(
+        self, on_done: Callable[[HttpResponse], None], answer: HttpResponse
+    ) -> None:
+        """Finish a call that wasn't sent."""
+        waiting = [on_done]
+
+        def finish(now: int) -> None:
+            if waiting:  # not again if the first call of `on_done` failed
+                waiting.pop()(answer)
+
+        self.loop.call_later(0, finish)
+
+    def close(self) -> None:
+        """Close idle connections, and others once their call is finished."""
+        self.is_closed = True
+        for connection in list(self.idle):
+            connection.close()
+        self.idle.clear()
+
     def release(self, connection: Connection) -> None:
         """Return an open connection to the pool, or close it if the pool is full."""
         if connection in self.idle:
             self.idle.remove(connection)
         if not connection.is_open:
             return
-        if len(self.idle) < MAX_IDLE:
+        if len(self.idle) < MAX_IDLE and not self.is_closed:
             self.idle.append(connection)
         else:
             connection.close()
 
 
+def is_target(path: str) -> bool:
+    """Return whether a path can be sent as the target of a request."""
+    if not path.isprintable() or " " in path:
+        return False
+    return all(not "\ud800" <= character <= "\udfff" for character in path)
+
+
 def error_label(error: OSError) -> str:
     """Return a short label for a connection error."""
     if isinstance(error, ConnectionRefusedError):
--- a/fuchsiapin/daemons/loglines.py
+++ b/fuchsiapin/daemons/loglines.py
@@ -2,12 +2,14 @@
 
 import json
 import os
+import select
 from collections import Counter
 from typing import Any
 from zlib import crc32
 
 from fuchsiapin.clock import Clock
 from fuchsiapin.events import CATALOGUE
+from fuchsiapin.flows.fields import shown
 
 __all__ = ["LogLines"]
 
@@ -46,6 +48,8 @@
         Lines left out by the rate limit since the last one written, by number.
     unread_lines : int
         Lines dropped because the buffer was full, until event 1106 reports them.
+    is_closed : bool
+        Whether a write failed because nobody can read it.
     """
 
     def __init__(self, clock: Clock, process: str, file: int = 1) -> None:
@@ -58,7 +62,11 @@
         self.buffer: list[bytes] = []
         self.buffered_bytes = 0
         self.unread_lines = 0
-        os.set_blocking(file, False)
+        self.is_closed = False
+        try:
+            os.set_blocking(file, False)
+        except OSError:
+            return  # closed; `flush` drops the lines
 
     def report(self, number: int, **fields: Any) -> None:
         """Count an event and log it if its rate limit allows a line."""
@@ -79,13 +87,19 @@
         left_out = self.left_out.pop(number, 0)
         if left_out:
             values["left_out"] = left_out
-        self.buffer_line(ENCODER.encode(values).encode() + b"\n")
+        try:
+            line = ENCODER.encode(values)
+        except (ValueError, TypeError, RecursionError):
+            line = ENCODER.encode(
+                {name: shown(value) for name, value in values.items()}
+            )
+        self.buffer_line(line.encode() + b"\n")
 
     def is_allowed(self, number: int, flow: str | None, now: int) -> bool:
         """Return whether the rate limit of an event or sampled flows allows a line."""
         if self.take_token(number, LINES_PER_SECOND, now):
             return True
-        if flow is None or crc32(flow.encode()) % SAMPLE_ONE_IN:
+        if flow is None or crc32(flow.encode(errors="replace")) % SAMPLE_ONE_IN:
             return False
         # The bucket of sampled lines has the negated number as its key.
         return self.take_token(-number, SAMPLED_LINES_PER_SECOND, now)
@@ -106,6 +120,30 @@
         self.buffer.append(line)
         self.buffered_bytes += len(line)
 
+    def drop_unread(self) -> None:
+        """Drop the buffered lines, so that there is room for the last ones."""
+        if self.buffer:
+            self.unread_lines += b"".join(self.buffer).count(b"\n")
+            self.buffer = [b"\n"]  # a part of the first line may have been written
+            self.buffered_bytes = 1
+
+    def drain(self, timeout_ms: int) -> bytes:
+        """Write all lines, waiting for the reader; return what it hasn't taken."""
+        deadline = self.clock.now() + timeout_ms
+        writable = select.poll()
+        writable.register(self.file, select.POLLOUT)
+        while self.buffer:
+            unread = b"".join(self.buffer)
+            self.flush()
+            if self.is_closed:
+                return unread
+            left_ms = deadline - self.clock.now()
+            if left_ms <= 0:
+                break
+            if self.buffer:
+                writable.poll(left_ms)
+        return b"".join(self.buffer)
+
     def flush(self) -> None:
         """Write as much as the pipe accepts; keep the rest in the buffer."""
         if not self.buffer:
@@ -117,6 +155,7 @@
             written = 0
         except OSError:
             written = len(data)  # the reader has closed its end; drop the lines
+            self.is_closed = True
         rest = data[written:]
         self.buffer = [rest] if rest else []
         self.buffered_bytes = len(rest)
