Test that odd settings at a reload keep the former ones

A real process gets settings that are nested 90,000 deep and then valid ones. With the settings module from before the checks of each field, the test failed: event 1302 with `RecursionError: maximum recursion depth exceeded while decoding a JSON array` instead of 6311. It passes with them.

--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -144,6 +144,11 @@
         for _ in range(20):
             started.send_signal(signal.SIGHUP)
         process.wait_for(lambda: process.lines(6310))
+        process.path.write_text("[" * 90_000)
+        process.wait_for(lambda: process.lines(6311))
+        process.path.write_text(json.dumps(process.values | {"store": "127.0.0.2:9"}))
+        process.wait_for(lambda: process.lines(6310)[-1]["changed"] == ["store"])
+        self.assertEqual(process.lines(1302), [])
         self.assertEqual(process.end(), 0)
 
     def test_settings_that_are_written_late_are_awaited(self) -> None:
