Share the readers of odd values between the protocols

`fields` and `jsonpages` import nothing but the standard library and `exceptions`, and stored objects of CoAP deployments hold the same odd values. The shared modules may not import a protocol, so both move to `fuchsiapin/`; nothing in them changes. The list of light modules that packet flows may import names them.

--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -27,8 +27,8 @@
 from fuchsiapin.daemons.resources import read_resources
 from fuchsiapin.daemons.traffic import TrafficAccount, kind_texts, message_kind
 from fuchsiapin.exceptions import MalformedEnvelope, SettingsError, error_location
+from fuchsiapin.fields import is_host
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
-from fuchsiapin.flows.fields import is_host
 from fuchsiapin.flows.metrics import render_counts
 from fuchsiapin.flows.storage import StoreCall, StoreResult
 from fuchsiapin.flows.wire import decode_message, encode_message
--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -10,9 +10,9 @@
 from fuchsiapin.daemons.httpserving import Reply
 from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.fields import shown
 from fuchsiapin.flows.adapter import FlowAdapter, FlowSettings, LeaveNotice
 from fuchsiapin.flows.effects import Probe, ToUpstream
-from fuchsiapin.flows.fields import shown
 from fuchsiapin.flows.sidecore import FlowSideCore, SideSettings, make_flow_side_core
 from fuchsiapin.flows.upstreams import Heartbeat
 
--- a/fuchsiapin/daemons/httpcalls.py
+++ b/fuchsiapin/daemons/httpcalls.py
@@ -7,7 +7,7 @@
 import httptools
 
 from fuchsiapin.daemons.eventloop import EventLoop
-from fuchsiapin.flows.fields import shown
+from fuchsiapin.fields import shown
 from fuchsiapin.lightclasses import dataclass
 
 __all__ = ["HttpResponse", "HttpClient"]
--- a/fuchsiapin/daemons/loglines.py
+++ b/fuchsiapin/daemons/loglines.py
@@ -9,7 +9,7 @@
 
 from fuchsiapin.clock import Clock
 from fuchsiapin.events import CATALOGUE
-from fuchsiapin.flows.fields import shown
+from fuchsiapin.fields import shown
 
 __all__ = ["LogLines"]
 
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.fields import read_host
 from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
-from fuchsiapin.flows.fields import read_host
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.fields import shown
 from fuchsiapin.flows.balancerrecords import BalancerRecords
 from fuchsiapin.flows.coldrates import (
     COLD_RATES_KEY,
@@ -20,7 +21,6 @@
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuating import EvacuationKeeper
 from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX, EvacuatedZones
-from fuchsiapin.flows.fields import shown
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.gossip import (
     CONFIGURATION_KEY,
--- a/fuchsiapin/flows/coldrates.py
+++ b/fuchsiapin/flows/coldrates.py
@@ -11,7 +11,7 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.fields import MAX_WHOLE, read_number, read_text
+from fuchsiapin.fields import MAX_WHOLE, read_number, read_text
 from fuchsiapin.flows.gossip import Gossip
 from fuchsiapin.flows.members import MemberView
 from fuchsiapin.flows.messages import ColdLimit
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Callable
 
+from fuchsiapin.fields import is_host
 from fuchsiapin.flows.admission import OVERLOADED
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToUpstream
-from fuchsiapin.flows.fields import is_host
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.heldflows import FlowState
 from fuchsiapin.flows.members import pack_load
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -12,15 +12,15 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.effects import ToPeer
-from fuchsiapin.flows.eras import StoreEra
-from fuchsiapin.flows.fields import (
+from fuchsiapin.fields import (
     MAX_TIME_MS,
     read_host,
     read_text,
     read_whole,
     shown,
 )
+from fuchsiapin.flows.effects import ToPeer
+from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
 from fuchsiapin.flows.peers import (
     DIGEST_MS,
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.fields import (
+from fuchsiapin.fields import (
     MAX_TIME_MS,
     read_host,
     read_text,
--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -6,7 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.fields import MAX_VERSION, read_text, read_whole, shown
+from fuchsiapin.fields import MAX_VERSION, read_text, read_whole, shown
 from fuchsiapin.flows.packets import ROUTE_BYTES
 from fuchsiapin.lightclasses import astuple, dataclass
 
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -1,7 +1,7 @@
 """State of the upstream on one VM, as its side process knows it."""
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.fields import shown
+from fuchsiapin.fields import shown
 from fuchsiapin.flows.members import MAX_EPOCH, VERSIONS_PER_EPOCH, FlowMember
 from fuchsiapin.lightclasses import dataclass, replace
 
--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -5,8 +5,8 @@
 import msgpack
 
 from fuchsiapin.exceptions import MalformedEnvelope
+from fuchsiapin.fields import MAX_VERSION, MAX_WHOLE, shown
 from fuchsiapin.flows import messages
-from fuchsiapin.flows.fields import MAX_VERSION, MAX_WHOLE, shown
 from fuchsiapin.lightclasses import astuple, fields
 
 __all__ = ["decode_message", "encode_message"]
--- a/fuchsiapin/tests/test_foreignentries.py
+++ b/fuchsiapin/tests/test_foreignentries.py
@@ -5,8 +5,8 @@
 from functools import reduce
 from typing import Any
 
+from fuchsiapin.fields import is_host
 from fuchsiapin.flows.balancerstate import WATCHERS
-from fuchsiapin.flows.fields import is_host
 from fuchsiapin.flows.following import StoreFollower
 from fuchsiapin.flows.storage import (
     BALANCERS,
--- a/fuchsiapin/tests/test_foreignheartbeats.py
+++ b/fuchsiapin/tests/test_foreignheartbeats.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from fuchsiapin.daemons.flowside import foreign_reason
+from fuchsiapin.fields import MAX_VERSION
 from fuchsiapin.flows.announcing import MAX_SUBSCRIBERS
 from fuchsiapin.flows.effects import ToPeer
-from fuchsiapin.flows.fields import MAX_VERSION
 from fuchsiapin.flows.members import MAX_EPOCH
 from fuchsiapin.flows.messages import Ping
 from fuchsiapin.flows.sidecore import SideSettings, make_flow_side_core
--- a/fuchsiapin/tests/test_imports.py
+++ b/fuchsiapin/tests/test_imports.py
@@ -64,6 +64,8 @@
                     {t.split(".")[1] for t in shared},
                     {
                         "exceptions",
+                        "fields",
+                        "jsonpages",
                         "lightclasses",
                         "ranking",
                         "registry",
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from fuchsiapin.exceptions import MalformedEnvelope
+from fuchsiapin.fields import is_host, read_text
 from fuchsiapin.flows.coldrates import COLD_RATES_KEY, ColdBounds, openings_limit
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.erakeeping import UNCONFIRMED_MS
 from fuchsiapin.flows.evacuations import evacuation_version
-from fuchsiapin.flows.fields import is_host, read_text
 from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import (
