Read stored objects by type, range and length

What callers saw: after one odd value in a stored object, views, zones or configurations were no longer followed (a number of 10^30 was adopted, so that each later one was older), members got addresses such as "70000", "None" or a host name, which blocks the process while it is looked up, and messages with 10^30 or a lone surrogate couldn't be packed. One odd member made the whole list unreadable.

Cause: `cattrs` converts whatever `int` and `str` accept, and checks no range.

Change: `objectreading` reads each field by its type in the schema, with the readers of `fields` for addresses, ports, times, names and numbers. An odd member is left out of its list and told with its place, any other odd value refuses the object. An object must name the zone, service or deployment of its key.

Evidence: `test_oddentries` puts 21 odd values at each place of each stored object, then valid objects.

--- a/fuchsiapin/coap/balancercore.py
+++ b/fuchsiapin/coap/balancercore.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from fuchsiapin import messages
@@ -65,7 +66,7 @@
         self.views: dict[str, ViewHistory] = {}
         self.config: messages.Configuration | None = None
         self.zone_membership = ZoneMembership(
-            me, self.timers, self.effects, rng, self.config_number
+            me, self.timers, self.effects, rng, self.config_number, self.report_broken
         )
         self.recent_sides: dict[str, messages.Member] = {}
         self.relay = Relay(
@@ -194,7 +195,11 @@
             self.apply_known_object(event)
             self.relay.accept_object(self.now, event)
         except MalformedObject as error:
-            self.report(2104, key=event.key, error=str(error))
+            self.report_broken(event.key, str(error))
+
+    def report_broken(self, key: str, error: str) -> None:
+        """Report an object that is refused, or an entry of it that is left out."""
+        self.report(2104, key=key, error=error)
 
     def apply_known_object(self, event: messages.ObjectSeen) -> None:
         """Apply a stored object of a kind that a balancer uses."""
@@ -203,16 +208,19 @@
         elif event.key.startswith("members/") and event.value:
             self.apply_members(event)
         elif event.key.startswith("config/") and event.value:
-            config = decode_object(messages.Configuration, event.value)
+            config = decode_object(messages.Configuration, event.value, event.key)
             if self.config is None or config.number > self.config.number:
                 self.config = config
             self.relay.acks.set_in_force(event.key, config.number)
 
     def apply_members(self, event: messages.ObjectSeen) -> None:
         """Adopt the membership of a service if its view is newer."""
-        membership = decode_object(messages.ServiceMembership, event.value)
-        if event.key != f"members/{membership.service}":
-            raise MalformedObject(f"{event.key} holds the members of another service")
+        membership = decode_object(
+            messages.ServiceMembership,
+            event.value,
+            event.key,
+            partial(self.report_broken, event.key),
+        )
         views = self.views.setdefault(membership.service, ViewHistory())
         if membership.view.number > views.number:
             views.adopt(deduplicate_members(membership))
--- a/fuchsiapin/coap/sidecore.py
+++ b/fuchsiapin/coap/sidecore.py
@@ -7,6 +7,7 @@
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from aiocoap.numbers.codes import Code
@@ -134,6 +135,9 @@
             self.admission.wait_ms,
             lambda incarnation: None,
         )
+        self.membership.updater.on_refused = partial(
+            self.report_broken, self.membership.key
+        )
         self.relay = self.make_relay(me, options)
         self.pending_forwards: deque[tuple[str, messages.Forward]] = deque(
             maxlen=MAX_PENDING_FORWARDS
@@ -288,7 +292,11 @@
             self.apply_known_object(event)
             self.relay.accept_object(self.now, event)
         except MalformedObject as error:
-            self.report(4102, key=event.key, error=str(error))
+            self.report_broken(event.key, str(error))
+
+    def report_broken(self, key: str, error: str) -> None:
+        """Report an object that is refused, or an entry of it that is left out."""
+        self.report(4102, key=key, error=error)
 
     def apply_known_object(self, event: messages.ObjectSeen) -> None:
         """Apply a stored object of a kind that this process uses."""
@@ -296,11 +304,16 @@
             if self.membership.apply_stored(self.now, event):
                 self.after_view_change()
         elif event.key.startswith("balancers/") and event.value:
+            on_refused = partial(self.report_broken, event.key)
             self.apply_zone_balancers(
-                decode_object(messages.ZoneBalancers, event.value)
+                decode_object(
+                    messages.ZoneBalancers, event.value, event.key, on_refused
+                )
             )
         elif event.key.startswith("config/") and event.value:
-            self.apply_configuration(decode_object(messages.Configuration, event.value))
+            self.apply_configuration(
+                decode_object(messages.Configuration, event.value, event.key)
+            )
 
     def apply_zone_balancers(self, zone: messages.ZoneBalancers) -> None:
         """Store the balancers of an availability zone."""
--- a/fuchsiapin/coap/zonemembership.py
+++ b/fuchsiapin/coap/zonemembership.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from xxhash import xxh3_64_intdigest
@@ -84,6 +85,8 @@
         Timers, effects and random numbers of the core.
     config_number : callable
         Returns the number of the configuration in force.
+    on_refused : callable, optional
+        Called with the key of a zone and why an entry of its object is left out.
 
     Attributes
     ----------
@@ -111,11 +114,13 @@
         effects: list[Any],
         rng: random.Random,
         config_number: Callable[[], int],
+        on_refused: Callable[[str, str], None] = lambda key, reason: None,
     ) -> None:
         self.me = me
         self.timers = timers
         self.effects = effects
         self.config_number = config_number
+        self.on_refused = on_refused
         self.key = f"balancers/{me.zone}"
         self.prefix = f"{me.id}#{me.incarnation}"
         self.rng = rng
@@ -132,9 +137,11 @@
     def updater_of(self, key: str) -> ObjectUpdater:
         """Return the updater of a zone's object."""
         if key not in self.updaters:
-            self.updaters[key] = ObjectUpdater(
+            updater = ObjectUpdater(
                 key, ZoneBalancers, self.prefix, self.timers, self.effects, self.rng
             )
+            updater.on_refused = partial(self.on_refused, key)
+            self.updaters[key] = updater
         return self.updaters[key]
 
     def on_write_finished(self, now: int, event: WriteFinished) -> None:
--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -10,10 +10,12 @@
 
 import msgpack
 from cattrs import Converter
-from cattrs.errors import BaseValidationError
 
 from fuchsiapin import messages
 from fuchsiapin.exceptions import MalformedEnvelope, MalformedObject
+from fuchsiapin.fields import shown
+from fuchsiapin.jsonpages import load_json
+from fuchsiapin.objectreading import OnRefused, read_record
 
 __all__ = ["decode_object", "encode_object", "pack_message", "unpack_message"]
 
@@ -56,6 +58,13 @@
 New types are appended, because reordering would change the numbers.
 """
 
+NAME_FIELDS = {
+    messages.ServiceMembership: "service",
+    messages.ZoneBalancers: "zone",
+    messages.Configuration: "deployment",
+}
+"""Field of each stored object that its key ends with."""
+
 TYPE_NUMBERS = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 
 packer = msgpack.Packer(default=lambda message: as_values(message))
@@ -231,15 +240,38 @@
     return json.dumps(converter.unstructure(value), separators=(",", ":")).encode()
 
 
-def decode_object(kind: type[T], data: bytes) -> T:
+def decode_object(
+    kind: type[T],
+    data: bytes,
+    key: str = "",
+    on_refused: OnRefused = lambda reason: None,
+) -> T:
     """Decode a stored object from JSON text.
 
+    Parameters
+    ----------
+    kind : type
+        Type of the object.
+    data : bytes
+        The text.
+    key : str
+        Key that it is stored under; empty if it is unknown.
+    on_refused : callable, optional
+        Called with the reason for which an entry is left out.
+
     Raises
     ------
     MalformedObject
-        If the text is not an object of that type.
+        If the text is not an object of that type, or one of another key.
     """
     try:
-        return converter.structure(json.loads(data), kind)
-    except (ValueError, TypeError, RecursionError, BaseValidationError) as error:
-        raise MalformedObject(f"not a valid {kind.__name__}: {error}") from error
+        values = load_json(data)
+    except ValueError as error:
+        raise MalformedObject(f"not JSON: {error}") from error
+    found = read_record(kind, values, "", on_refused)
+    name = key.partition("/")[2]
+    field = NAME_FIELDS.get(kind, "")
+    if name and field and getattr(found, field) != name:
+        other = shown(getattr(found, field))
+        raise MalformedObject(f"{field} {other} is not that of the key")
+    return found
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -241,7 +241,9 @@
         2104,
         "broken object",
         "error",
-        "A stored object doesn't match the schema; the previous value stays in force.",
+        "A stored object, or one of the members that it lists, doesn't match the "
+        "schema. The previous value of the object stays in force; a single member is "
+        "left out.",
         "Repair the object and find out which program wrote it.",
         (KEY, ERROR),
         is_rate_limited=True,
@@ -328,7 +330,9 @@
         4102,
         "broken object",
         "error",
-        "A stored object doesn't match the schema; the previous value stays in force.",
+        "A stored object, or one of the members that it lists, doesn't match the "
+        "schema. The previous value of the object stays in force; a single member is "
+        "left out.",
         "Repair the object and find out which program wrote it.",
         (KEY, ERROR),
         is_rate_limited=True,
--- a/fuchsiapin/objectupdater.py
+++ b/fuchsiapin/objectupdater.py
@@ -41,6 +41,11 @@
         List to which effects of the core are appended.
     rng : random.Random
         Source of the retry jitter.
+
+    Attributes
+    ----------
+    on_refused : callable
+        Called with the reason for which an entry of the object is left out.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         self.rng = rng
         self.version = 0
         self.value: Any = None
+        self.on_refused: Callable[[str], None] = lambda reason: None
         self.has_read = False
         self.changes: dict[str, ObjectChange] = {}
         self.change_id = ""
@@ -176,7 +182,7 @@
         if not value:
             return None
         try:
-            return decode_object(self.kind, value)
+            return decode_object(self.kind, value, self.key, self.on_refused)
         except MalformedObject:
             self.has_read = False
             raise
--- /dev/null
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -0,0 +1,201 @@
+"""Odd values of other programs end no daemon or command, and later ones are followed.
+
+The values come from stored objects, peers, admin pages, metrics and operators' files.
+"""
+
+import json
+import unittest
+from collections.abc import Iterator
+from dataclasses import asdict
+from typing import Any
+
+from fuchsiapin import messages
+from fuchsiapin.coap.balancercore import make_balancer_core
+from fuchsiapin.coap.sidecore import make_side_core
+from fuchsiapin.coap.sideoptions import SideOptions
+from fuchsiapin.codec import encode_object, pack_message
+from fuchsiapin.messages import BalancerMember, Member, View
+
+ODD_TEXTS = {
+    "nested": "[" * 5_000 + "]" * 5_000,
+    "nested deeper": "[" * 300_000 + "]" * 300_000,
+    "a number of 100 bits": "1" + "0" * 30,
+    "2^63": str(2**63),
+    "-2^70": str(-(2**70)),
+    "6,000 digits": "9" * 6_000,
+    "no finite number": "1e999",
+    "not a number": "NaN",
+    "a port out of range": "70000",
+    "below zero": "-1",
+    "a surrogate": r'"\ud800"',
+    "NUL": r'"10.0.0.1\u0000"',
+    "a name": '"db.invalid"',
+    "a long text": '"' + "x" * 100_000 + '"',
+    "a number as text": '"7"',
+    "a boolean": "true",
+    "null": "null",
+    "an object": r'{"\u0000": 1, "": [{}]}',
+    "a list": "[1]",
+    "bytes": '"\udcff"',
+    "nothing": None,
+}
+"""JSON texts of odd values; a lone surrogate stands for a byte that isn't UTF-8."""
+PLACE = "place"
+EPOCH_MS = 1_700_000_000_000
+FIRST_NUMBER = 100_000
+"""Number of the first valid view or configuration, above the odd ones in range."""
+
+
+def paths_of(value: Any, path: tuple = ()) -> Iterator[tuple]:
+    """Yield the path of each value; of lists, the first item stands for all."""
+    yield path
+    items = value.items() if isinstance(value, dict) else []
+    if isinstance(value, list):
+        items = list(enumerate(value))[:1]
+    for key, inner in items:
+        yield from paths_of(inner, (*path, key))
+
+
+def with_odd(value: Any, path: tuple, text: str | None) -> bytes:
+    """Return a value as JSON with an odd text at a path, None to leave it out."""
+    if not path:
+        return (text or "").encode(errors="surrogateescape")
+    copied = json.loads(json.dumps(value))
+    parent = copied
+    for key in path[:-1]:
+        parent = parent[key]
+    if text is None:
+        del parent[path[-1]]
+    else:
+        parent[path[-1]] = PLACE
+    written = json.dumps(copied).replace(f'"{PLACE}"', text or "")
+    return written.encode(errors="surrogateescape")
+
+
+def make_member(index: int) -> Member:
+    """Return a side process of the service."""
+    host = f"10.2.0.{index}"
+    return Member(f"desk-{index}", EPOCH_MS, host, 7000, "bole", 2000, "live", "")
+
+
+def make_balancer(index: int) -> BalancerMember:
+    """Return a balancer of the zone."""
+    host = f"10.1.0.{index}"
+    return BalancerMember(f"balancer-{index}", EPOCH_MS, host, 7000, "bole", "live", "")
+
+
+def make_objects(number: int) -> dict[str, Any]:
+    """Return a valid object of each kind by key."""
+    members = [make_member(index) for index in (1, 2, 3)]
+    views = [View(number, members), View(number - 1, members[1:])]
+    upstream = messages.UpstreamConfig("desk-1", "v", "10.2.0.1", "bole", 2, 9, False)
+    classes = [messages.ClassConfig("shops", 1, ["10.8.0.0/16"])]
+    service = messages.ServiceConfig("desk", 5_000, 10, [upstream], classes)
+    return {
+        "members/desk": messages.ServiceMembership("desk", views[0], views[1:], "c"),
+        "balancers/bole": messages.ZoneBalancers(
+            "bole", number, [make_balancer(index) for index in (1, 2, 3)], "c"
+        ),
+        "config/d": messages.Configuration(
+            "d",
+            number,
+            "author",
+            "change",
+            [service],
+            [messages.Separation(["desk", "ledger"])],
+            [messages.AcceptedChange(number, "author", "change", "summary")],
+        ),
+    }
+
+
+def check_effects(effects: list[Any]) -> list[str]:
+    """Check that effects can be executed, without a name lookup; return the errors."""
+    for effect in effects:
+        if isinstance(effect, messages.SendPeer):
+            pack_message("side-1", 1, 1, effect.message)
+            assert 0 < effect.port < 2**16, effect
+            assert effect.host.startswith("10."), effect
+    reports = [item for item in effects if isinstance(item, messages.Report)]
+    return [item.fields["error"] for item in reports if "error" in item.fields]
+
+
+class Process:
+    """A core of one role that is fed stored objects while its peers are silent."""
+
+    def __init__(self, role: str) -> None:
+        self.core: Any = (
+            make_balancer_core(make_balancer(1), 1)
+            if role == "balancer"
+            else make_side_core("desk", make_member(1), 1, SideOptions(deployment="d"))
+        )
+        self.now, self.version, self.number = EPOCH_MS, 0, FIRST_NUMBER
+        self.feed(messages.Start())
+
+    def feed(self, event: Any) -> list[str]:
+        """Handle an event a second later; return the errors that it reports."""
+        self.now += 1_000
+        return check_effects(self.core.handle(self.now, event))
+
+    def put(self, key: str, value: bytes) -> list[str]:
+        """Handle a new version of an object; return the errors that it reports."""
+        self.version += 1
+        return self.feed(messages.ObjectSeen(key, self.version, value))
+
+    def put_valid(self) -> None:
+        """Handle a new valid object of each kind."""
+        self.number += 2
+        for key, value in make_objects(self.number).items():
+            self.put(key, encode_object(value))
+
+    def numbers(self) -> tuple[int, ...]:
+        """Return the numbers of view, zone and configuration in force."""
+        is_side = hasattr(self.core, "ownership")
+        history = self.core.ownership.history if is_side else self.core.views["desk"]
+        zone = self.core.relay.tree.zones["bole"]
+        return history.number, zone.number, self.core.config.number
+
+
+class StoredObjectTest(unittest.TestCase):
+    """Odd values in stored objects, at any place."""
+
+    def test_any_odd_value_is_refused_and_later_objects_are_followed(self) -> None:
+        for role in ("side", "balancer"):
+            process = Process(role)
+            process.put_valid()
+            for key, value in make_objects(7).items():
+                for path in paths_of(asdict(value)):
+                    with self.subTest(role=role, key=key, path=path):
+                        errors = []
+                        for text in ODD_TEXTS.values():
+                            values = asdict(make_objects(process.number + 1)[key])
+                            errors += process.put(key, with_odd(values, path, text))
+                        for error in errors:
+                            self.assertLess(len(error), 200)
+                        self.assertTrue(
+                            any(str(path[-1]) in e for e in errors) if path else errors
+                        )
+                        process.put_valid()
+                        self.assertEqual(process.numbers(), (process.number,) * 3)
+
+    def test_an_odd_member_does_not_hide_the_others(self) -> None:
+        for role in ("side", "balancer"):
+            process = Process(role)
+            for key, path in (
+                ("members/desk", ("view", "members", 0)),
+                ("balancers/bole", ("members", 0)),
+            ):
+                for name, text in ODD_TEXTS.items():
+                    if name == "nothing":
+                        continue
+                    with self.subTest(role=role, key=key, odd=name):
+                        process.put_valid()
+                        number = process.number + 1
+                        values = asdict(make_objects(number)[key])
+                        odd = with_odd(values, (*path, "host"), text)
+                        [error] = process.put(key, odd)
+                        self.assertIn("members[0].host", error)
+                        self.assertIn(number, process.numbers())
+
+
+if __name__ == "__main__":
+    unittest.main()
