Leave odd entries out of the list of objects and follow the others

What callers saw: one entry that was nested too deep ended the watch of a root for good (an unhandled `RecursionError`), one with a number of 6,000 digits, an odd key or an odd version made each list unreadable, so that the watch retried for ever, and no log line told why. New processes read no list at all.

Cause: the list was decoded as a whole, and converted without types and ranges.

Change: `parse_list` reads each entry by itself, from text that `load_json` reads even if it is nested too deep or has too many digits; an odd entry is left out and told as event 1204 with its key, a list that can't be read as event 1203. Entity tags have a length, and every error of a call, also one before it is sent, is an error of the object API.

--- a/fuchsiapin/daemons/objectapi.py
+++ b/fuchsiapin/daemons/objectapi.py
@@ -17,10 +17,16 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from fuchsiapin.exceptions import HistoryLost, ObjectApiError
+from fuchsiapin.exceptions import HistoryLost, MalformedObject, ObjectApiError
+from fuchsiapin.fields import MAX_VERSION, read_text, read_whole, shown
+from fuchsiapin.jsonpages import load_json
 
 __all__ = ["MAX_LIST_BYTES", "ObjectApiClient", "StoredObject", "parse_list"]
 
+OnProblem = Callable[[str, str], None]
+"""Called with the key of an entry that can't be read, empty for a whole list that
+can't, and the reason."""
+
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_S = 20
 """Longest time that the object API holds a watch request open (long polling)."""
@@ -34,6 +40,8 @@
 """Longest response body that is accepted for a list."""
 MAX_IDLE_CONNECTIONS = 2
 """Keep-alive connections in the pool."""
+MAX_KEY_BYTES = 512
+MAX_VERSION_DIGITS = 18
 STATUS_GONE = 410
 """The object API no longer has the changes since the requested revision."""
 
@@ -156,14 +164,14 @@
             long.
         """
         self.calls[method] += 1
-        request = self.agent.request(
-            method.encode(),
-            f"{self.url}{path}".encode(),
-            Headers({name: [value] for name, value in headers.items()}),
-            RequestBody(body) if body else None,
-        )
-        request.addTimeout(timeout, self.reactor)
         try:
+            request = self.agent.request(
+                method.encode(),
+                f"{self.url}{path}".encode(),
+                Headers({name: [value] for name, value in headers.items()}),
+                RequestBody(body) if body else None,
+            )
+            request.addTimeout(timeout, self.reactor)
             response = await request
             reader = BoundedBody(limit)
             response.deliverBody(reader)
@@ -171,13 +179,17 @@
             data = await reader.done
         except Exception as error:  # noqa: BLE001 - any failure of the call is an API error
             raise ObjectApiError(f"{method} {path}: {error!r}") from error
-        tag = response.headers.getRawHeaders("ETag", ["0"])[0]
-        return response.code, data, tag.strip('"')
+        tag = response.headers.getRawHeaders(b"ETag", [b"0"])[0]
+        return response.code, data, tag.decode("latin-1").strip('"')
 
     async def read(self, key: str) -> StoredObject:
         """Return an object."""
         status, data, tag = await self.call(
-            "GET", f"/objects/{quote(key)}", b"", {}, CALL_TIMEOUT_S
+            "GET",
+            f"/objects/{quote(key, errors='surrogateescape')}",
+            b"",
+            {},
+            CALL_TIMEOUT_S,
         )
         if status == 404:
             return StoredObject(key, 0, b"")
@@ -192,7 +204,11 @@
         """
         condition = {"If-Match": f'"{version}"'} if version else {"If-None-Match": "*"}
         status, _, _ = await self.call(
-            "PUT", f"/objects/{quote(key)}", value, condition, CALL_TIMEOUT_S
+            "PUT",
+            f"/objects/{quote(key, errors='surrogateescape')}",
+            value,
+            condition,
+            CALL_TIMEOUT_S,
         )
         if status in (200, 201):
             return True
@@ -200,9 +216,13 @@
             return False
         raise ObjectApiError(f"PUT {key}: status {status}")
 
-    async def changes(self, since: int) -> tuple[int, list[StoredObject]]:
+    async def changes(
+        self, since: int, on_problem: OnProblem = lambda key, reason: None
+    ) -> tuple[int, list[StoredObject]]:
         """Return the newest revision and the objects changed since a revision.
 
+        `on_problem` is called for each entry that can't be read.
+
         Raises
         ------
         HistoryLost
@@ -223,7 +243,7 @@
             raise HistoryLost(f"watch: the changes since revision {since} are gone")
         if status != 200:
             raise ObjectApiError(f"watch: status {status}")
-        revision, found = parse_list(data)
+        revision, found = parse_list(data, on_problem)
         if revision < since:
             raise HistoryLost(f"watch: revision went back from {since} to {revision}")
         return revision, found
@@ -232,6 +252,7 @@
         self,
         on_object: Callable[[StoredObject], None],
         on_state: Callable[[bool], None],
+        on_problem: OnProblem = lambda key, reason: None,
     ) -> None:
         """Deliver all objects and each change to them, until stopped.
 
@@ -244,7 +265,7 @@
         watch_generation, failures = self.watch_generation, 0
         while self.is_watching and watch_generation == self.watch_generation:
             try:
-                revision, found = await self.changes(self.revision)
+                revision, found = await self.changes(self.revision, on_problem)
             except ObjectApiError as error:
                 if watch_generation != self.watch_generation:
                     return
@@ -252,6 +273,7 @@
                     self.revision = 0
                 else:
                     on_state(False)
+                on_problem("", str(error))
                 failures += 1
                 await self.back_off(failures)
                 continue
@@ -286,29 +308,60 @@
     ObjectApiError
         If the tag is not a number.
     """
-    if not tag.isdecimal():
-        raise ObjectApiError(f"{key}: entity tag {tag!r} is not a version number")
+    if not (tag.isascii() and tag.isdecimal() and len(tag) <= MAX_VERSION_DIGITS):
+        raise ObjectApiError(f"{key}: entity tag {shown(tag)} is not a version number")
     return int(tag)
 
 
-def parse_list(data: bytes) -> tuple[int, list[StoredObject]]:
+def parse_list(
+    data: bytes, on_problem: OnProblem = lambda key, reason: None
+) -> tuple[int, list[StoredObject]]:
     """Return the revision and the objects of a list response.
 
+    Parameters
+    ----------
+    data : bytes
+        The response.
+    on_problem : callable, optional
+        Called for each entry that can't be read; it is left out.
+
     Raises
     ------
     ObjectApiError
-        If the list is malformed.
+        If the response is no list with a revision.
     """
     try:
-        answer = json.loads(data)
-        found = [
-            StoredObject(
-                str(item["key"]),
-                int(item["version"]),
-                json.dumps(item["value"], separators=(",", ":")).encode(),
-            )
-            for item in answer["objects"]
-        ]
-        return int(answer["revision"]), found
-    except (ValueError, KeyError, TypeError) as error:
-        raise ObjectApiError(f"list is malformed: {error!r}") from error
+        answer = load_json(data)
+        if type(answer) is not dict or type(answer.get("objects")) is not list:
+            raise MalformedObject("not an object with a list of objects")
+        revision = read_whole(answer.get("revision"), "revision", 0, MAX_VERSION)
+    except (ValueError, MalformedObject) as error:
+        raise ObjectApiError(f"list is malformed: {error}") from error
+    found = []
+    for index, item in enumerate(answer["objects"]):
+        try:
+            found.append(read_entry(item))
+        except MalformedObject as error:
+            key = item.get("key") if type(item) is dict else None
+            name = key if isinstance(key, str) else f"objects[{index}]"
+            on_problem(name, str(error))
+    return revision, found
+
+
+def read_entry(item: Any) -> StoredObject:
+    """Return an entry of a list.
+
+    Raises
+    ------
+    MalformedObject
+        If it is odd.
+    """
+    if type(item) is not dict or "value" not in item:
+        raise MalformedObject(f"entry {shown(item)} is not an object with a value")
+    key = read_text(item.get("key"), "key", longest=MAX_KEY_BYTES)
+    version = read_whole(item.get("version"), "version", 1, MAX_VERSION)
+    try:
+        value = json.dumps(item["value"], separators=(",", ":")).encode()
+    except RecursionError as error:
+        raise MalformedObject("value is nested too deep") from error
+    return StoredObject(key, version, value)
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -181,6 +181,13 @@
         self.record_api_state(is_reachable)
         self.feed(messages.WatchState(is_reachable))
 
+    def on_api_problem(self, key: str, reason: str) -> None:
+        """Log why an entry of the list of objects, or the whole list, wasn't read."""
+        if key:
+            self.report_event(1204, key=key, error=reason)
+        else:
+            self.report_event(1203, key="objects", error=reason)
+
     def record_api_state(self, is_reachable: bool) -> None:
         """Record whether the object API answered; log a change."""
         state = "reachable" if is_reachable else "unreachable"
@@ -196,7 +203,9 @@
         if not effect.is_wanted:
             self.api.stop()
         elif not self.api.is_watching:
-            ensureDeferred(self.api.watch(self.on_object, self.on_api_state))
+            ensureDeferred(
+                self.api.watch(self.on_object, self.on_api_state, self.on_api_problem)
+            )
 
     def send_peer(self, effect: messages.SendPeer) -> None:
         """Send a message to another process."""
--- a/fuchsiapin/events.py
+++ b/fuchsiapin/events.py
@@ -165,6 +165,16 @@
         (KEY, ERROR),
         is_rate_limited=True,
     ),
+    Event(
+        1204,
+        "list entry refused",
+        "error",
+        "An entry of the list of stored objects can't be read and is left out; all "
+        "others are followed.",
+        "Repair the object and find out which program wrote it.",
+        (KEY, ERROR),
+        is_rate_limited=True,
+    ),
     Event(
         1301,
         "envelope dropped",
--- a/fuchsiapin/tests/standins/objectapi.py
+++ b/fuchsiapin/tests/standins/objectapi.py
@@ -34,6 +34,8 @@
     """Watches that return all objects instead of the changed ones."""
     skip_watches: int = 0
     """Watches that return the newest revision without the changed objects."""
+    odd_texts: dict[str, str] = field(default_factory=dict)
+    """JSON texts that replace strings in answers, such as ones too deep to write."""
 
     def consume(self, name: str) -> bool:
         """Return whether a counted fault applies to this call; decrement its count."""
@@ -120,6 +122,8 @@
         """Send a response unless the client has disconnected."""
         if request._disconnected:
             return
+        for name, text in self.faults.odd_texts.items():
+            body = body.replace(b'"%s"' % name.encode(), text.encode())
         request.setResponseCode(status)
         request.setHeader("ETag", f'"{version}"')
         request.setHeader("Content-Type", "application/json")
