Go on after an error in a timer, an effect or a periodic check of a daemon

What callers saw: one call that failed stopped others for good. An effect that couldn't be executed lost all later effects of its event and, during a watch, ended the watch; a timer that failed lost the event that was handled after it, and a periodic one (heartbeats, silence checks, the relay's digests, maintenance, the drain) never ran again; an error in the check of the status stopped its `LoopingCall`; errors of reads and writes were unhandled in their Deferreds.

Cause: `Shell.feed` caught errors of the core alone, and periodic work scheduled its next run last.

Change: the shell runs each due timer, event and effect by itself and reports an error as event 1302; tasks and the status check are run in the same way. Periodic work schedules its next run also if it failed.

Evidence: `test_oddentries.ShellTest` failed before with `Lists differ: [] != ['timer', 'Wake', 'Start']` and, for each of five kinds of periodic work, `1 not greater than 9` (calls after a failed one). Both tests pass now.

--- a/fuchsiapin/coap/balancercore.py
+++ b/fuchsiapin/coap/balancercore.py
@@ -272,11 +272,13 @@
 
     def drain(self, now: int) -> None:
         """Have side processes answer through other balancers; exit once idle."""
-        for member in self.recent_sides.values():
-            self.send_leaving(member)
-        self.finish_if_drained(now)
-        if not self.is_finished:
-            self.timers.add(now + DRAIN_CHECK_INTERVAL_MS, self.drain)
+        try:
+            for member in self.recent_sides.values():
+                self.send_leaving(member)
+            self.finish_if_drained(now)
+        finally:
+            if not self.is_finished:
+                self.timers.add(now + DRAIN_CHECK_INTERVAL_MS, self.drain)
 
     def send_leaving(self, member: messages.Member) -> None:
         """Ask a side process to send its answers through other balancers."""
--- a/fuchsiapin/coap/membership.py
+++ b/fuchsiapin/coap/membership.py
@@ -303,16 +303,18 @@
 
     def send_heartbeats(self, now: int) -> None:
         """Send heartbeats to the peers and schedule the next ones."""
-        message = Heartbeat(
-            self.service,
-            self.ownership.view,
-            self.ownership.active,
-            self.config_number,
-            self.backlog_ms(),
-        )
-        for member in self.peers():
-            self.effects.append(SendPeer(member.host, member.port, message))
-        self.timers.add(now + HEARTBEAT_MS, self.send_heartbeats)
+        try:
+            message = Heartbeat(
+                self.service,
+                self.ownership.view,
+                self.ownership.active,
+                self.config_number,
+                self.backlog_ms(),
+            )
+            for member in self.peers():
+                self.effects.append(SendPeer(member.host, member.port, message))
+        finally:
+            self.timers.add(now + HEARTBEAT_MS, self.send_heartbeats)
 
     def on_heartbeat(self, now: int, sender: str, heartbeat: Heartbeat) -> None:
         """Handle a peer's heartbeat; request its view if it is newer."""
@@ -342,16 +344,18 @@
         A process that was paused itself received no heartbeats meanwhile, so it
         restarts the silence timeout of all members.
         """
-        # Checks run every `CHECK_MS`: one this late means that the process was paused.
-        if now - self.last_check > SILENCE_MS // 2:
-            self.last_heartbeat = dict.fromkeys(self.last_heartbeat, now)
-        self.last_check = now
-        for member in self.peers():
-            if now - self.last_heartbeat.get(member.id, now) > MEMBERSHIP_RESEND_MS:
-                self.send_membership(member.host, member.port)
-            if self.is_silent(now, member.id):
-                self.suspect(now, member)
-        self.timers.add(now + CHECK_MS, self.check_silence)
+        try:
+            # Checks run every `CHECK_MS`: one this late means a paused process.
+            if now - self.last_check > SILENCE_MS // 2:
+                self.last_heartbeat = dict.fromkeys(self.last_heartbeat, now)
+            self.last_check = now
+            for member in self.peers():
+                if now - self.last_heartbeat.get(member.id, now) > MEMBERSHIP_RESEND_MS:
+                    self.send_membership(member.host, member.port)
+                if self.is_silent(now, member.id):
+                    self.suspect(now, member)
+        finally:
+            self.timers.add(now + CHECK_MS, self.check_silence)
 
     def send_membership(self, host: str, port: int) -> None:
         """Send the membership object as last seen.
--- a/fuchsiapin/coap/relay.py
+++ b/fuchsiapin/coap/relay.py
@@ -267,6 +267,15 @@
 
     def tick(self, now: int) -> None:
         """Send a digest to the parent, check the links, and schedule the next run."""
+        try:
+            self.run_checks(now)
+        finally:
+            pause = FETCH_INTERVAL_MS if self.has_differences else DIGEST_INTERVAL_MS
+            self.has_differences = False
+            self.timers.add(now + self.rng.randint(pause * 3 // 4, pause), self.tick)
+
+    def run_checks(self, now: int) -> None:
+        """Send a digest to the parent and check the links."""
         self.remove_silent_subscribers(now)
         if self.needs_parent():
             self.check_parent(now)
@@ -276,9 +285,6 @@
             self.compare_with_root(now)
         if self.is_watching:
             self.send_acks_to_roots(now)
-        pause = FETCH_INTERVAL_MS if self.has_differences else DIGEST_INTERVAL_MS
-        self.has_differences = False
-        self.timers.add(now + self.rng.randint(pause * 3 // 4, pause), self.tick)
 
     def compare_with_root(self, now: int) -> None:
         """Fetch from a random other root what this root's watch has missed."""
--- a/fuchsiapin/coap/sidecore.py
+++ b/fuchsiapin/coap/sidecore.py
@@ -206,11 +206,13 @@
 
     def run_maintenance(self, now: int) -> None:
         """Run the periodic maintenance and schedule the next run."""
-        self.flow_store.expire(now)
-        self.check_upstream(now)
-        self.dispatcher.expire_blocked()
-        self.finish_if_drained(now)
-        self.timers.add(now + MAINTENANCE_INTERVAL_MS, self.run_maintenance)
+        try:
+            self.flow_store.expire(now)
+            self.check_upstream(now)
+            self.dispatcher.expire_blocked()
+            self.finish_if_drained(now)
+        finally:
+            self.timers.add(now + MAINTENANCE_INTERVAL_MS, self.run_maintenance)
 
     def check_upstream(self, now: int) -> None:
         """Set the state to `down` while the upstream is down, to own no flows."""
--- a/fuchsiapin/coap/zonemembership.py
+++ b/fuchsiapin/coap/zonemembership.py
@@ -265,11 +265,13 @@
 
     def send_heartbeats(self, now: int) -> None:
         """Send heartbeats, suspect silent balancers and schedule the next run."""
-        message = self.make_heartbeat()
-        for member in self.watchers:
-            self.send(member, message)
-        self.suspect_silent(now)
-        self.timers.add(now + HEARTBEAT_MS, self.send_heartbeats)
+        try:
+            message = self.make_heartbeat()
+            for member in self.watchers:
+                self.send(member, message)
+            self.suspect_silent(now)
+        finally:
+            self.timers.add(now + HEARTBEAT_MS, self.send_heartbeats)
 
     def on_heartbeat(self, now: int, sender: str) -> None:
         """Handle a heartbeat."""
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -1,7 +1,7 @@
 """Shell of a daemon: passes events to a decision core and executes its effects."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from twisted.internet.defer import ensureDeferred
@@ -121,7 +121,9 @@
     def start(self) -> None:
         """Start the core."""
         self.feed(messages.Start())
-        LoopingCall(self.log_status_changes).start(STATUS_CHECK_S, now=False)
+        checks = LoopingCall(self.guard, "status", self.log_status_changes)
+        checks.clock = self.reactor
+        checks.start(STATUS_CHECK_S, now=False)
 
     def on_signal(self, number: int, frame: Any) -> None:
         """Request a planned stop."""
@@ -133,20 +135,48 @@
         self.feed(messages.StopRequested())
 
     def feed(self, event: Any) -> None:
+        """Run the core's due timers, pass it an event, and execute the effects.
+
+        A timer that fails leaves the later ones due; none of them, and no effect, may
+        stop the others or lose the event.
+        """
+        now = self.clock.now()
+        while (due := self.core.next_due()) is not None and due <= now:
+            self.handle(now, messages.Wake())
+        if not isinstance(event, messages.Wake):
+            self.handle(now, event)
+        self.schedule_wake()
+
+    def handle(self, now: int, event: Any) -> None:
         """Pass an event to the core and execute its effects."""
-        try:
-            effects = self.core.handle(self.clock.now(), event)
-        except Exception as error:  # noqa: BLE001 - no event may stop the process
-            self.report_event(
-                1302,
-                event=type(event).__name__,
-                error=repr(error),
-                where=error_location(error),
-            )
-            effects = []
+        name = type(event).__name__
+        effects = self.guard(name, self.core.handle, now, event)
+        if effects is None:
+            effects = list(self.core.effects)
+            self.core.effects.clear()
         for effect in effects:
-            self.effect_handlers[type(effect)](effect)
-        self.schedule_wake()
+            kind = type(effect)
+            self.guard(kind.__name__, self.effect_handlers[kind], effect)
+
+    def guard(self, name: str, call: Callable[..., Any], *args: Any) -> Any:
+        """Return the result of a call; report an error and return None."""
+        try:
+            return call(*args)
+        except Exception as error:  # noqa: BLE001 - no error may stop the process
+            self.report_failure(name, error)
+            return None
+
+    def report_failure(self, name: str, error: BaseException) -> None:
+        """Log and count an internal error."""
+        self.report_event(
+            1302, event=name, error=repr(error), where=error_location(error)
+        )
+
+    def run_task(self, name: str, task: Coroutine[Any, Any, None]) -> None:
+        """Run a task in the event loop; report an error."""
+        ensureDeferred(task).addErrback(
+            lambda failure: self.report_failure(name, failure.value)
+        )
 
     def schedule_wake(self) -> None:
         """Schedule a call for the core's next timer."""
@@ -203,8 +233,9 @@
         if not effect.is_wanted:
             self.api.stop()
         elif not self.api.is_watching:
-            ensureDeferred(
-                self.api.watch(self.on_object, self.on_api_state, self.on_api_problem)
+            self.run_task(
+                "watch",
+                self.api.watch(self.on_object, self.on_api_state, self.on_api_problem),
             )
 
     def send_peer(self, effect: messages.SendPeer) -> None:
@@ -213,7 +244,7 @@
 
     def write_object(self, effect: messages.WriteObject) -> None:
         """Start a conditional write."""
-        ensureDeferred(self.finish_write(effect))
+        self.run_task("write", self.finish_write(effect))
 
     async def finish_write(self, effect: messages.WriteObject) -> None:
         """Make a conditional write and pass its outcome to the core."""
@@ -227,7 +258,7 @@
 
     def read_object(self, effect: messages.ReadObject) -> None:
         """Start reading an object."""
-        ensureDeferred(self.finish_read(effect.key))
+        self.run_task("read", self.finish_read(effect.key))
 
     async def finish_read(self, key: str) -> None:
         """Read an object and pass it to the core."""
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -7,22 +7,29 @@
 import random
 import unittest
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import asdict
 from typing import Any
+from unittest.mock import patch
 
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.testing import MemoryReactorClock
 
 from fuchsiapin import messages
+from fuchsiapin.clock import ManualClock
 from fuchsiapin.coap.balancercore import make_balancer_core
 from fuchsiapin.coap.sidecore import make_side_core
 from fuchsiapin.coap.sideoptions import SideOptions
 from fuchsiapin.codec import encode_object, pack_message
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
+from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import ObjectApiError
 from fuchsiapin.messages import BalancerMember, Member, View
+from fuchsiapin.settings import Address, Settings
 from fuchsiapin.tests.reactorthread import call_in_reactor
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
+from fuchsiapin.timers import Timers
 from tools.processes import wait_until
 
 ODD_TEXTS = {
@@ -271,5 +278,75 @@
                     wait_until(lambda: f"config/{index}" in keys, 10, "object")  # noqa: B023
 
 
+class FailingCore:
+    """A core whose timer, events and effects fail."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.timers = Timers()
+        self.handled: list[str] = []
+        self.effects: list[Any] = []
+
+    def next_due(self) -> int | None:
+        """Return when the next timer is due."""
+        return self.timers.next_due()
+
+    def handle(self, now: int, event: Any) -> list[Any]:
+        """Run the timers, note the event, and return an effect that fails and one."""
+        self.timers.run(now)
+        name = type(event).__name__
+        self.handled.append(name)
+        if name == "WatchState":
+            raise KeyError(name)
+        peer = messages.SendPeer("10.1.0.2", 7000, messages.ObjectWanted("", 2**64))
+        return [peer, messages.ReadObject(name)]
+
+    def fail(self, now: int) -> None:
+        """Fail as a timer."""
+        raise KeyError("timer")
+
+
+class ShellTest(unittest.TestCase):
+    """Errors inside a daemon end none of its parts."""
+
+    def test_periodic_work_goes_on_after_it_failed_once(self) -> None:
+        for role, part, name in (
+            ("side", "membership", "backlog_ms"),
+            ("side", "membership", "is_silent"),
+            ("side", "relay", "remove_silent_subscribers"),
+            ("side", "flow_store", "expire"),
+            ("balancer", "zone_membership", "suspect_silent"),
+        ):
+            with self.subTest(role=role, part=part, name=name):
+                process = Process(role)
+                process.put_valid()
+                owner = getattr(process.core, part)
+                with patch.object(owner, name, side_effect=KeyError) as call:
+                    for _ in range(20):
+                        with suppress(KeyError):
+                            process.feed(messages.Wake())
+                self.assertGreater(call.call_count, 9)
+
+    def test_no_error_ends_a_loop_or_loses_other_events_and_effects(self) -> None:
+        clock = MemoryReactorClock()
+        settings = Settings("a", "bole", Address("127.0.0.1", 0), "http://h", ["00"])
+        shell = Shell(clock, ManualClock(EPOCH_MS), settings, EPOCH_MS, "balancer")
+        core = shell.core = FailingCore()
+        done: list[str] = []
+        shell.effect_handlers[messages.ReadObject] = lambda item: done.append(item.key)
+        core.timers.add(EPOCH_MS, core.fail)
+        core.timers.add(EPOCH_MS, lambda now: done.append("timer"))
+        shell.start()
+        self.assertEqual(done, ["timer", "Wake", "Start"])
+        core.timers.add(EPOCH_MS + 1, lambda now: done.append("later timer"))
+        shell.on_api_state(True)
+        shell.clock.advance(1)
+        clock.advance(1)
+        self.assertIn("later timer", done)
+        before = shell.log.tally[1302, ""]
+        clock.pump([1] * 9)
+        self.assertEqual(shell.log.tally[1302, ""], before + 9)  # checks of the status
+
+
 if __name__ == "__main__":
     unittest.main()
