Refuse messages whose addresses, times or versions are out of range

What callers saw: a message of an authenticated peer with a host name, a NUL in an address or a port such as 70000 was answered to that address: the process looked the name up, which blocks it, or the call failed. An object copied with version 2^63 made every later version older, so that views weren't followed any more.

Cause: messages were checked for the types of their fields alone.

Change: `check_values` also checks the ranges of hosts, ports, incarnations and versions.

Evidence: `test_oddentries.MessageTest` replaces each field of each message by 25 odd values and feeds what is decoded to both cores. Before, it failed with `OSError: illegal IP address string`, `ValueError: embedded null character`, `SendPeer(host='10.2.0.2', port=70000, ...)` and `Tuples differ: (0, 100002, 100002)`. It passes now.

--- a/fuchsiapin/codec.py
+++ b/fuchsiapin/codec.py
@@ -13,9 +13,9 @@
 
 from fuchsiapin import messages
 from fuchsiapin.exceptions import MalformedEnvelope, MalformedObject
-from fuchsiapin.fields import shown
+from fuchsiapin.fields import MAX_TIME_MS, MAX_VERSION, is_host, shown
 from fuchsiapin.jsonpages import load_json
-from fuchsiapin.objectreading import OnRefused, read_record
+from fuchsiapin.objectreading import MAX_PORT, OnRefused, read_record
 
 __all__ = ["decode_object", "encode_object", "pack_message", "unpack_message"]
 
@@ -154,13 +154,32 @@
     )
 
 
+RANGE_CHECKS: dict[str, Callable[[Any], bool]] = {
+    "host": is_host,
+    "port": lambda port: 0 < port <= MAX_PORT,
+    "incarnation": lambda time_ms: 0 <= time_ms <= MAX_TIME_MS,
+    "version": lambda version: 0 <= version <= MAX_VERSION,
+}
+"""Functions that check the fields of a name."""
+
+
+@cache
+def ranged_fields(kind: type) -> tuple[tuple[int, Callable[[Any], bool]], ...]:
+    """Return index and check of each field that not all values are valid in."""
+    return tuple(
+        (index, RANGE_CHECKS[name])
+        for index, name in enumerate(field_names(kind))
+        if name in RANGE_CHECKS
+    )
+
+
 def check_values(kind: type, values: list[Any]) -> None:
-    """Check the types of field values.
+    """Check the types and ranges of field values.
 
     Raises
     ------
     MalformedEnvelope
-        If a value doesn't have the type of the schema.
+        If a value doesn't have the type of the schema or is out of range.
     """
     if tuple(map(type, values)) != field_types(kind):
         raise MalformedEnvelope(f"wrong field type in {kind.__name__}")
@@ -170,6 +189,11 @@
     for index, allowed in enum_fields(kind):
         if values[index] not in allowed:
             raise MalformedEnvelope(f"unknown enumeration value in {kind.__name__}")
+    for index, is_valid in ranged_fields(kind):
+        if not is_valid(values[index]):
+            value = shown(values[index])
+            name = field_names(kind)[index]
+            raise MalformedEnvelope(f"{name} {value} in {kind.__name__} is not valid")
 
 
 def from_values(kind: type[T], values: list[Any]) -> T:
@@ -232,6 +256,8 @@
     header_types = (type(sender), type(incarnation), type(sequence), type(number))
     if header_types != (str, int, int, int) or not 0 <= number < len(MESSAGE_TYPES):
         raise MalformedEnvelope("malformed message header")
+    if not 0 <= incarnation <= MAX_TIME_MS:
+        raise MalformedEnvelope("incarnation in message header is out of range")
     return sender, incarnation, sequence, from_values(MESSAGE_TYPES[number], values)
 
 
--- a/fuchsiapin/objectreading.py
+++ b/fuchsiapin/objectreading.py
@@ -17,7 +17,7 @@
 )
 from fuchsiapin.messages import BalancerMember, KnownProcess, Member
 
-__all__ = ["MAX_NUMBER", "OnRefused", "read_list", "read_record"]
+__all__ = ["MAX_NUMBER", "MAX_PORT", "OnRefused", "read_list", "read_record"]
 
 T = TypeVar("T")
 OnRefused = Callable[[str], None]
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -8,10 +8,14 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import suppress
-from dataclasses import asdict
-from typing import Any
+from copy import deepcopy
+from dataclasses import asdict, is_dataclass
+from math import inf, nan
+from socket import inet_aton
+from typing import Any, Literal, get_args, get_origin, get_type_hints
 from unittest.mock import patch
 
+from msgpack import packb, unpackb
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.testing import MemoryReactorClock
@@ -21,10 +25,15 @@
 from fuchsiapin.coap.balancercore import make_balancer_core
 from fuchsiapin.coap.sidecore import make_side_core
 from fuchsiapin.coap.sideoptions import SideOptions
-from fuchsiapin.codec import encode_object, pack_message
+from fuchsiapin.codec import (
+    MESSAGE_TYPES,
+    encode_object,
+    pack_message,
+    unpack_message,
+)
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
 from fuchsiapin.daemons.shell import Shell
-from fuchsiapin.exceptions import ObjectApiError
+from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.messages import BalancerMember, Member, View
 from fuchsiapin.settings import Address, Settings
 from fuchsiapin.tests.reactorthread import call_in_reactor
@@ -59,7 +68,7 @@
 PLACE = "place"
 EPOCH_MS = 1_700_000_000_000
 FIRST_NUMBER = 100_000
-"""Number of the first valid view or configuration, above the odd ones in range."""
+"""Number and version of the first valid object, above the odd ones in range."""
 
 
 def paths_of(value: Any, path: tuple = ()) -> Iterator[tuple]:
@@ -67,7 +76,7 @@
     yield path
     items = value.items() if isinstance(value, dict) else []
     if isinstance(value, list):
-        items = list(enumerate(value))[:1]
+        items = list(enumerate(value))[: 1 if path else None]
     for key, inner in items:
         yield from paths_of(inner, (*path, key))
 
@@ -88,6 +97,16 @@
     return written.encode(errors="surrogateescape")
 
 
+def with_odd_packed(values: list[Any], path: tuple, odd: bytes) -> bytes:
+    """Return values as msgpack with an odd one at a path."""
+    copied = deepcopy(values)
+    parent = copied
+    for index in path[:-1]:
+        parent = parent[index]
+    parent[path[-1]] = PLACE * 9
+    return packb(copied).replace(packb(PLACE * 9), odd)
+
+
 def make_member(index: int) -> Member:
     """Return a side process of the service."""
     host = f"10.2.0.{index}"
@@ -129,8 +148,9 @@
     for effect in effects:
         if isinstance(effect, messages.SendPeer):
             pack_message("side-1", 1, 1, effect.message)
+        if isinstance(effect, messages.SendPeer | messages.SendCaller):
             assert 0 < effect.port < 2**16, effect
-            assert effect.host.startswith("10."), effect
+            assert inet_aton(effect.host), effect
     reports = [item for item in effects if isinstance(item, messages.Report)]
     return [item.fields["error"] for item in reports if "error" in item.fields]
 
@@ -144,7 +164,7 @@
             if role == "balancer"
             else make_side_core("desk", make_member(1), 1, SideOptions(deployment="d"))
         )
-        self.now, self.version, self.number = EPOCH_MS, 0, FIRST_NUMBER
+        self.now, self.version, self.number = EPOCH_MS, FIRST_NUMBER, FIRST_NUMBER
         self.feed(messages.Start())
 
     def feed(self, event: Any) -> list[str]:
@@ -213,6 +233,65 @@
                         self.assertIn(number, process.numbers())
 
 
+ODD_PACKED = {
+    "nested": b"\x91" * 5_000 + b"\xc0",
+    "nested deeper": b"\x91" * 300_000 + b"\xc0",
+    "an extension": b"\xd4\x05\x00",
+    "a time": b"\xc7\x0c\xff" + b"\xff" * 12,
+    "a map with a list as key": b"\x81\x91\x01\x02",
+    "bytes": b"\xa1\xff",
+    "a surrogate": b"\xa3\xed\xa0\x80",
+    "nothing": b"",
+} | {
+    repr(value)[:20]: packb(value)
+    for value in (2**63, 2**64 - 1, -(2**63), 70_000, 0, -1, inf, nan, True, None, [],
+                  "10.0.0.1\0", "db.invalid", "x" * 100_000, "", b"", {"a": 1})
+}  # fmt: skip
+"""Odd values as msgpack."""
+
+
+def sample(hint: Any, name: str = "") -> Any:
+    """Return a valid value of a field of a message."""
+    if get_origin(hint) is Literal:
+        return get_args(hint)[0]
+    if get_origin(hint) is list:
+        return [sample(get_args(hint)[0])]
+    if is_dataclass(hint):
+        return hint(**{key: sample(h, key) for key, h in get_type_hints(hint).items()})
+    texts = {"host": "10.2.0.2", "service": "desk", "key": "members/desk"}
+    return texts.get(name, "desk-2") if hint is str else hint(3)
+
+
+class MessageTest(unittest.TestCase):
+    """Odd values in messages of authenticated peers."""
+
+    def test_messages_with_odd_values_are_refused_or_harmless(self) -> None:
+        for kind in MESSAGE_TYPES:
+            packed = pack_message("desk-2", 3, 1, sample(kind))
+            values = unpackb(packed)
+            processes = [Process("side"), Process("balancer")]
+            for process in processes:
+                process.put_valid()
+            for path in paths_of(values):
+                if not path:
+                    continue
+                for odd in ODD_PACKED.values():
+                    data = with_odd_packed(values, path, odd)
+                    try:
+                        sender, incarnation, _, message = unpack_message(data)
+                    except MalformedEnvelope:
+                        continue
+                    event = messages.PeerMessage(sender, incarnation, message)
+                    with self.subTest(kind=kind.__name__, path=path, odd=odd[:20]):
+                        for process in processes:
+                            process.feed(event)
+                            process.feed(messages.Wake())
+            for process in processes:
+                process.put_valid()
+                with self.subTest(kind=kind.__name__):
+                    self.assertEqual(process.numbers(), (process.number,) * 3)
+
+
 class ListTest(unittest.TestCase):
     """Odd entries in lists of the object API."""
 
