Show odd entries to the operator and keep the other processes in view

Nothing told which entry was odd.

Cause: pages were converted as a whole and without ranges, and what couldn't be decoded was left out silently.

Change: the pages are read with the readers of stored objects, entry by entry.

(`left out: ...`, `refused` in JSON).

--- a/fuchsiapin/coap/explain.py
+++ b/fuchsiapin/coap/explain.py
@@ -70,6 +70,7 @@
         Section("Configuration in force", configuration_lines(snapshot, lags)),
         *[served_section(snapshot, service) for service in snapshot.services()],
         *dropped_sections(snapshot),
+        *refused_sections(snapshot),
         Section("Terms", [GLOSSARY]),
     ]
     problems = find_problems(snapshot, lags)
@@ -96,7 +97,15 @@
         "To see the current state in the meantime, pass the admin address of any "
         "process with --via host:port.",
     ]
-    return Account(headline, False, [Section("Current state", lines)])
+    sections = [Section("Current state", lines), *refused_sections(snapshot)]
+    return Account(headline, False, sections)
+
+
+def refused_sections(snapshot: DeploymentSnapshot) -> list[Section]:
+    """Return a section on odd values that were left out, none without them."""
+    if not snapshot.refused:
+        return []
+    return [Section("Entries that can't be read and are left out", snapshot.refused)]
 
 
 def can_serve(snapshot: DeploymentSnapshot) -> bool:
@@ -132,6 +141,8 @@
     if down:
         verb = "is" if len(down) == 1 else "are"
         problems.append(f"{count(len(down), 'upstream')} {verb} not answering")
+    if snapshot.refused:
+        problems.append(f"{count(len(snapshot.refused), 'entry')} can't be read")
     failed = count_errors(snapshot)
     if failed:
         problems.append(f"{count(failed, 'error')} occurred inside the processes")
--- a/fuchsiapin/daemons/commandresults.py
+++ b/fuchsiapin/daemons/commandresults.py
@@ -197,7 +197,8 @@
     lags = find_lags(snapshot)
     head = status_head(snapshot)
     rows = [status_row(snapshot, process) for process in snapshot.processes]
-    text = "\n".join([head, format_table(STATUS_HEADER, rows), *lag_lines(lags)])
+    lines = [*lag_lines(lags), *refused_lines(snapshot)]
+    text = "\n".join([head, format_table(STATUS_HEADER, rows), *lines])
     is_known = snapshot.object_api_state == "reachable" and snapshot.processes
     is_up_to_date = is_known and not lags and newest_number(snapshot)
     values = {
@@ -207,6 +208,7 @@
         "processes": as_dicts(snapshot.processes),
         "statuses": as_dicts(list(snapshot.statuses.values())),
         "lags": as_dicts(lags),
+        "refused": snapshot.refused,
     }
     return CommandResult(
         ExitCode.DONE if is_up_to_date else ExitCode.BEHIND, text, values
@@ -264,6 +266,11 @@
     return lines
 
 
+def refused_lines(snapshot: DeploymentSnapshot) -> list[str]:
+    """Return one line for each odd value that was left out."""
+    return [f"left out: {reason}" for reason in snapshot.refused]
+
+
 MEMBERS_HEADER = ("process", "role", "service", "zone", "state", "admin")
 
 
@@ -274,11 +281,13 @@
         for item in snapshot.processes
     ]
     views = [f"{m.service}: view {m.view.number}" for m in snapshot.memberships]
-    text = "\n".join([*views, format_table(MEMBERS_HEADER, rows)])
+    table = format_table(MEMBERS_HEADER, rows)
+    text = "\n".join([*views, table, *refused_lines(snapshot)])
     is_known = snapshot.object_api_state == "reachable" or snapshot.processes
     code = ExitCode.DONE if is_known else ExitCode.UNREACHABLE
     values = {
         "store": snapshot.object_api_state,
         "processes": as_dicts(snapshot.processes),
+        "refused": snapshot.refused,
     }
     return CommandResult(code, text, values)
--- a/fuchsiapin/daemons/gathering.py
+++ b/fuchsiapin/daemons/gathering.py
@@ -1,20 +1,22 @@
 """Reads the state of a deployment from the object API and from its processes."""
 
-import json
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import DeferredSemaphore, ensureDeferred, gatherResults
 
-from fuchsiapin.codec import converter, decode_object
+from fuchsiapin.codec import decode_object
 from fuchsiapin.daemons.objectapi import (
     MAX_LIST_BYTES,
     ObjectApiClient,
+    OnProblem,
     StoredObject,
     parse_list,
 )
 from fuchsiapin.exceptions import MalformedObject, ObjectApiError
+from fuchsiapin.jsonpages import load_json
 from fuchsiapin.messages import (
     Configuration,
     KnownProcess,
@@ -22,6 +24,7 @@
     ServiceMembership,
     ZoneBalancers,
 )
+from fuchsiapin.objectreading import read_list, read_record
 from fuchsiapin.snapshot import DeploymentSnapshot, processes_of
 
 __all__ = ["gather_snapshot", "list_objects"]
@@ -56,32 +59,45 @@
         known side process are read as well.
     """
     snapshot = await read_stored(reactor, url, deployment)
+    reader = ProcessReader(reactor)
     known = {(item.role, item.name): item for item in snapshot.processes}
     for address in via:
-        known = await read_known_processes(reactor, address) | known
+        known = await reader.read_known(address) | known
     sides = [item for item in known.values() if item.role == "side" and item.admin]
     if snapshot.object_api_state == "unreachable" and sides:
-        known = await read_known_processes(reactor, sides[0].admin) | known
+        known = await reader.read_known(sides[0].admin) | known
     processes = [known[key] for key in sorted(known)]
-    statuses = await read_statuses(reactor, processes)
-    return replace(snapshot, processes=processes, statuses=statuses)
+    statuses = await reader.read_statuses(processes)
+    refused = [*snapshot.refused, *reader.refused]
+    return replace(snapshot, processes=processes, statuses=statuses, refused=refused)
 
 
 async def read_stored(reactor: Any, url: str, deployment: str) -> DeploymentSnapshot:
     """Return the state of a deployment from the object API alone."""
+    refused: list[str] = []
+
+    def refuse(key: str, reason: str) -> None:
+        refused.append(f"{key}: {reason}")
+
     try:
-        objects = await list_objects(ObjectApiClient(reactor, url))
-    except ObjectApiError:
-        return DeploymentSnapshot(deployment, "unreachable", None, [], [])
+        objects = await list_objects(ObjectApiClient(reactor, url), refuse)
+    except ObjectApiError as error:
+        if isinstance(error.__cause__, MalformedObject | ValueError):
+            refuse("the object API", str(error))
+        return DeploymentSnapshot(
+            deployment, "unreachable", None, [], [], refused=refused
+        )
     found: dict[str, Any] = {}
     for item in objects:
         object_type = OBJECT_TYPES.get(item.key.split("/")[0])
         if object_type is None or not item.value:
             continue
         try:
-            found[item.key] = decode_object(object_type, item.value)
-        except MalformedObject:
-            continue  # left out of the state
+            found[item.key] = decode_object(
+                object_type, item.value, item.key, partial(refuse, item.key)
+            )
+        except MalformedObject as error:
+            refuse(item.key, str(error))
     config = found.get(f"config/{deployment}")
     services = {item.name for item in config.services} if config else None
     memberships = [
@@ -94,12 +110,18 @@
         value for key, value in sorted(found.items()) if key.startswith("balancers/")
     ]
     processes = processes_of(memberships, zones)
-    return DeploymentSnapshot(deployment, "reachable", config, memberships, processes)
+    return DeploymentSnapshot(
+        deployment, "reachable", config, memberships, processes, refused=refused
+    )
 
 
-async def list_objects(client: ObjectApiClient) -> list[StoredObject]:
+async def list_objects(
+    client: ObjectApiClient, on_problem: OnProblem = lambda key, reason: None
+) -> list[StoredObject]:
     """Return all objects, without waiting for changes.
 
+    `on_problem` is called for each entry that can't be read.
+
     Raises
     ------
     ObjectApiError
@@ -110,61 +132,89 @@
     )
     if status != 200:
         raise ObjectApiError(f"list: status {status}")
-    return parse_list(data)[1]
-
-
-async def read_known_processes(
-    reactor: Any, address: str
-) -> dict[tuple[str, str], KnownProcess]:
-    """Return a process and its known peers, empty if it doesn't answer."""
-    values = await read_page(reactor, address, "/peers")
-    own_status = await read_status(reactor, address)
-    if values is None or own_status is None:
-        return {}
-    found = [converter.structure(item, KnownProcess) for item in values]
-    found.append(
-        KnownProcess(
-            own_status.name,
-            own_status.role,
-            own_status.service,
-            own_status.zone,
-            own_status.state,
-            address,
-        )
-    )
-    return {(item.role, item.name): item for item in found}
+    return parse_list(data, on_problem)[1]
 
 
-async def read_statuses(
-    reactor: Any, processes: list[KnownProcess]
-) -> dict[tuple[str, str], ProcessStatus]:
-    """Return the statuses of the processes that answer."""
-    limit = DeferredSemaphore(MAX_CONCURRENT_CALLS)
-    calls = [
-        limit.run(
-            lambda address=item.admin: ensureDeferred(read_status(reactor, address))
-        )
-        for item in processes
-        if item.admin
-    ]
-    answers = await gatherResults(calls)
-    return {(item.role, item.name): item for item in answers if item is not None}
+class ProcessReader:
+    """Reads admin pages of processes.
 
+    Parameters
+    ----------
+    reactor : twisted reactor
+        The event loop.
 
-async def read_status(reactor: Any, address: str) -> ProcessStatus | None:
-    """Return the status of the process at an address, None if there is no answer."""
-    values = await read_page(reactor, address, "/status")
-    try:
-        return converter.structure(values, ProcessStatus) if values else None
-    except Exception:  # noqa: BLE001 - another program answers there
-        return None
+    Attributes
+    ----------
+    refused : dict
+        Why a page, or an entry of it, was left out, in the order of the reads.
+    """
 
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.refused: dict[str, None] = {}
 
-async def read_page(reactor: Any, address: str, path: str) -> Any:
-    """Return the JSON of one admin page, None without a valid response."""
-    client = ObjectApiClient(reactor, f"http://{address.removeprefix('http://')}")
-    try:
-        status, data, _ = await client.call("GET", path, b"", {}, CALL_TIMEOUT_S)
-        return json.loads(data) if status == 200 else None
-    except (ObjectApiError, ValueError):
-        return None
+    def refuse(self, place: str, reason: str) -> None:
+        """Note an odd value."""
+        self.refused[f"{place}: {reason}"] = None
+
+    async def read_known(self, address: str) -> dict[tuple[str, str], KnownProcess]:
+        """Return a process and its known peers, without those that can't be read."""
+        values = await self.read_page(address, "/peers")
+        status = await self.read_status(address)
+        place = f"{address}/peers"
+        found: list[KnownProcess] = []
+        try:
+            if values is not None:
+                refuse = partial(self.refuse, place)
+                found = read_list(KnownProcess, values, "", refuse)
+        except MalformedObject as error:
+            self.refuse(place, str(error))
+        if status is not None:
+            found.append(
+                KnownProcess(
+                    status.name,
+                    status.role,
+                    status.service,
+                    status.zone,
+                    status.state,
+                    address,
+                )
+            )
+        return {(item.role, item.name): item for item in found}
+
+    async def read_statuses(
+        self, processes: list[KnownProcess]
+    ) -> dict[tuple[str, str], ProcessStatus]:
+        """Return the statuses of the processes that answer."""
+        limit = DeferredSemaphore(MAX_CONCURRENT_CALLS)
+        calls = [
+            limit.run(
+                lambda address=item.admin: ensureDeferred(self.read_status(address))
+            )
+            for item in processes
+            if item.admin
+        ]
+        answers = await gatherResults(calls)
+        return {(item.role, item.name): item for item in answers if item is not None}
+
+    async def read_status(self, address: str) -> ProcessStatus | None:
+        """Return the status of the process at an address, None without a valid one."""
+        values = await self.read_page(address, "/status")
+        try:
+            return read_record(ProcessStatus, values, "") if values else None
+        except MalformedObject as error:
+            self.refuse(f"{address}/status", str(error))
+            return None
+
+    async def read_page(self, address: str, path: str) -> Any:
+        """Return the JSON of one admin page, None without a valid response."""
+        url = f"http://{address.removeprefix('http://')}"
+        client = ObjectApiClient(self.reactor, url)
+        try:
+            status, data, _ = await client.call("GET", path, b"", {}, CALL_TIMEOUT_S)
+            return load_json(data) if status == 200 else None
+        except ObjectApiError:
+            return None
+        except ValueError as error:
+            self.refuse(f"{address}{path}", f"not JSON: {error}")
+            return None
--- a/fuchsiapin/daemons/objectapi.py
+++ b/fuchsiapin/daemons/objectapi.py
@@ -21,7 +21,13 @@
 from fuchsiapin.fields import MAX_VERSION, read_text, read_whole, shown
 from fuchsiapin.jsonpages import load_json
 
-__all__ = ["MAX_LIST_BYTES", "ObjectApiClient", "StoredObject", "parse_list"]
+__all__ = [
+    "MAX_LIST_BYTES",
+    "ObjectApiClient",
+    "OnProblem",
+    "StoredObject",
+    "parse_list",
+]
 
 OnProblem = Callable[[str, str], None]
 """Called with the key of an entry that can't be read, empty for a whole list that
--- a/fuchsiapin/snapshot.py
+++ b/fuchsiapin/snapshot.py
@@ -47,6 +47,9 @@
         All processes that any stored object or process named.
     statuses : dict
         Status of each process that responded, by role and name.
+    refused : list of str
+        Where odd values were found in the store or at a process, and why they were
+        left out.
     """
 
     deployment: str
@@ -55,6 +58,7 @@
     memberships: list[ServiceMembership]
     processes: list[KnownProcess]
     statuses: dict[ProcessKey, ProcessStatus] = field(default_factory=dict)
+    refused: list[str] = field(default_factory=list)
 
     def status_of(self, process: KnownProcess) -> ProcessStatus | None:
         """Return the status of a process, None if it didn't respond."""
--- a/fuchsiapin/tests/standins/objectapi.py
+++ b/fuchsiapin/tests/standins/objectapi.py
@@ -123,7 +123,9 @@
         if request._disconnected:
             return
         for name, text in self.faults.odd_texts.items():
-            body = body.replace(b'"%s"' % name.encode(), text.encode())
+            body = body.replace(
+                b'"%s"' % name.encode(), text.encode(errors="surrogateescape")
+            )
         request.setResponseCode(status)
         request.setHeader("ETag", f'"{version}"')
         request.setHeader("Content-Type", "application/json")
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from copy import deepcopy
 from dataclasses import asdict, is_dataclass
+from itertools import chain
 from math import inf, nan
 from socket import inet_aton
 from typing import Any, Literal, get_args, get_origin, get_type_hints
@@ -19,6 +20,8 @@
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.testing import MemoryReactorClock
+from twisted.web.resource import Resource
+from twisted.web.server import Site
 
 from fuchsiapin import messages
 from fuchsiapin.clock import ManualClock
@@ -31,12 +34,15 @@
     pack_message,
     unpack_message,
 )
+from fuchsiapin.daemons.commandresults import members_result, status_result
+from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
+from fuchsiapin.daemons.readcommands import explain_result
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.messages import BalancerMember, Member, View
 from fuchsiapin.settings import Address, Settings
-from fuchsiapin.tests.reactorthread import call_in_reactor
+from fuchsiapin.tests.reactorthread import call_in_reactor, run_in_reactor
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
 from fuchsiapin.timers import Timers
 from tools.processes import wait_until
@@ -427,5 +433,72 @@
         self.assertEqual(shell.log.tally[1302, ""], before + 9)  # checks of the status
 
 
+class Pages(Resource):
+    """Admin pages of one process."""
+
+    isLeaf = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bodies: dict[bytes, bytes] = {}
+
+    def render(self, request: Any) -> bytes:
+        """Return the body of a page."""
+        return self.bodies.get(request.path, b"")
+
+
+class CommandTest(unittest.TestCase):
+    """Odd values that the operator's commands read."""
+
+    def listen(self, site: Site) -> str:
+        """Serve a site; return its address."""
+        port = call_in_reactor(reactor.listenTCP, 0, site, 50, "127.0.0.1")
+        self.addCleanup(call_in_reactor, port.stopListening)
+        return f"127.0.0.1:{port.getHost().port}"
+
+    def render_all(self, url: str, via: list[str]) -> str:
+        """Return what `status`, `explain` and `members` print."""
+        snapshot = run_in_reactor(gather_snapshot(reactor, url, "d", via))
+        results = [
+            render(snapshot)
+            for render in (status_result, explain_result, members_result)
+        ]
+        return "".join(item.render(json) for item in results for json in (False, True))
+
+    def test_odd_entries_and_pages_are_told_and_hide_no_process(self) -> None:
+        site, pages = make_site(reactor, Faults()), Pages()
+        url, admin = f"http://{self.listen(site)}", self.listen(Site(pages))
+        store, odd_texts = site.resource.store, site.resource.faults.odd_texts
+        for key, value in make_objects(7).items():
+            call_in_reactor(store.put, key, asdict(value))
+        values = (
+            ["desk-9", "side", "desk", "bole", "1", 5, "live", ["reason"]],
+            ["reachable", 7, [messages.ViewStatus("desk", 7, 7, ["desk-1"])]],
+            [0, 0, 0, 0, [messages.EventCount(3101, "busy", 2)], 0],
+            [[messages.ConfigAck("config/d", 7, 7, 1, 0, [])]],
+        )
+        status = asdict(messages.ProcessStatus(*chain(*values)))
+        known = messages.KnownProcess("desk-8", "side", "desk", "bole", "live", "")
+        both = [asdict(known), asdict(known) | {"name": "desk-7"}]
+        texts = {"no address": '"a b:\\u0000:99999999999"', "no port": '"10.0.0.1:x"'}
+        for name, text in (ODD_TEXTS | texts).items():
+            if name == "nothing":
+                continue
+            odd_texts["odd"] = text
+            member = asdict(make_member(4)) | {"admin": "odd", "weight": 2_000}
+            view = {"number": 8, "members": [member, asdict(make_member(5))]}
+            stored = asdict(make_objects(8)["members/desk"]) | {"view": view}
+            call_in_reactor(store.put, "members/desk", stored)
+            call_in_reactor(store.put, "config/other", "odd")
+            for path in paths_of(status):
+                pages.bodies[b"/status"] = with_odd(status, path, text)
+                pages.bodies[b"/peers"] = with_odd(both, (0, "zone"), text)
+                with self.subTest(odd=name, path=path):
+                    printed = self.render_all(url, [admin])
+                    printed.encode()
+                    for process in ("desk-5", "desk-7", "config/other"):
+                        self.assertIn(process, printed)
+
+
 if __name__ == "__main__":
     unittest.main()
