Report odd values in settings, register and rules as faults

What callers saw: a number of 6,000 digits in settings, register (also as a table) or rules ended a daemon's start and the commands with a traceback instead of the fault and its line, as did printing a fault with a lone surrogate. Names of 100,000 characters, weights of 2^63 and addresses such as 0.0.0.0 passed, and the objects that were written with them are refused by all others.

Cause: `int` limits its digits, the schemas limited no length, and texts weren't checked for being encodable.

--- a/fuchsiapin/checking.py
+++ b/fuchsiapin/checking.py
@@ -181,6 +181,12 @@
     return "a non-empty string" if value == 1 else f"{value} characters or more"
 
 
+@expectations.register("maxLength")
+def expect_max_length(value: int) -> str:
+    """Describe the maximum length of a string."""
+    return f"at most {value} characters"
+
+
 @expectations.register("minItems")
 def expect_min_items(value: int) -> str:
     """Describe the minimum number of items."""
--- a/fuchsiapin/documents.py
+++ b/fuchsiapin/documents.py
@@ -11,6 +11,8 @@
 from expression import Error, Ok, Result
 
 from fuchsiapin.faults import Fault
+from fuchsiapin.fields import shown
+from fuchsiapin.jsonpages import parse_whole
 
 __all__ = ["Document", "Keys", "key_text", "parse_document", "read_document"]
 
@@ -93,20 +95,46 @@
     """
     uncommented = blank_comments(text)
     try:
-        values = jsonc.loads(uncommented)
+        values = jsonc.loads(uncommented, parse_int=parse_whole)
         lines, repeated = locate_values(uncommented)
+        broken = list(broken_texts(values))
     except RecursionError:
         return Error([Fault(file, None, "", "fewer nesting levels", "too many")])
     except ValueError as error:
         return Error([syntax_fault(file, uncommented, str(error))])
-    if repeated:
-        return Error(
-            [
-                Fault(file, line, key_text(keys), "each key once", "the key again")
-                for keys, line in repeated
-            ]
-        )
-    return Ok(Document(file, values, lines))
+    faults = [
+        Fault(file, line, key_text(keys), "each key once", "the key again")
+        for keys, line in repeated
+    ]
+    document = Document(file, values, lines)
+    faults += [
+        document.fault(keys, "text that can be written as UTF-8", shown(text))
+        for keys, text in broken
+    ]
+    return Error(faults) if faults else Ok(document)
+
+
+def broken_texts(value: Any, keys: Keys = ()) -> Iterator[tuple[Keys, str]]:
+    """Yield path and text of each value or key with a lone surrogate."""
+    if isinstance(value, str) and not is_encodable(value):
+        yield keys, value
+    items: Any = ()
+    if isinstance(value, dict):
+        yield from ((keys, key) for key in value if not is_encodable(key))
+        items = ((key, item) for key, item in value.items() if is_encodable(key))
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, item in items:
+        yield from broken_texts(item, (*keys, key))
+
+
+def is_encodable(text: str) -> bool:
+    """Return whether a text can be written as UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def syntax_fault(file: str, uncommented: str, reason: str) -> Fault:
@@ -117,7 +145,7 @@
     """
     line = None
     try:
-        json.loads(blank_trailing_commas(uncommented))
+        json.loads(blank_trailing_commas(uncommented), parse_int=parse_whole)
     except json.JSONDecodeError as error:
         line, reason = error.lineno, error.msg
     return Fault(file, line, "", "JSON with comments", reason.lower())
--- a/fuchsiapin/jsonpages.py
+++ b/fuchsiapin/jsonpages.py
@@ -8,7 +8,7 @@
 import re
 from typing import Any
 
-__all__ = ["MAX_DEPTH", "load_json"]
+__all__ = ["MAX_DEPTH", "load_json", "parse_whole"]
 
 MAX_DEPTH = 32
 """Deepest nesting that is kept; pages of objects are nested less than ten deep."""
--- a/fuchsiapin/register.py
+++ b/fuchsiapin/register.py
@@ -11,7 +11,9 @@
 from fuchsiapin.checking import check_document, load_schema
 from fuchsiapin.documents import Document, read_document
 from fuchsiapin.faults import Fault, nearest_hint
+from fuchsiapin.fields import is_host
 from fuchsiapin.inputs import Asset
+from fuchsiapin.jsonpages import parse_whole
 
 __all__ = ["Entry", "read_register"]
 
@@ -126,7 +128,7 @@
     reports it.
     """
     is_number = name in NUMBER_COLUMNS and cell.isascii() and cell.isdigit()
-    return int(cell) if is_number else cell
+    return parse_whole(cell) if is_number else cell
 
 
 def entries_of(document: Document) -> Result[list[Entry], list[Fault]]:
@@ -155,13 +157,16 @@
 
 
 def conflict_faults(entries: list[Entry]) -> list[Fault]:
-    """Return the faults of assets that contradict each other."""
+    """Return the faults of assets that contradict each other or can't be reached."""
     found: list[Fault] = []
     first_by_name: dict[str, Entry] = {}
     first_on_vm: dict[str, Entry] = {}
     first_at_address: dict[str, Entry] = {}
     for entry in entries:
         asset = entry.asset
+        if not is_host(asset.address):
+            expected = "an address of a single VM"
+            found.append(entry.fault("address", expected, repr(asset.address)))
         first = first_by_name.setdefault(asset.name, entry)
         if first is not entry:
             duplicate = f"{asset.name!r}, as in {location_of(first)}"
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -9,10 +9,12 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from copy import deepcopy
-from dataclasses import asdict, is_dataclass
-from itertools import chain
+from dataclasses import asdict, is_dataclass, replace
+from itertools import chain, product
 from math import inf, nan
+from pathlib import Path
 from socket import inet_aton
+from tempfile import TemporaryDirectory
 from typing import Any, Literal, get_args, get_origin, get_type_hints
 from unittest.mock import patch
 
@@ -30,18 +32,21 @@
 from fuchsiapin.coap.sideoptions import SideOptions
 from fuchsiapin.codec import (
     MESSAGE_TYPES,
+    decode_object,
     encode_object,
     pack_message,
     unpack_message,
 )
+from fuchsiapin.configuring import accept, read_proposal
 from fuchsiapin.daemons.commandresults import members_result, status_result
 from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
 from fuchsiapin.daemons.readcommands import explain_result
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
+from fuchsiapin.faults import render_faults
 from fuchsiapin.messages import BalancerMember, Member, View
-from fuchsiapin.settings import Address, Settings
+from fuchsiapin.settings import Address, Settings, check_settings
 from fuchsiapin.tests.reactorthread import call_in_reactor, run_in_reactor
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
 from fuchsiapin.timers import Timers
@@ -71,6 +76,14 @@
     "nothing": None,
 }
 """JSON texts of odd values; a lone surrogate stands for a byte that isn't UTF-8."""
+ODD_CELLS = {
+    "6,000 digits": '"%s"' % ("9" * 6_000),
+    "a long text": ODD_TEXTS["a long text"],
+    "NUL": ODD_TEXTS["NUL"],
+    "bytes": r'"\udcff"',
+    "an address of no host": '"0.0.0.0"',
+}
+"""Odd values of tables, as JSON texts."""
 PLACE = "place"
 EPOCH_MS = 1_700_000_000_000
 FIRST_NUMBER = 100_000
@@ -500,5 +513,96 @@
                         self.assertIn(process, printed)
 
 
+SETTINGS = {
+    "name": "balancer-1",
+    "availability_zone": "bole",
+    "peer": {"host": "127.0.0.1", "port": 1},
+    "object_api": "http://127.0.0.1:1",
+    "keys": ["00" * 16],
+    "callers": [{"service": "desk", "host": "127.0.0.1", "port": 2}],
+    "weight": 5,
+    "slots": 2,
+}
+ASSET = {
+    "name": "desk-1",
+    "vm": "vm-1",
+    "address": "10.0.0.1",
+    "availability_zone": "bole",
+    "service": "desk",
+    "slots": 1,
+    "connections": 2,
+}
+CLASS = {"name": "shops", "share": 1, "networks": ["10.8.0.0/16"]}
+RULES = {
+    "deployment": "d",
+    "services": [{"name": "desk", "deadline_ms": 500, "queue": 3, "classes": [CLASS]}],
+}
+
+
+class FileTest(unittest.TestCase):
+    """Odd values in the operator's files."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(TemporaryDirectory()))
+
+    def write(self, name: str, data: bytes) -> Path:
+        """Write a file; return its path."""
+        path = self.folder / name
+        path.write_bytes(data)
+        return path
+
+    def odd_files(self, name: str, value: dict) -> Iterator[tuple[str, Path]]:
+        """Write a file with each odd value at each place, and each part of it.
+
+        Yield what is odd and the path of the file.
+        """
+        whole = json.dumps(value).encode()
+        for path in paths_of(value):
+            for odd, text in ODD_TEXTS.items():
+                yield f"{path}: {odd}", self.write(name, with_odd(value, path, text))
+        for length in range(0, len(whole), 9):
+            yield f"{length} bytes", self.write(name, whole[:length])
+
+    def check_proposal(self, odd: str, register: Path, rules: Path) -> None:
+        """Check that files have faults, which can be printed, or are readable."""
+        with self.subTest(odd=odd, register=register.name, rules=rules.name):
+            result = read_proposal(register, rules)
+            if result.is_error():
+                render_faults(result.error).encode()
+            else:
+                config = accept(result.ok, None, "author", "change")
+                decode_object(messages.Configuration, encode_object(config))
+
+    def test_odd_settings_have_faults_or_can_be_sent(self) -> None:
+        for odd, path in self.odd_files("settings.json", SETTINGS):
+            with self.subTest(odd=odd):
+                result = check_settings(path, "balancer")
+                if result.is_error():
+                    render_faults(result.error).encode()
+                    continue
+                found = result.ok
+                names = {"id": found.name, "zone": found.availability_zone}
+                member = replace(make_member(1), weight=found.weight, **names)
+                view = View(1, [member])
+                stored = messages.ServiceMembership("desk", view, [], "c")
+                data = encode_object(stored)
+                self.assertEqual(decode_object(type(stored), data), stored)
+
+    def test_odd_registers_and_rules_have_faults_or_are_readable(self) -> None:
+        rules = self.write("right.json", json.dumps(RULES).encode())
+        register = {"assets": [ASSET]}
+        for odd, path in self.odd_files("register.json", register):
+            self.check_proposal(odd, path, rules)
+        right = self.write("assets.json", json.dumps(register).encode())
+        for odd, path in self.odd_files("rules.json", RULES):
+            self.check_proposal(odd, right, path)
+        for (odd, cell_text), column in product(ODD_CELLS.items(), ASSET):
+            cell = json.loads(cell_text)
+            row = [str(v) for v in (ASSET | {column: cell}).values()]
+            text = f"{','.join(ASSET)}\n{','.join(row)}\n"
+            path = self.write("register.csv", text.encode(errors="surrogateescape"))
+            self.check_proposal(f"{column}: {odd}", path, rules)
+
+
 if __name__ == "__main__":
     unittest.main()
