Read odd lines of logs and odd values of metrics without ending a command

What callers saw: `story` ended with a traceback on a log line that was nested too deep, had a time of 1e999, a list as member or no field `opens`; `status` and `explain` of packet flows ended on a metric that is NaN, infinite or beyond the year 9999.

Cause: values were converted without types and ranges.

Change: log lines and metrics are read with the shared readers; `explain` tells how many values of a process were left out.

--- a/fuchsiapin/flowsnapshot.py
+++ b/fuchsiapin/flowsnapshot.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.fields import MAX_VERSION, read_number
 from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.opening import ZONES_EVACUATED
@@ -31,6 +33,8 @@
 EVACUATION_DEADLINE_MS = 5_000
 """An evacuation must be in force within this time; the default of deployments."""
 MS_PER_S = 1_000
+ODD_VALUES = ("odd_values", "")
+"""Series and label of the number of values that can't be read, absent without any."""
 
 
 @dataclass(frozen=True)
@@ -235,15 +239,22 @@
     >>> parse_metrics('fuchsiapin_members{role="b",zone="z",what="desk"} 4')
     {('members', 'desk'): 4.0}
     """
-    found = {}
+    found: dict[tuple[str, str], float] = {}
+    odd_values = 0
     for line in text.splitlines():
+        if not line or line.startswith("#"):
+            continue
         head, _, value = line.rpartition(" ")
         name, _, labels = head.partition("{")
         label = labels.partition('what="')[2].rpartition('"')[0]
         try:
-            found[name.removeprefix("fuchsiapin_"), label] = float(value)
-        except ValueError:
-            continue  # a comment or a truncated line
+            number = read_number(float(value), name, MAX_VERSION)
+        except (ValueError, MalformedObject):
+            odd_values += 1
+            continue
+        found[name.removeprefix("fuchsiapin_"), label] = number
+    if odd_values:
+        found[ODD_VALUES] = odd_values
     return found
 
 
@@ -323,7 +334,7 @@
     """Return since when a zone has been evacuated, in words."""
     if item.evacuated_ms is None:
         return "in the store, but at no balancer that can be read"
-    began_at = (snapshot.read_at - item.evacuated_ms) / MS_PER_S
+    began_at = max(0, snapshot.read_at - item.evacuated_ms) / MS_PER_S
     time = datetime.fromtimestamp(began_at, UTC).strftime("%Y-%m-%d %H:%M:%S")
     return f"since {time} UTC or earlier ({item.evacuated_ms // MS_PER_S} s)"
 
@@ -386,6 +397,9 @@
                 f"{balancer.error}"
             )
             continue
+        if ODD_VALUES in balancer.values:
+            values = count(int(balancer.values[ODD_VALUES]), "value")
+            yield f"{values} of {name}'s metrics can't be read and are left out"
         if balancer.members < known:
             yield f"{name} has {balancer.members} members, the store has {known}"
         if balancer.suspects:
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -1,10 +1,13 @@
 """Reconstructs the history of one flow from the logs of many processes."""
 
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
+from fuchsiapin.exceptions import MalformedObject
+from fuchsiapin.fields import MAX_TIME_MS, read_text, read_whole, shown
+from fuchsiapin.jsonpages import load_json
+
 __all__ = ["LogLine", "Story", "find_flows", "read_log", "build_story"]
 
 CONTEXT_MS = 3_000
@@ -109,20 +112,33 @@
         if start < 0:
             continue
         try:
-            values = json.loads(text[start:])
-            line = LogLine(
-                int(values.pop("time_ms")),
-                str(values.pop("process")),
-                int(values.pop("number")),
-                str(values.pop("event")),
-                values,
-            )
-        except (ValueError, KeyError, TypeError, AttributeError):
+            values = load_json(text[start:].encode(errors="replace"))
+            found.append(read_line(values))
+        except (ValueError, MalformedObject):
             continue
-        found.append(line)
     return sorted(found, key=lambda line: line.time_ms)
 
 
+def read_line(values: Any) -> LogLine:
+    """Return the event of a line of a log.
+
+    Raises
+    ------
+    MalformedObject
+        If the line is no event.
+    """
+    if type(values) is not dict:
+        raise MalformedObject(f"line {shown(values)} is not an object")
+    fields = dict(values)
+    return LogLine(
+        read_whole(fields.pop("time_ms", None), "time_ms", 0, MAX_TIME_MS),
+        read_text(fields.pop("process", None), "process"),
+        read_whole(fields.pop("number", None), "number"),
+        read_text(fields.pop("event", None), "event"),
+        fields,
+    )
+
+
 def find_flows(
     lines: Iterable[LogLine], part: str, member: str = "", at_ms: int = 0
 ) -> list[str]:
@@ -167,7 +183,7 @@
         return Story(flow, (), tuple(left_out(lines, None)))
     first, last = own_lines[0].time_ms - CONTEXT_MS, own_lines[-1].time_ms + CONTEXT_MS
     processes = {line.process for line in own_lines}
-    members = {line.fields["member"] for line in own_lines if "member" in line.fields}
+    members = {str(line.fields.get("member")) for line in own_lines} - {"None"}
     spans = [(first, last)]
     if request_ms:
         spans.append((request_ms - CONTEXT_MS, request_ms + CONTEXT_MS))
@@ -188,7 +204,7 @@
     if line.fields.get("flow") == flow:
         return True
     if line.number in MEMBER_EVENTS:
-        return line.fields.get("member") in members
+        return str(line.fields.get("member")) in members
     return line.number in STATE_EVENTS and line.process in processes
 
 
@@ -198,7 +214,8 @@
     for line in lines:
         if processes is None or line.process in processes:
             key = (line.process, line.number)
-            counts[key] = counts.get(key, 0) + int(line.fields.get("left_out", 0))
+            count = line.fields.get("left_out", 0)
+            counts[key] = counts.get(key, 0) + (count if type(count) is int else 0)
     return [
         f"{count} lines of event {number} left out by {process}"
         for (process, number), count in sorted(counts.items())
@@ -208,13 +225,13 @@
 
 def describe_line(line: LogLine) -> str:
     """Describe a line by its template, or by its event name and fields."""
-    if line.number == RESET:
-        return describe_reset(line.fields)
-    if line.number in EVENT_TEMPLATES:
-        try:
+    try:
+        if line.number == RESET:
+            return describe_reset(line.fields)
+        if line.number in EVENT_TEMPLATES:
             return EVENT_TEMPLATES[line.number].format(**line.fields)
-        except KeyError:
-            pass  # written by a version whose event had fewer fields
+    except KeyError:
+        pass  # written by a version whose event had fewer fields
     fields = ", ".join(f"{name} {value}" for name, value in line.fields.items())
     return f"{line.event} ({fields})"
 
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -39,14 +39,23 @@
 )
 from fuchsiapin.configuring import accept, read_proposal
 from fuchsiapin.daemons.commandresults import members_result, status_result
+from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
 from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
 from fuchsiapin.daemons.readcommands import explain_result
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.faults import render_faults
+from fuchsiapin.flows.gossip import BalancerRecord
+from fuchsiapin.flowsnapshot import (
+    BalancerMetrics,
+    FlowDeploymentSnapshot,
+    explain_flows,
+    parse_metrics,
+)
 from fuchsiapin.messages import BalancerMember, Member, View
 from fuchsiapin.settings import Address, Settings, check_settings
+from fuchsiapin.stories import build_story, read_log
 from fuchsiapin.tests.reactorthread import call_in_reactor, run_in_reactor
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
 from fuchsiapin.timers import Timers
@@ -604,5 +613,41 @@
             self.check_proposal(f"{column}: {odd}", path, rules)
 
 
+class LogTest(unittest.TestCase):
+    """Odd lines in logs and metrics that the operator's commands read."""
+
+    def test_odd_log_lines_end_no_story(self) -> None:
+        fields = {"flow": "f", "member": "m", "opens": True, "reason": "r"}
+        line = {"time_ms": 5, "process": "p", "number": 6103, "event": "reset"}
+        line |= fields | {"configuration": 1, "left_out": 1}
+        right = json.dumps(line | {"process": "right"})
+        for path, (odd, text) in product(paths_of(line), ODD_TEXTS.items()):
+            with self.subTest(path=path, odd=odd):
+                written = with_odd(line, path, text).decode(errors="surrogateescape")
+                story = build_story(read_log([written, right]), "f")
+                self.assertIn("right", story.render())
+
+    def test_odd_metrics_end_no_command_and_are_told(self) -> None:
+        record = BalancerRecord("b-1", 1, "10.1.0.1", "bole")
+        texts = ["NaN", "1e999", "-1", "-1e300", "9" * 30, "9" * 6_000, "x", "", "1e15"]
+        series = ("configuration_version", "suspect_members", "members",
+                  "evacuated_zone_ms", "decisions_total")  # fmt: skip
+        for name, label, text in product(series, ("bole", "reset: x"), texts):
+            with self.subTest(name=name, label=label, text=text[:20]):
+                lines = f'fuchsiapin_{name}{{what="{label}"}} {text}\nfuchsiapin_y 1'
+                values = parse_metrics(lines)
+                self.assertEqual(values["y", ""], 1)
+                snapshot = FlowDeploymentSnapshot(
+                    balancers=(BalancerMetrics(record, "", values),),
+                    evacuations=("bole",),
+                    read_at=EPOCH_MS,
+                )
+                for render in FLOW_RESULTS.values():
+                    printed = render(snapshot).render(False)
+                if text != "1e15":
+                    self.assertIn("1 value of b-1", "".join(explain_flows(snapshot)))
+                self.assertTrue(printed)
+
+
 if __name__ == "__main__":
     unittest.main()
