Tell in one line why a daemon can't start or a file can't be read

What callers saw: a port in use ended the start of a daemon with a traceback of 27 to 31 lines; `story` ended with one on a missing log file and on a text with a lone surrogate.

Cause: the errors of the operating system weren't caught where ports are opened and logs read, and standard output refuses what it can't encode.

Change: `listen_or_exit` names the key of the settings, the address and the reason; a log that can't be read is a fault as other files are; standard output escapes odd characters.

Evidence: `test_oddentries.StartTest` failed before with `31 != 1 : Traceback` (lines printed), `'readable file' not found` and `'reason \ud800' not found`. It passes now.

--- a/fuchsiapin/daemons/balancer.py
+++ b/fuchsiapin/daemons/balancer.py
@@ -11,6 +11,7 @@
 from fuchsiapin import messages
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.coap.balancercore import make_balancer_core
+from fuchsiapin.daemons.listening import listen_or_exit
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.settings import Settings, load_settings
 
@@ -45,8 +46,13 @@
         """Open the caller sockets."""
         for address in self.settings.callers:
             socket = CallerSocket(address.service, self)
-            self.reactor.listenUDP(
-                address.port, socket, address.host, MAX_DATAGRAM_BYTES
+            listen_or_exit(
+                "callers",
+                self.reactor.listenUDP,
+                address.port,
+                socket,
+                address.host,
+                MAX_DATAGRAM_BYTES,
             )
             self.sockets[address.service] = socket
 
@@ -70,11 +76,12 @@
     settings = load_settings(settings_file, "balancer", check)
     clock = SystemClock()
     shell = BalancerShell(reactor, settings, clock)
-    port = shell.peers.listen(settings.peer.host, settings.peer.port)
+    peer = settings.peer
+    port = listen_or_exit("peer", shell.peers.listen, peer.host, peer.port)
     me = messages.BalancerMember(
         settings.name,
         shell.peers.encoder.incarnation,
-        settings.peer.host,
+        peer.host,
         port,
         settings.availability_zone,
         "live",
--- a/fuchsiapin/daemons/ctl.py
+++ b/fuchsiapin/daemons/ctl.py
@@ -3,6 +3,7 @@
 import getpass
 import sys
 from dataclasses import asdict
+from io import TextIOWrapper
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
@@ -37,6 +38,7 @@
 from fuchsiapin.daemons.readcommands import explain, members, status
 from fuchsiapin.daemons.zonecommands import evacuate, reinstate
 from fuchsiapin.exceptions import SettingsError
+from fuchsiapin.faults import Fault
 from fuchsiapin.stories import build_story, find_flows, read_log
 
 __all__ = ["COMMANDS", "main"]
@@ -260,7 +262,14 @@
     """
 
     async def operation(reactor: Any) -> CommandResult:
-        texts = [t for log in logs for t in log.read_text(errors="replace").split("\n")]
+        texts: list[str] = []
+        for log in logs:
+            try:
+                texts += log.read_text(errors="replace").split("\n")
+            except OSError as error:
+                reason = error.strerror or "an error"
+                fault = Fault(str(log), None, "", "a readable file", reason.lower())
+                return faults_result([fault])
         lines = read_log(texts)
         found = find_flows(lines, flow, member, at_ms) or [flow]
         chosen = found if all_flows else found[:1]
@@ -308,6 +317,8 @@
 
 def main() -> None:
     """Run from the command line."""
+    if isinstance(sys.stdout, TextIOWrapper):
+        sys.stdout.reconfigure(errors="backslashreplace")  # odd texts of other programs
     try:
         command = defopt.run(
             COMMANDS,
--- a/fuchsiapin/daemons/shell.py
+++ b/fuchsiapin/daemons/shell.py
@@ -15,6 +15,7 @@
 from fuchsiapin.daemons.admin import AdminResource, listen_admin
 from fuchsiapin.daemons.eventlog import EventLog, write_json_lines
 from fuchsiapin.daemons.lifecycle import LifecycleActions, make_lifecycle
+from fuchsiapin.daemons.listening import listen_or_exit
 from fuchsiapin.daemons.objectapi import ObjectApiClient, StoredObject
 from fuchsiapin.daemons.transport import PeerTransport
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError, error_location
@@ -100,7 +101,9 @@
         if admin is None:
             return ""
         resource = AdminResource(self.status, self.known_peers, self.render_metrics)
-        port = listen_admin(self.reactor, admin.host, admin.port, resource)
+        port = listen_or_exit(
+            "admin", listen_admin, self.reactor, admin.host, admin.port, resource
+        )
         return f"{admin.host}:{port}"
 
     def run(self, core: Any) -> None:
--- a/fuchsiapin/daemons/side.py
+++ b/fuchsiapin/daemons/side.py
@@ -12,6 +12,7 @@
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.coap.sidecore import make_side_core
 from fuchsiapin.coap.sideoptions import SideOptions
+from fuchsiapin.daemons.listening import listen_or_exit
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.settings import Settings, load_settings
 
@@ -60,12 +61,15 @@
     settings = load_settings(settings_file, "side", check)
     clock = SystemClock()
     shell = SideShell(reactor, settings, clock)
-    port = shell.peers.listen(settings.peer.host, settings.peer.port)
-    reactor.listenUDP(0, shell.socket, settings.peer.host, MAX_DATAGRAM_BYTES)
+    peer = settings.peer
+    port = listen_or_exit("peer", shell.peers.listen, peer.host, peer.port)
+    listen_or_exit(
+        "peer", reactor.listenUDP, 0, shell.socket, peer.host, MAX_DATAGRAM_BYTES
+    )
     me = messages.Member(
         settings.name,
         shell.peers.encoder.incarnation,
-        settings.peer.host,
+        peer.host,
         port,
         settings.availability_zone,
         settings.weight,
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -5,6 +5,8 @@
 
 import json
 import random
+import subprocess
+import sys
 import unittest
 from collections.abc import Iterator
 from contextlib import suppress
@@ -13,7 +15,7 @@
 from itertools import chain, product
 from math import inf, nan
 from pathlib import Path
-from socket import inet_aton
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, inet_aton, socket
 from tempfile import TemporaryDirectory
 from typing import Any, Literal, get_args, get_origin, get_type_hints
 from unittest.mock import patch
@@ -649,5 +651,51 @@
                 self.assertTrue(printed)
 
 
+class StartTest(unittest.TestCase):
+    """Starts that can't succeed end with a plain line."""
+
+    def run_module(self, name: str, *arguments: str | bytes) -> str:
+        """Run a program; return what it prints."""
+        command = [sys.executable, "-m", f"fuchsiapin.daemons.{name}", *arguments]
+        done = subprocess.run(command, capture_output=True, timeout=90, check=False)
+        return (done.stdout + done.stderr).decode()
+
+    def test_a_port_in_use_is_told_in_one_line(self) -> None:
+        folder = Path(self.enterContext(TemporaryDirectory()))
+        path = folder / "settings.json"
+        address = {"host": "127.0.0.2", "port": 0}
+        kinds = (SOCK_DGRAM, SOCK_STREAM, SOCK_STREAM, SOCK_DGRAM)
+        for name, kind in zip(("peer", "peer", "admin", "callers"), kinds, strict=True):
+            busy = self.enterContext(socket(AF_INET, kind))
+            busy.bind(("127.0.0.1", 0))
+            if kind == SOCK_STREAM:
+                busy.listen()
+            port = busy.getsockname()[1]
+            place = SETTINGS | {"peer": address, "admin": address}
+            place["callers"] = [address | {"service": "desk"}]
+            used = {"host": "127.0.0.1", "port": port}
+            place[name] = [used | {"service": "desk"}] if name == "callers" else used
+            path.write_text(json.dumps(place))
+            with self.subTest(name=name, kind=kind):
+                said = self.run_module("balancer", str(path))
+                self.assertEqual(len(said.splitlines()), 1, said)
+                self.assertIn(f"127.0.0.1:{port}", said)
+
+    def test_odd_file_names_and_texts_are_printed_without_a_traceback(self) -> None:
+        missing = b"/nowhere/\xff"
+        log = Path(self.enterContext(TemporaryDirectory())) / "log"
+        line = {"time_ms": 5, "process": "p", "number": 1, "event": "e", "flow": "f"}
+        log.write_text(json.dumps(line | {"reason": "\ud800"}))
+        for expected, command in (
+            ("readable file", (b"check", missing, missing)),
+            ("readable file", (b"story", b"f", b"--logs", missing)),
+            ("reason \\ud800", (b"story", b"f", b"--logs", bytes(log))),
+        ):
+            with self.subTest(command=command):
+                printed = self.run_module("ctl", *command)
+                self.assertIn(expected, printed)
+                self.assertNotIn("Traceback", printed)
+
+
 if __name__ == "__main__":
     unittest.main()
