--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -12,6 +12,7 @@
 from contextlib import suppress
 from copy import deepcopy
 from dataclasses import asdict, is_dataclass, replace
+from functools import partial
 from itertools import chain, product
 from math import inf, nan
 from pathlib import Path
@@ -19,6 +20,8 @@
 from tempfile import TemporaryDirectory
 from typing import Any, Literal, get_args, get_origin, get_type_hints
 from unittest.mock import patch
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
 
 from msgpack import packb, unpackb
 from twisted.internet import reactor
@@ -55,13 +58,16 @@
     explain_flows,
     parse_metrics,
 )
+from fuchsiapin.jsonpages import load_json
 from fuchsiapin.messages import BalancerMember, Member, View
 from fuchsiapin.settings import Address, Settings, check_settings
 from fuchsiapin.stories import build_story, read_log
+from fuchsiapin.tests.fleets import TIMEOUT_S, FleetCase
 from fuchsiapin.tests.reactorthread import call_in_reactor, run_in_reactor
 from fuchsiapin.tests.standins.objectapi import Faults, make_site
 from fuchsiapin.timers import Timers
-from tools.processes import wait_until
+from tools.fleet import Deployment
+from tools.processes import call, wait_until
 
 ODD_TEXTS = {
     "nested": "[" * 5_000 + "]" * 5_000,
@@ -697,5 +703,41 @@
                 self.assertNotIn("Traceback", printed)
 
 
+class ProcessesTest(FleetCase):
+    """Odd entries in the store of real processes."""
+
+    deployment = Deployment("test", ["bole", "arada"], {"swapdesk": 2})
+
+    def put_member(self, host: str) -> bool:
+        """Add a member by a conditional write; return whether it was written."""
+        url = f"{self.fleet.object_api}/objects/members/swapdesk"
+        with urlopen(url, timeout=10) as answer:
+            stored, tag = load_json(answer.read()), answer.headers["ETag"]
+        odd = asdict(make_member(9)) | {"host": host}
+        stored["view"]["members"].append(odd)
+        stored["view"]["number"] += 1
+        data = json.dumps(stored).encode()
+        request = Request(url, data, {"If-Match": tag}, method="PUT")
+        with suppress(HTTPError), urlopen(request, timeout=10):
+            return True
+        return False
+
+    def test_running_and_new_processes_follow_what_comes_after(self) -> None:
+        self.fleet = self.start_fleet(self.addCleanup)
+        names = [name for name in ODD_TEXTS if name not in ("bytes", "nothing")]
+        self.fleet.set_faults(odd_texts={name: ODD_TEXTS[name] for name in names})
+        for index, name in enumerate(names):
+            call("PUT", f"{self.fleet.object_api}/objects/config/odd-{index}", name)
+            wait_until(partial(self.put_member, name), TIMEOUT_S, "a write")
+        self.fleet.start_balancer("balancer-new", "bole")
+        self.fleet.kill("swapdesk-2")
+        self.fleet.start_side("swapdesk-2")
+        self.fleet.wait_ready()
+        self.fleet.check_alive()
+        said = self.fleet.run_ctl("explain").stdout
+        for index in range(len(names)):
+            self.assertIn(f"config/odd-{index}: ", said)
+
+
 if __name__ == "__main__":
     unittest.main()
