Refuse a change that no process would accept

What callers saw: `apply` with an author of 3,000 characters or one that can't be written as UTF-8 was accepted and written; from then on every process and command refuses the stored configuration, and no further change can be made.

Change: `apply_change` reads the object that it is about to write, and refuses the change with the reason.

Evidence: `test_oddentries.ChangeTest` failed before: `'nothing was changed' not found in 'accepted as configuration 1...'`, then `config/d: author 'xxx'... has 3000 characters`. It passes now; odd numbers in the stored configuration were told in a line before as well.

--- a/fuchsiapin/applying.py
+++ b/fuchsiapin/applying.py
@@ -56,8 +56,8 @@
     kind : str
         `race`: another change was accepted first. `unreachable`: nothing was
         written. `unknown`: the write may have taken effect. `malformed`: the
-        stored object can't be decoded. `missing`: the subject of the change
-        doesn't exist.
+        stored object can't be decoded, or the wanted one couldn't. `missing`: the
+        subject of the change doesn't exist.
     text : str
         Description for operators.
     changes : list of AcceptedChange
@@ -214,11 +214,15 @@
             return Ok(Applied(base, base.number, []))
         if self.attempts >= MAX_ATTEMPTS:
             return Error(self.abandoned_refusal("no response to the write"))
+        value = encode_object(wanted)
+        try:
+            decode_object(Configuration, value, self.change.key)
+        except MalformedObject as error:
+            text = f"nothing was changed, no process would accept it: {error}"
+            return Error(Refusal("malformed", text))
         self.has_written = True
         try:
-            is_written = await self.store.write(
-                self.change.key, version, encode_object(wanted)
-            )
+            is_written = await self.store.write(self.change.key, version, value)
         except ObjectApiError:
             is_written = False
         if is_written:
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -23,6 +23,7 @@
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
+from expression import Ok
 from msgpack import packb, unpackb
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
@@ -31,6 +32,7 @@
 from twisted.web.server import Site
 
 from fuchsiapin import messages
+from fuchsiapin.applying import Change
 from fuchsiapin.clock import ManualClock
 from fuchsiapin.coap.balancercore import make_balancer_core
 from fuchsiapin.coap.sidecore import make_side_core
@@ -42,11 +44,12 @@
     pack_message,
     unpack_message,
 )
-from fuchsiapin.configuring import accept, read_proposal
-from fuchsiapin.daemons.commandresults import members_result, status_result
+from fuchsiapin.configuring import Proposal, accept, read_proposal
+from fuchsiapin.daemons.commandresults import ExitCode, members_result, status_result
 from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
 from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
+from fuchsiapin.daemons.operations import make_change
 from fuchsiapin.daemons.readcommands import explain_result
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
@@ -556,6 +559,39 @@
 }
 
 
+class ChangeTest(unittest.TestCase):
+    """Odd values in a change of the configuration, or in the stored one."""
+
+    def test_odd_changes_are_refused_and_written_nowhere(self) -> None:
+        site = make_site(reactor, Faults())
+        port = call_in_reactor(reactor.listenTCP, 0, site, 50, "127.0.0.1")
+        self.addCleanup(call_in_reactor, port.stopListening)
+        store = site.resource.store
+        url = f"http://127.0.0.1:{port.getHost().port}"
+        config = make_objects(7)["config/d"]
+        proposal = Proposal(config.deployment, config.services, config.apart)
+
+        def change(author: str, change_id: str = "change") -> Any:
+            wanted = Change("config/d", lambda _: Ok(proposal), author, change_id)
+            return run_in_reactor(make_change(reactor, url, wanted))
+
+        for author, change_id in (("x" * 3_000, "c"), ("\udcff", "c"), ("a", "\udcff")):
+            with self.subTest(author=author[:9], change_id=change_id):
+                self.assertIn("nothing was changed", change(author, change_id).text)
+                self.assertEqual(store.objects, {})
+        for name, text in ODD_TEXTS.items():
+            if name != "nothing":
+                site.resource.faults.odd_texts["odd"] = text
+                call_in_reactor(
+                    store.put, "config/d", asdict(config) | {"number": "odd"}
+                )
+                with self.subTest(odd=name):
+                    result = change("author")
+                    if name != "a port out of range":
+                        self.assertIn("number", result.text)
+                        self.assertEqual(result.code, ExitCode.FAULTS)
+
+
 class FileTest(unittest.TestCase):
     """Odd values in the operator's files."""
 
