Name the odd objects of packet flows in explain

What callers saw: the commands for packet flows left out objects of the store that can't be read without a word, so that an operator saw a member missing and no reason.

Cause: `read_objects` dropped the reason, and nothing read that of a page.

Evidence: `test_oddentries.FlowCommandTest` failed before with `'an object without a name' not found in 'zone odd-0 is evacuated ...'`; it passes now with eleven odd values.

--- a/fuchsiapin/daemons/flowgathering.py
+++ b/fuchsiapin/daemons/flowgathering.py
@@ -10,6 +10,7 @@
 from fuchsiapin.daemons.eventloop import EventLoop
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.exceptions import MalformedObject, SettingsError
+from fuchsiapin.fields import shown
 from fuchsiapin.flows.gossip import BalancerRecord, read_stored_balancer
 from fuchsiapin.flows.members import FlowMember, read_stored_member
 from fuchsiapin.flows.routes import FlowConfiguration
@@ -90,12 +91,18 @@
         The platform.
     store : tuple of str and int
         Address of its store.
+
+    Attributes
+    ----------
+    refused : list of str
+        Objects of the store that were left out, and why.
     """
 
     def __init__(self, adapter: Any, store: tuple[str, int]) -> None:
         self.adapter = adapter
         self.store = store
         self.loop = EventLoop(SystemClock(), Timers())
+        self.refused: list[str] = []
 
     def start(
         self,
@@ -143,6 +150,7 @@
             if page.outcome != "done":
                 raise StoreUnreachable(page)
             found += page.items
+            self.refused += [f"{kind}: {reason}" for reason in page.refused]
             if not page.has_more or not page.items:
                 return found
 
@@ -158,8 +166,8 @@
         for item in self.list_items(kind):
             try:
                 found.append(read(item.name, item.value))
-            except MalformedObject:
-                continue  # malformed, by another program; balancers skip it too
+            except MalformedObject as error:  # balancers leave it out too
+                self.refused.append(f"{kind} {shown(item.name)}: {error}")
         return found
 
     def read_members(self) -> list[FlowMember]:
@@ -263,4 +271,5 @@
             for member, values in zip(inside, metrics[len(records) :], strict=True)
         ),
         read_at,
+        tuple(client.refused),
     )
--- a/fuchsiapin/flowsnapshot.py
+++ b/fuchsiapin/flowsnapshot.py
@@ -140,6 +140,8 @@
         Side processes of these zones, with their metrics.
     read_at : int
         When the metrics were read, ms since the epoch.
+    refused : tuple of str
+        Objects of the store that were left out, and why.
     """
 
     error: str = ""
@@ -150,6 +152,7 @@
     evacuations_error: str = ""
     sides: tuple[SideMetrics, ...] = ()
     read_at: int = 0
+    refused: tuple[str, ...] = ()
 
     @property
     def newest_in_force(self) -> int:
@@ -265,6 +268,7 @@
         *explain_services(snapshot),
         *explain_evacuations(snapshot),
         *explain_balancers(snapshot),
+        *(f"left out of the store's objects: {item}" for item in snapshot.refused),
     ]
 
 
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -19,7 +19,7 @@
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, inet_aton, socket
 from tempfile import TemporaryDirectory
 from typing import Any, Literal, get_args, get_origin, get_type_hints
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
@@ -47,6 +47,7 @@
 from fuchsiapin.configuring import Proposal, accept, read_proposal
 from fuchsiapin.daemons.commandresults import ExitCode, members_result, status_result
 from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
+from fuchsiapin.daemons.flowgathering import BlockingClient, gather_flow_snapshot
 from fuchsiapin.daemons.gathering import gather_snapshot
 from fuchsiapin.daemons.objectapi import ObjectApiClient, parse_list, parse_version
 from fuchsiapin.daemons.operations import make_change
@@ -55,6 +56,7 @@
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.faults import render_faults
 from fuchsiapin.flows.gossip import BalancerRecord
+from fuchsiapin.flows.storage import StoredItem, StoreResult
 from fuchsiapin.flowsnapshot import (
     BalancerMetrics,
     FlowDeploymentSnapshot,
@@ -657,6 +659,22 @@
             self.check_proposal(f"{column}: {odd}", path, rules)
 
 
+class FlowCommandTest(unittest.TestCase):
+    """Odd objects in the store of packet flows."""
+
+    def test_odd_objects_are_told_and_end_no_command(self) -> None:
+        odd = [None, 1e30, inf, nan, True, [], {}, "x", b"\xff", {"Host": 7}, "\ud800"]
+        items = tuple(StoredItem(f"odd-{n}\ud800", 1, v) for n, v in enumerate(odd))
+        page = StoreResult("done", items, 1, refused=("an object without a name",))
+        with patch.object(BlockingClient, "execute", lambda client, call: page):
+            snapshot = gather_flow_snapshot(Mock(), ("127.0.0.1", 1), 1)
+        text = FLOW_RESULTS["explain"](snapshot).render(False)
+        self.assertIn("an object without a name", text)
+        for kind, index in product(("members", "balancers"), range(len(odd))):
+            self.assertIn(f"{kind} 'odd-{index}\\ud800'", text)
+        self.assertEqual(snapshot.members + snapshot.balancers, ())
+
+
 class LogTest(unittest.TestCase):
     """Odd lines in logs and metrics that the operator's commands read."""
 
