Let the soak play another writer and real machines' circumstances

Processes ended by themselves on users' machines, which the soak couldn't show: it wrote valid entries only, stopped and started processes in an orderly way, and took an end by any signal for one that it had asked for.

Both are off by default. With either, a balancer is restarted after the last fault, and a new configuration and a new member must be in force at all balancers within 3 s.

In all runs an end that no signal of the soak asked for is a violation with its status and the end of the log. SIGHUP is sent once the program's imports have begun: before, no program can handle it.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 SECONDS ?= 60
 SEED ?= 1
 DRILLS ?= 0
+WRITERS ?= 0
+STRAINS ?= 0
 
 env: $(VENV)/.ready
 
@@ -35,7 +37,7 @@
 	$(RUN) -m measure
 
 soak: env
-	$(RUN) -m soak --seconds $(SECONDS) $(if $(SEEDS),--seeds $(SEEDS),--seed $(SEED)) --drills $(DRILLS)
+	$(RUN) -m soak --seconds $(SECONDS) $(if $(SEEDS),--seeds $(SEEDS),--seed $(SEED)) --drills $(DRILLS) --writers $(WRITERS) --strains $(STRAINS)
 
 soak-regressions: env
 	$(RUN) -m soak --seconds 6 --regressions
--- a/fuchsiapin/tests/test_soak.py
+++ b/fuchsiapin/tests/test_soak.py
@@ -2,11 +2,14 @@
 
 import random
 import sys
+import tempfile
 import unittest
 from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
 
+import msgpack
+
 ROOT = Path(__file__).parent.parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 
@@ -14,13 +17,19 @@
 from fuchsiapin.daemons.eventloop import EventLoop  # noqa: E402
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse  # noqa: E402
 from fuchsiapin.flows.packets import endpoint  # noqa: E402
+from fuchsiapin.flows.wire import MESSAGE_TYPES  # noqa: E402
+from fuchsiapin.lightclasses import fields  # noqa: E402
 from fuchsiapin.timers import Timers  # noqa: E402
 from soak.__main__ import DRAIN_MS, SETTLE_MS, Soak, regression_seeds  # noqa: E402
 from soak.endpoints import ACK, CallerStandIn, Request, answer_to, make_packet  # noqa: E402
 from soak.evacuations import IN_FORCE_MS, Evacuations  # noqa: E402
 from soak.faults import PLANNED, draw_fault, faults  # noqa: E402
-from soak.store import StoreStandIn  # noqa: E402
+from soak.newest import missing_in  # noqa: E402
+from soak.processes import ManagedProcess, Vm  # noqa: E402
+from soak.store import RawJson, StoreStandIn, render_json  # noqa: E402
 from soak.storelink import StoreLink  # noqa: E402
+from soak.strains import HARMLESS, strains  # noqa: E402
+from soak.writers import OddWriter, odd_message, oddities  # noqa: E402
 
 ROUTE = endpoint("198.18.0.1", 443)
 INTAKE = endpoint("198.18.0.2", 443)
@@ -154,6 +163,76 @@
         self.assertEqual(self.violation_kinds(), ["planned work cuts"])
 
 
+class ProcessEndTest(unittest.TestCase):
+    """A process that ends without having been asked to is reported."""
+
+    def test_end_is_expected_only_after_a_signal_that_asks_for_it(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            vm = Vm("side-1", "side", "", "", "z", ("", 0), ("", 0), ("", 0))
+            process = ManagedProcess(vm, "", ("", 0), 0, [], Path(folder))
+            process.log_path.write_text("Traceback\nValueError: odd")
+            cases = ((set(), 0, 1), ({0, -15}, 0, 0), ({0, -15}, -15, 0))
+            for asked, status, errors in (*cases, ({0, -15}, -1, 1), ({0, -9}, 1, 1)):
+                with self.subTest(asked=asked, status=status):
+                    process.asked = asked
+                    found = process.end_error(status)
+                    self.assertEqual(found.count("ValueError: odd"), errors)
+
+    def test_old_configuration_and_unknown_members_are_reported(self) -> None:
+        text = (
+            'fuchsiapin_configuration_version{role="balancer"} 4\n'
+            'fuchsiapin_stored_configuration_version{role="balancer"} 5\n'
+            'fuchsiapin_member_silence_ms{role="balancer",member="u1"} 5\n'
+        )
+        self.assertEqual(missing_in(text, 4, ["u1"]), [])
+        self.assertEqual(missing_in(text, 5, ["u1", "u2"]), ["configuration 5", "u2"])
+
+
+class OddWriterTest(unittest.TestCase):
+    """Odd entries and messages reach the processes as they were drawn."""
+
+    def test_raw_json_is_sent_as_it_is(self) -> None:
+        raw = [RawJson("1e999"), RawJson('"\udcff"'), "\udc0a"]
+        self.assertEqual(
+            render_json({"items": raw}), b'{"items": [1e999, "\xff", "\\udc0a"]}'
+        )
+
+    def test_pages_of_the_store_end_at_odd_names(self) -> None:
+        store = StoreStandIn("127.0.0.1", 0)
+        self.addCleanup(store.server.server_close)
+        self.addCleanup(store.server.shutdown)
+        store.page_items = 1
+        path = "/fuchsiapin/objects/config"
+        for name in ("a", "odd /?&", "\udc0a"):
+            store.put("config", name, {})
+        status, page = store.execute("GET", f"{path}?after=odd%20%2F%3F%26", b"")
+        self.assertEqual([o["meta"]["Name"] for o in page["items"]], ["\udc0a"])
+        self.assertEqual((status, page["HasMore"]), (200, False))
+
+    def test_odd_messages_have_all_fields_of_their_types(self) -> None:
+        for number, kind in enumerate(MESSAGE_TYPES):
+            found, *values = msgpack.unpackb(odd_message(random.Random(1), number))
+            self.assertEqual((found, len(values)), (number, len(fields(kind))))
+
+    def test_same_seed_writes_the_same_entries(self) -> None:
+        drawn = []
+        for _ in range(2):
+            vm = SimpleNamespace(host="127.0.1.1", zone="z")
+            upstream = SimpleNamespace(id="u1", service="desk", vm=vm)
+            soak = SimpleNamespace(seed=7, network="127.0", upstreams=[upstream])
+            soak.store = SimpleNamespace(put=lambda *entry: drawn.append(repr(entry)))
+            soak.store.delete = lambda *names: None
+            soak.loop = EventLoop(ManualClock(5), Timers())
+            writer = OddWriter(soak, 9)
+            for writer.written in range(100):
+                name = ("member", "balancer", "entry of an operator")[
+                    writer.written % 3
+                ]
+                oddities.get(name)(writer)
+        self.assertEqual(drawn[:100], drawn[100:])
+        self.assertGreater(len(set(drawn)), 90)
+
+
 class StoreLinkTest(unittest.TestCase):
     """The proxy in front of the store applies its fault mode to connections."""
 
@@ -220,6 +299,9 @@
     def test_regression_seeds_include_known_failures(self) -> None:
         self.assertTrue({3, 6, 12} <= set(regression_seeds()))
 
+    def test_strains_that_are_harmless_are_known(self) -> None:
+        self.assertTrue(set(HARMLESS) < set(strains.functions))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,9 +22,12 @@
 from soak.evacuations import IN_FORCE_MS, Evacuations  # noqa: E402
 from soak.fabric import Fabric, PeerProxy  # noqa: E402
 from soak.faults import PLANNED, draw_fault, faults  # noqa: E402
+from soak.newest import Newest  # noqa: E402
 from soak.processes import ManagedProcess, Vm, format_address  # noqa: E402
 from soak.store import StoreStandIn  # noqa: E402
 from soak.storelink import StoreLink  # noqa: E402
+from soak.strains import Strains  # noqa: E402
+from soak.writers import OddWriter  # noqa: E402
 
 WARM_UP_MS = 3_000
 """Time from the start of the processes to the first traffic."""
@@ -42,7 +45,6 @@
 SETTLE_MS = 4_000
 """Time after the last unplanned fault is injected in which resets of open flows are
 not counted as violations."""
-CONFIGURED_MS = 3_000
 RESTART_MS = 200
 CALLER_PORT = 20_172
 SERVICES = ("desk", "intake")
@@ -66,11 +68,14 @@
         sides: int,
         drills: int = 0,
         evacuations: int = 0,
+        writers: int = 0,
+        strains: int = 0,
     ) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
         self.drills = Drills(self, drills)
         self.evacuations = Evacuations(self, evacuations)
+        self.strains = Strains(self, strains)
         self.seconds = seconds
         # Every third seed injects planned operations only, so that
         # check_planned_operations applies.
@@ -82,6 +87,9 @@
         self.store_link = StoreLink(
             self.loop, (f"{self.network}.0.1", 20_168), (f"{self.network}.0.1", 20_169)
         )
+        self.writers = OddWriter(self, writers)
+        self.newest = Newest(self)
+        self.checks_newest = writers + strains > 0
         self.violations: list[str] = []
         self.requests: dict[bytes, Request] = {}
         self.run_counts: Counter[bytes] = Counter()
@@ -122,6 +130,7 @@
             for vm in [*balancer_vms, *side_vms]
         ]
         for process in self.processes:
+            process.has_metrics = self.checks_newest
             self.proxy.add(process.vm.host, process.bind)
             process.start()
         self.upstreams = [
@@ -221,6 +230,11 @@
         at = (self.loop.clock.now() - self.started_at) / 1000
         self.violations.append(f"{at:.3f} s {kind}: {detail}")
 
+    def log_fault(self, text: str) -> None:
+        """Add a line to the log of faults."""
+        at = (self.loop.clock.now() - self.started_at) / 1000
+        self.fault_log.append(f"{at:.3f} s {text}")
+
     # Called by faults
 
     def restore_store(self) -> None:
@@ -268,6 +282,10 @@
         self.loop.call_later(stop, lambda now: self.stop())
         self.drills.schedule(WARM_UP_MS, self.seconds * 1_000)
         self.evacuations.schedule(WARM_UP_MS, end)
+        self.writers.schedule(WARM_UP_MS, self.seconds * 1_000)
+        self.strains.schedule(WARM_UP_MS, self.seconds * 1_000)
+        if self.checks_newest:
+            self.newest.schedule(end)
         self.restart_processes()
         try:
             self.loop.run()
@@ -292,10 +310,7 @@
         name = draw_fault(self.rng, self.planned_only)
         if name not in PLANNED:
             self.last_unplanned_at = now
-        detail = faults.get(name)(self)
-        self.fault_log.append(
-            f"{(now - self.started_at) / 1000:.3f} s {name}: {detail}"
-        )
+        self.log_fault(f"{name}: {faults.get(name)(self)}")
         pause = self.rng.choice((0, 100, 700, 1_500))
         self.loop.call_later(pause, lambda now: self.inject_faults())
 
@@ -307,12 +322,12 @@
             process.signal(18)  # SIGCONT
 
     def restart_processes(self) -> None:
-        """Restart processes that ended, and report those with a failure status."""
+        """Restart processes that ended, and report those that no signal asked to."""
         for process in self.processes:
             status = process.poll()
             if status is not None and process.should_restart:
-                if status > 0:
-                    self.add_violation("process failed", f"{process.vm.name}: {status}")
+                if error := process.end_error(status):
+                    self.add_violation("process ended by itself", error)
                 self.loop.call_later(RESTART_MS, lambda now, p=process: p.start())
         self.loop.call_later(50, lambda now: self.restart_processes())
 
@@ -366,9 +381,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_seed(seed: int, *options: int) -> int:
+def run_seed(seed: int, **options: int) -> int:
     """Run one seed, print the results, and return the number of violations."""
-    soak = Soak(seed, *options)
+    soak = Soak(seed, **options)
     soak.run()
     outcomes = Counter(request.outcome or "open" for request in soak.requests.values())
     print(f"seed {seed}: {dict(outcomes)}, {len(soak.fault_log)} faults, ", end="")
@@ -381,14 +396,18 @@
     return len(soak.violations)
 
 
-def regression_seeds() -> list[int]:
-    """Return the seeds listed in `regressions.txt`, which failed in earlier runs."""
+def regression_seeds() -> dict[int, dict[str, int]]:
+    """Return the seeds in `regressions.txt`, which failed in earlier runs.
+
+    Options may follow the seed, such as `7 writers=9`.
+    """
     text = (Path(__file__).parent / "regressions.txt").read_text()
-    return [
-        int(line.split("|")[0])
-        for line in text.splitlines()
-        if line.strip() and not line.startswith("#")
-    ]
+    lines = [line.split("|")[0].split() for line in text.splitlines()]
+    return {
+        int(line[0]): {name: int(n) for name, n in (o.split("=") for o in line[1:])}
+        for line in lines
+        if line and line[0] != "#"
+    }
 
 
 def run(
@@ -400,6 +419,8 @@
     sides: int = 6,
     drills: int = 0,
     evacuations: int = 0,
+    writers: int = 0,
+    strains: int = 0,
     regressions: bool = False,
 ) -> None:
     """Run the soak test.
@@ -420,15 +441,28 @@
         Number of times that the store comes back from an older copy.
     evacuations : int
         Number of times that one of two zones is evacuated.
+    writers : int
+        Number of odd entries, heartbeats and datagrams of another writer.
+    strains : int
+        Number of times that a process is put under strain.
     regressions : bool
         Run the seeds that failed in earlier runs.
     """
     first, _, last = seeds.partition("..")
-    chosen = list(range(int(first), int(last) + 1)) if seeds else [seed]
+    numbers = range(int(first), int(last) + 1) if seeds else [seed]
+    chosen: dict[int, dict[str, int]] = {number: {} for number in numbers}
     if regressions:
         chosen = regression_seeds()
-    options = seconds, balancers, sides, drills, evacuations
-    failed = [s for s in chosen if run_seed(s, *options)]
+    common = {
+        "seconds": seconds,
+        "balancers": balancers,
+        "sides": sides,
+        "drills": drills,
+        "evacuations": evacuations,
+        "writers": writers,
+        "strains": strains,
+    }
+    failed = [s for s, own in chosen.items() if run_seed(s, **{**common, **own})]
     print(f"{len(chosen) - len(failed)} passed, {len(failed)} failed")
     if failed:
         print(f"failed seeds: {failed}")
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -84,7 +84,7 @@
             return
         self.zone, self.began_at = self.rng.choice(ZONES), now
         self.soak.store.put(KIND, self.zone, {})
-        self.log(f"evacuate {self.zone}")
+        self.soak.log_fault(f"evacuate {self.zone}")
         delay = max(0, self.soak.started_at + until_ms - now)
         self.soak.loop.call_later(delay, lambda _: self.end())
 
@@ -96,12 +96,7 @@
         self.ended_at[zone] = now
         is_cold = self.rng.random() < 0.5
         self.cold_until[zone] = now + COLD_MS * is_cold
-        self.log(f"reinstate {zone}, {'cold' if is_cold else 'warm'}")
-
-    def log(self, text: str) -> None:
-        """Add a line to the log of faults."""
-        at = (self.soak.loop.clock.now() - self.soak.started_at) / 1000
-        self.soak.fault_log.append(f"{at:.3f} s {text}")
+        self.soak.log_fault(f"reinstate {zone}, {'cold' if is_cold else 'warm'}")
 
     def write_again(self) -> None:
         """Write what the operator wants after the store came back from a copy."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -81,7 +81,7 @@
 def reload_settings(soak: Any) -> str:
     """Signal a process to reload its settings."""
     process = soak.rng.choice(soak.processes)
-    process.signal(signal.SIGHUP)
+    process.reload()
     return process.vm.name
 
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
-__all__ = ["StoreStandIn"]
+__all__ = ["RawJson", "StoreStandIn", "render_json"]
 
 PREFIX = "/fuchsiapin/objects/"
 OPERATOR_KINDS = ("config", "evacuations")
@@ -21,6 +21,33 @@
 """Time for which a connection stays open without an answer in mode `silent`."""
 
 
+@dataclass(frozen=True)
+class RawJson:
+    """Text that stands for a JSON value; surrogates stand for the bytes they escape."""
+
+    text: str
+
+
+def render_json(value: Any) -> bytes:
+    """Return a value as JSON, with the texts of `RawJson` in it as they are.
+
+    Examples
+    --------
+    >>> render_json({"epoch": RawJson("1e999")})
+    b'{"epoch": 1e999}'
+    """
+    raw: list[str] = []
+
+    def mark(found: RawJson) -> str:
+        raw.append(found.text)
+        return f"\0raw {len(raw) - 1}"
+
+    text = json.dumps(value, default=mark)
+    for number, part in enumerate(raw):
+        text = text.replace(json.dumps(f"\0raw {number}"), part)
+    return text.encode("utf-8", "surrogateescape")
+
+
 @dataclass
 class FaultMode:
     """Fault mode of the store.
@@ -44,6 +71,7 @@
         self.events: list[tuple[int, str, dict, bool]] = []
         self.oldest_revision = 0
         self.calls = 0
+        self.page_items = 500
         self.era = 1
         self.copies: list[tuple[float, int, dict[tuple[str, str], dict]]] = []
         store = self
@@ -62,7 +90,7 @@
                 if status == 0:
                     self.close_connection = True
                     return
-                data = json.dumps(answer).encode()
+                data = render_json(answer)
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Store-Era", str(era))
@@ -102,15 +130,18 @@
         """Execute a call."""
         parts = urlsplit(url)
         kind, _, name = parts.path[len(PREFIX) :].partition("/")
-        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        name = unquote(name, errors="surrogatepass")
+        values_by_key = parse_qs(parts.query, errors="surrogatepass")
+        query = {key: values[0] for key, values in values_by_key.items()}
         if method == "GET" and "Watch" in query:
             return self.watch(kind, int(query["Watch"]), int(query["WaitMs"]))
         with self.changed:
             if method == "GET":
-                items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
+                after = query.get("after", "")
+                names = sorted(n for k, n in self.objects if k == kind and n > after)
                 return 200, {
-                    "items": items,
-                    "HasMore": False,
+                    "items": [self.objects[kind, n] for n in names[: self.page_items]],
+                    "HasMore": len(names) > self.page_items,
                     "CurrentRev": self.revision,
                 }
             request = json.loads(body) if body else {}
