Look for the holder of a reset flow where its caller opened it

The holder is now the upstream whose number the caller acknowledges, so that a reset of a flow that is open there is still reported, and one of a mere copy isn't.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -211,14 +211,19 @@
         elif self.run_counts[request_id] > 1:
             self.add_violation("ran twice", f"{request_id!r} at {upstream.id}")
 
-    def check_reset(self, flow: bytes) -> None:
+    def check_reset(self, flow: bytes, ack: int) -> None:
         """Report a reset of an open flow that a running upstream still has.
 
-        A reset is accepted if that upstream is draining, if the flow has ended, or
-        soon after an unplanned fault.
+        That upstream is the one whose number the caller acknowledges; others may have
+        accepted copies of the opening packet. A reset is accepted if it is draining, if
+        the flow has ended, or soon after an unplanned fault.
         """
         now = self.loop.clock.now()
-        holders = [u for u in self.upstreams if flow in u.flows and not u.is_draining]
+        holders = [
+            upstream
+            for upstream in self.upstreams
+            if upstream.has_opened(flow, ack) and not upstream.is_draining
+        ]
         has_settled = now - self.last_unplanned_at > SETTLE_MS
         if holders and has_settled and not holders[0].flows[flow].get("ended"):
             self.add_violation(
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -143,6 +143,11 @@
             state["open"] = True
         return state.get("open", False)
 
+    def has_opened(self, flow: bytes, ack: int) -> bool:
+        """Return whether a caller with this acknowledgement opened a flow here."""
+        state = self.flows.get(flow)
+        return state is not None and (state["first"] + 1 - ack) & 0xFFFF_FFFF == 0
+
     def run_request(self, flow: bytes, state: dict, body: bytes) -> None:
         """Run a request once; answer retransmissions with the same answer."""
         if body in state["answers"]:
@@ -331,7 +336,7 @@
     def on_reset(self, flow: bytes, state: dict) -> None:
         """End all requests of a flow that was reset."""
         if state["open"]:
-            self.soak.check_reset(flow)
+            self.soak.check_reset(flow, state["ack"])
         for request in list(state["waiting"].values()):
             self.finish_request(flow, request, "reset")
         self.flows.pop(flow, None)
