--- a/fuchsiapin/tests/test_soak.py
+++ b/fuchsiapin/tests/test_soak.py
@@ -310,6 +310,7 @@
 
     def test_regression_seeds_include_known_failures(self) -> None:
         self.assertTrue({3, 6, 12} <= set(regression_seeds()))
+        self.assertEqual(regression_seeds()[9], {"writers": 14})
 
     def test_strains_that_are_harmless_are_known(self) -> None:
         self.assertTrue(set(HARMLESS) < set(strains.functions))
