--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -27,7 +27,13 @@
 from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.effects import ToCaller, ToStore
 from fuchsiapin.flows.following import StoreFollower
-from fuchsiapin.flows.storage import LIST, MEMBERS, StoreCall, StoredItem, StoreResult
+from fuchsiapin.flows.storage import (
+    LIST,
+    MEMBERS,
+    StoreCall,
+    StoredItem,
+    StoreResult,
+)
 from fuchsiapin.tests.flowprocess import HOST, ROOT, WAIT_S, RealProcess
 from fuchsiapin.timers import Timers
 
@@ -151,6 +157,17 @@
         self.assertEqual(process.lines(1302), [])
         self.assertEqual(process.end(), 0)
 
+    def test_signal_at_the_end_of_a_process_does_not_change_its_status(self) -> None:
+        process = RealProcess(self)
+        started = process.start()
+        process.wait_until_started()
+        started.send_signal(signal.SIGTERM)
+        end = time.monotonic() + WAIT_S
+        while started.poll() is None and time.monotonic() < end:
+            started.send_signal(signal.SIGHUP)
+            time.sleep(0.001)
+        self.assertEqual(started.poll(), 0)
+
     def test_settings_that_are_written_late_are_awaited(self) -> None:
         for text in (None, "", '{"name": "balancer-1", "ho'):
             with self.subTest(text):
