List again after a watch whose answer is too long

Callers saw: with 20,000 entries of another writer at once, balancers kept the former members and configuration for good. Cause: all changes since a revision come in one answer; one above 16 MB was refused, and the same revision was asked for again. Change: such a watch counts as lost history, so that the pages of a list are read. Evidence: a review's run with 20,000 entries on the code before: event 6303, 'response of more than bytes', and a valid member written 8 s later wasn't read within 12 s. The new test is of the result alone; the run itself wasn't repeated.

--- a/fuchsiapin/daemons/flowshell.py
+++ b/fuchsiapin/daemons/flowshell.py
@@ -13,7 +13,7 @@
 from fuchsiapin import __version__
 from fuchsiapin.clock import SystemClock
 from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
-from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
+from fuchsiapin.daemons.httpcalls import TOO_LONG, HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Handler, Reply, listen_http
 from fuchsiapin.daemons.loglines import FLUSH_INTERVAL_MS, LogLines
 from fuchsiapin.daemons.processends import (
@@ -30,7 +30,7 @@
 from fuchsiapin.fields import is_host
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.metrics import render_counts
-from fuchsiapin.flows.storage import StoreCall, StoreResult
+from fuchsiapin.flows.storage import WATCH, StoreCall, StoreResult
 from fuchsiapin.flows.wire import decode_message, encode_message
 
 if TYPE_CHECKING:
@@ -243,7 +243,10 @@
     def read_result(self, call: StoreCall, response: HttpResponse) -> StoreResult:
         """Return the result of a call to the store."""
         if not response.status:
-            return StoreResult("unreachable", detail=response.error)
+            # Lists have pages, which are shorter than the changes since a revision.
+            is_lost = response.error == TOO_LONG and call.verb == WATCH
+            outcome = "history lost" if is_lost else "unreachable"
+            return StoreResult(outcome, detail=response.error)
         try:
             return self.adapter.store.parse_response(
                 call, response.status, response.body, response.headers or {}
--- a/fuchsiapin/daemons/httpcalls.py
+++ b/fuchsiapin/daemons/httpcalls.py
@@ -10,7 +10,7 @@
 from fuchsiapin.fields import shown
 from fuchsiapin.lightclasses import dataclass
 
-__all__ = ["HttpResponse", "HttpClient"]
+__all__ = ["TOO_LONG", "HttpClient", "HttpResponse"]
 
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -24,6 +24,8 @@
 )
 """Probes each second (s); a connection ends after two seconds (ms) without an
 acknowledgement, so that a call that waits for long notices a path that went silent."""
+TOO_LONG = "response is too long"
+"""Error of a call whose response exceeds a limit; a repeated call may get the same."""
 FIRST_FINAL_STATUS = 200
 MAX_IDLE = 4
 """Idle keep-alive connections to one server."""
@@ -148,7 +150,7 @@
         self.received += len(data)
         limit = MAX_HEAD_BYTES + (MAX_BODY_BYTES if self.is_head_complete else 0)
         if self.received > limit:
-            self.fail(f"response of more than {limit} bytes")
+            self.fail(TOO_LONG)
             return
         error = ""
         try:
@@ -185,7 +187,7 @@
             return  # a provisional response, or more than the call asked for
         error = ""
         if self.body_length > MAX_BODY_BYTES:
-            status, error = 0, f"body of {self.body_length} bytes is too long"
+            status, error = 0, TOO_LONG
         self.keeps_alive = self.parser.should_keep_alive()
         self.response = HttpResponse(
             status, b"".join(self.body_parts), error, self.headers
--- a/fuchsiapin/tests/test_processends.py
+++ b/fuchsiapin/tests/test_processends.py
@@ -21,7 +21,7 @@
 from fuchsiapin.clock import Clock, ManualClock, SystemClock
 from fuchsiapin.daemons.eventloop import EventLoop, open_udp_socket
 from fuchsiapin.daemons.flowshell import FlowShell
-from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
+from fuchsiapin.daemons.httpcalls import TOO_LONG, HttpClient, HttpResponse
 from fuchsiapin.daemons.httpserving import Reply, listen_http
 from fuchsiapin.daemons.loglines import LogLines
 from fuchsiapin.daemons.processends import run_process
@@ -30,6 +30,7 @@
 from fuchsiapin.flows.storage import (
     LIST,
     MEMBERS,
+    WATCH,
     StoreCall,
     StoredItem,
     StoreResult,
@@ -381,6 +382,13 @@
         self.assertEqual((handled, len(calls)), (["even", "even"], 5))
         self.assertEqual(shell.log.tally[1302], 4)
 
+    def test_a_watch_with_a_response_that_is_too_long_ends_in_a_list(self) -> None:
+        shell = make_shell(self, ManualClock(1_000))
+        for verb, wanted in ((WATCH, "history lost"), (LIST, "unreachable")):
+            response = HttpResponse(0, error=TOO_LONG)
+            result = shell.read_result(StoreCall(verb, MEMBERS), response)
+            self.assertEqual(result.outcome, wanted)
+
     def test_each_call_has_one_result(self) -> None:
         deep = b"[" * 100_000
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
