Continue a list after names that aren't used, and watch from its first page

Callers saw: one page on which no name could be used ended a list as complete: a new balancer had no configuration, and members beyond it counted as missing. A name with bytes that aren't UTF-8, alone on its page, was asked for without end. A change between two pages to an object of the first one was never seen. Cause: a list was continued after its last usable object, and watched from the revision of its last page. Change: pages tell where they end apart from their objects; a list that can't be continued is applied but doesn't count as complete; it is watched from its first page's revision, which the test of joined pages expects now (7, was 9). Bytes that aren't UTF-8 become lone surrogates, which all readers refuse.

--- a/fuchsiapin/daemons/flowgathering.py
+++ b/fuchsiapin/daemons/flowgathering.py
@@ -144,15 +144,17 @@
             If the store can't list them.
         """
         found: list[StoredItem] = []
+        after, positions = "", {""}
         while True:
-            after = found[-1].name if found else ""
             page = self.execute(StoreCall(LIST, kind, after))
             if page.outcome != "done":
                 raise StoreUnreachable(page)
             found += page.items
             self.refused += [f"{kind}: {reason}" for reason in page.refused]
-            if not page.has_more or not page.items:
+            after = page.after
+            if not page.has_more or after in positions:
                 return found
+            positions.add(after)
 
     def read_objects(self, kind: str, read: Callable[[str, Any], Any]) -> list[Any]:
         """Return all valid objects of a kind.
--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -71,6 +71,10 @@
         Generation of calls; answers to calls of an earlier generation are ignored.
     era : int
         Era of the store that `revision` belongs to, 0 if the store told none.
+    positions : set of str
+        Names after which pages of the current list were requested.
+    listed_revision : int
+        Revision of the store that the first page of the current list reflects.
     checks_era : bool
         Whether the next watch returns at once, to learn the store's era after calls
         that failed.
@@ -105,6 +109,8 @@
         self.era = 0
         self.checks_era = False
         self.items: list[StoredItem] = []
+        self.positions: set[str] = set()
+        self.listed_revision = 0
         self.failures = 0
         self.generation = 0
         self.last_outcome = ""
@@ -145,6 +151,7 @@
             self.effects.append(ToStore(self.purpose, watch, timeout))
             return
         self.items = []
+        self.positions = set()
         self.list_page("")
 
     def list_page(self, after: str) -> None:
@@ -195,15 +202,23 @@
             self.next_call(now)
             self.apply_items(now, answer.items)
             return
+        if not self.positions:
+            # Changes to objects of this page that come before the next one count too.
+            self.listed_revision = answer.revision
         self.items.extend(answer.items)
-        if answer.has_more and answer.items:
-            self.list_page(answer.items[-1].name)
+        if answer.has_more and answer.after and answer.after not in self.positions:
+            self.positions.add(answer.after)
+            self.list_page(answer.after)
             return
-        self.revision = answer.revision
+        self.revision = self.listed_revision
         self.has_listed = True
         items, self.items = self.items, []
         self.next_call(now)
         self.apply_items(now, items)
+        if answer.has_more:
+            error = f"the list can't be continued after {len(items)} objects"
+            self.report(6305, key=self.kind, error=error)
+            return  # what it lacks may be on the pages that weren't read
         self.on_list(now, {item.name for item in items})
 
     def apply_items(self, now: int, items: Iterable[StoredItem]) -> None:
--- a/fuchsiapin/flows/storage.py
+++ b/fuchsiapin/flows/storage.py
@@ -99,7 +99,9 @@
     revision : int
         Revision of the store that the answer reflects.
     has_more : bool
-        Whether the list continues after the last item.
+        Whether the list continues.
+    after : str
+        Name after which it continues, empty if that can't be told.
     detail : str
         Status or error, for logs.
     era : int
@@ -118,6 +120,7 @@
     era: int = 0
     era_error: str = ""
     refused: tuple[str, ...] = ()
+    after: str = ""
 
 
 class StoreFormat(Protocol):
--- a/fuchsiapin/jsonpages.py
+++ b/fuchsiapin/jsonpages.py
@@ -23,7 +23,7 @@
 
     A text that the parser of the standard library refuses is read again: arrays and
     objects that are nested deeper than `MAX_DEPTH` become None, whole numbers of more
-    than `MAX_DIGITS` digits become infinite, bytes that aren't UTF-8 are replaced.
+    than `MAX_DIGITS` digits become infinite, bytes that aren't UTF-8 lone surrogates.
 
     Raises
     ------
@@ -38,7 +38,10 @@
     try:
         return json.loads(data)
     except (ValueError, RecursionError):
-        text = data.decode(errors="replace")
+        text = data.decode(errors="surrogateescape")
+    try:
+        return json.loads(text, parse_int=parse_whole)
+    except RecursionError:
         return json.loads(cut_nested(text), parse_int=parse_whole)
 
 
--- a/fuchsiapin/tests/test_eras.py
+++ b/fuchsiapin/tests/test_eras.py
@@ -110,7 +110,7 @@
 
     def test_pages_of_two_eras_are_not_joined(self) -> None:
         self.follower.relist(5)
-        self.answer("done", "a", revision=12, era=3, has_more=True)
+        self.answer("done", "a", revision=12, era=3, has_more=True, after="a")
         self.answer("done", "z", revision=5, era=4)
         self.assertEqual(self.listed, [["a"]])
         self.answer("done", "b", revision=5, era=4)
--- a/fuchsiapin/tests/test_flowstate.py
+++ b/fuchsiapin/tests/test_flowstate.py
@@ -184,14 +184,14 @@
 
     def test_pages_are_joined(self) -> None:
         first, second = StoredItem("a", 1, 1), StoredItem("b", 2, 2)
-        self.answer(1, StoreResult("done", (first,), 7, has_more=True))
+        self.answer(1, StoreResult("done", (first,), 7, True, after="a"))
         self.assertEqual(self.effects[-1].request.name, "a")
         self.answer(2, StoreResult("done", (second,), 9))
         self.assertEqual(self.changed, [first, second])
         self.assertEqual(self.listed, [{"a", "b"}])
         self.assertEqual(
             (self.effects[-1].request.verb, self.effects[-1].request.since),
-            ("watch", 9),
+            ("watch", 7),
         )
 
     def test_lost_history_leads_to_a_new_list(self) -> None:
