Let a living upstream displace a record under its id

Callers saw: after one well-formed entry of another writer under the id of a living upstream, later and gone or at another address, that upstream got no work for good; its side process and each balancer exchanged messages without end, half a core and a quarter. Cause: a balancer refused the side process's record as older, and asked for it again with each answer, without telling the version that it has to exceed. Change: the side process is told the known version, also if the record is known at another address, and isn't asked the same again for 200 ms. It goes above it only while its upstream sends heartbeats. A stored entry with another state than ready is refused, as side processes store no other. Evidence: test_foreignentries.DisplacedMemberTest failed before (upstreams missing after 2 s, and messages without end); it passes.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -367,8 +367,13 @@
                 return  # another incarnation has this address: the load isn't its own
         view = self.table.by_host(host)
         if view is None:
-            # Without the member's record: it was known here until lately.
-            self.pinger.ask_for_record(host, 0)
+            known = 0  # without the member's record, it was known here until lately
+            if message.member:
+                if member.state == "gone":
+                    return
+                # A higher version is known under its id; it raises its own above that.
+                known = self.known_version(member.id)
+            self.pinger.ask_for_record(now, host, known)
             return
         if not view.last_message_at or view.is_suspect(now):
             self.report(
@@ -389,6 +394,11 @@
             for notice in self.evacuations.notices(now, view):
                 self.effects.append(ToPeer(host, notice))
 
+    def known_version(self, member_id: str) -> int:
+        """Return the highest known version of a member, also a gone one, 0 for none."""
+        gone_version, _ = self.table.gone_versions.get(member_id, (0, 0))
+        return max(gone_version, self.gossip.version(member_key(member_id)))
+
     def remove_absent(self, now: int, host: str, found_at: int) -> None:
         """Remove the member at an address whose side process finds no upstream there.
 
@@ -418,13 +428,19 @@
         """Handle an object sent by another process.
 
         A member that announces itself, but is known to be gone, has started again under
-        its id, with a clock that was set back. It is told the version of its departure,
-        so that it takes a higher one.
+        its id, with a clock that was set back. One that is known at another address was
+        displaced by a record of another writer. It is told the known version, so that
+        it takes a higher one.
         """
-        known = self.gossip.version(message.key)
-        if message.version < known and is_departure(message.key, known):
-            if unpack_member(unpack_value(message.value)).host == host:
-                self.pinger.ask_for_record(host, known)
+        prefix, _, member_id = message.key.partition("/")
+        known = self.known_version(member_id) if prefix == "members" else 0
+        if message.version < known:
+            member = unpack_member(unpack_value(message.value))
+            view = self.table.views.get(member.id)
+            is_elsewhere = view is not None and view.member.host != host
+            is_outdated = is_departure(message.key, known) or is_elsewhere
+            if member.host == host and is_outdated:
+                self.pinger.ask_for_record(now, host, known)
             return
         self.gossip.receive_copy(now, host, message)
 
--- a/fuchsiapin/flows/members.py
+++ b/fuchsiapin/flows/members.py
@@ -219,9 +219,12 @@
     Raises
     ------
     MalformedObject
-        If a field has an invalid value, or the name isn't the id of the member.
+        If a field has an invalid value, the name isn't the id of the member, or it
+        isn't ready; side processes store no other state.
     """
     member = read_member(fields)
+    if member.state != "ready":
+        raise MalformedObject(f"state {member.state!r} of a stored member isn't ready")
     if member.id != name:
         raise MalformedObject(f"id {member.id!r} is not the name of the object")
     read_whole(member.epoch, "epoch", highest=MAX_TIME_MS)
--- a/fuchsiapin/flows/pinging.py
+++ b/fuchsiapin/flows/pinging.py
@@ -26,6 +26,8 @@
 those pinged in turn."""
 MAX_TIMER_LAG_MS = 150
 """A process whose timers are later than this ignores unanswered pings."""
+ASK_MS = 200
+"""Time for which a side process isn't asked the same again for its record."""
 DEAD_MS = 10_000
 """A member that is silent for this long, while others answer, is dead, provided that it
 has left pings unanswered for at least half of the time."""
@@ -67,6 +69,9 @@
 
     Attributes
     ----------
+    asked_at : dict
+        When a side process was asked for its record, in ms, by its address and the
+        version told.
     silent_members : int
         Members that had left `MIN_SILENT_PINGS` pings unanswered at the last round.
     notices : callable
@@ -97,6 +102,7 @@
         self.other_rotation = Rotation()
         self.round_due_at = 0
         self.silent_members = 0
+        self.asked_at: dict[tuple[str, int], int] = {}
         self.notices: Callable[[int, MemberView], list] = lambda now, view: []
         self.zone_peers: Callable[[], list[str]] = list
 
@@ -131,6 +137,9 @@
             if self.is_dead(now, view):
                 self.on_dead(now, view)
         self.table.expire(now)
+        self.asked_at = {
+            question: at for question, at in self.asked_at.items() if now - at < ASK_MS
+        }
         self.round_due_at = now + self.rng.randint(PING_MS * 3 // 4, PING_MS)
         self.timers.add(self.round_due_at, self.ping_round)
 
@@ -191,12 +200,17 @@
         ping = Ping(self.zone, view.member.version, is_missing)
         self.effects.append(ToPeer(view.member.host, ping))
 
-    def ask_for_record(self, host: str, known: int) -> None:
+    def ask_for_record(self, now: int, host: str, known: int) -> None:
         """Ping a side process whose member isn't known; its answer has the record.
 
-        `known` is the version of a departure under the member's id, 0 for none; the
-        member then takes a higher one.
+        `known` is the version of another record under the member's id, 0 for none; the
+        member then takes a higher one. The question isn't repeated for a while, because
+        an answer that doesn't help leads to the next question.
         """
+        asked_at = self.asked_at.get((host, known))
+        if asked_at is not None and now - asked_at < ASK_MS:
+            return
+        self.asked_at[host, known] = now
         self.effects.append(ToPeer(host, Ping(self.zone, known, False)))
 
     def has_recent_answer(self, now: int) -> bool:
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -292,9 +292,14 @@
     # Balancers
 
     def on_ping(self, now: int, host: str, message: Ping) -> None:
-        """Answer a balancer's ping and subscribe the balancer to changes."""
+        """Answer a balancer's ping and subscribe the balancer to changes.
+
+        Only an upstream that is alive is put above a version known elsewhere.
+        """
         try:
-            is_raised = self.upstream.raise_epoch(message.known)
+            is_raised = self.upstream.is_heard(now) and self.upstream.raise_epoch(
+                message.known
+            )
         except MalformedObject as error:
             self.report(6301, host=host, error=str(error))
             return
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -159,8 +159,8 @@
         It is applied if more than `TAKEOVER_HEARTBEATS` were counted and no other
         heartbeats come.
         """
-        is_silent = now - self.last_heartbeat_at > 2 * self.interval_ms
-        return former.note(heartbeat.sequence) and is_silent
+        is_noted = former.note(heartbeat.sequence)
+        return is_noted and now - self.last_heartbeat_at > 2 * self.interval_ms
 
     def continue_incarnation(
         self, now: int, heartbeat: Heartbeat, member: FlowMember
@@ -240,6 +240,11 @@
         self.member = replace(self.member, state="gone")
         return self.member
 
+    def is_heard(self, now: int) -> bool:
+        """Return whether the upstream sent a heartbeat lately."""
+        is_recent = now - self.last_heartbeat_at <= 2 * self.interval_ms
+        return is_recent and not self.is_port_closed
+
     def note_alive(self, now: int) -> None:
         """Record that the upstream is alive."""
         self.last_heartbeat_at = now
--- a/fuchsiapin/tests/test_foreignentries.py
+++ b/fuchsiapin/tests/test_foreignentries.py
@@ -11,6 +11,7 @@
 from fuchsiapin.flows.storage import (
     BALANCERS,
     EVACUATIONS,
+    LIST,
     MEMBERS,
     StoredItem,
     StoreResult,
@@ -123,34 +124,96 @@
         self.assertNotIn(1302, [event for event, _ in self.events])
 
 
-class FollowerTest(unittest.TestCase):
-    """A failure while one item is applied."""
+class DisplacedMemberTest(unittest.TestCase):
+    """A well-formed entry of another writer under the id of a living member."""
+
+    def test_the_member_is_back_soon_without_a_storm_of_messages(self) -> None:
+        for state, host in (("gone", "10.0.1.1"), ("ready", "10.0.9.1")):
+            with self.subTest(state=state):
+                world = FlowWorld(balancers=WATCHERS, members=2)
+                world.run(2_000)
+                for upstream in list(world.upstreams.values()):
+                    odd = [upstream.id, world.now + 3_600_000, SERVICE, host, "z", 2]
+                    world.store.put(MEMBERS, upstream.id, [*odd, state])
+                before = world.sent_messages.copy()
+                world.run(2_000)
+                for index in range(WATCHERS):
+                    views = world.balancer(index).table.views.values()
+                    hosts = {view.member.host for view in views}
+                    self.assertEqual(hosts, set(world.upstreams))
+                sent = world.sent_messages - before
+                self.assertLess(sent["Ping"] + sent["Status"], 400)
+
+    def test_a_gone_upstream_is_not_asked_again_and_again(self) -> None:
+        world = FlowWorld(balancers=1, members=2)
+        world.run(2_000)
+        [side, *_] = world.upstreams
+        world.side(side).on_leave(world.now, world.upstreams[side].id)
+        world.run_effects(side)
+        world.run(1_000)
+        before = world.sent_messages["Ping"]
+        world.side(side).announcer.report_status(world.now)
+        world.run_effects(side)
+        world.run(1_000)
+        self.assertLess(world.sent_messages["Ping"] - before, 20)
 
-    def test_the_other_items_are_applied_and_the_store_is_followed(self) -> None:
-        effects, events, applied, listed = [], [], [], []
 
-        def apply(now: int, item: StoredItem) -> None:
-            if item.name == "b":
-                raise KeyError(item.name)
-            applied.append(item.name)
+class FollowerTest(unittest.TestCase):
+    """Odd answers while the store is followed."""
 
-        follower = StoreFollower(
+    def setUp(self) -> None:
+        self.effects: list[Any] = []
+        self.events: list[int] = []
+        self.applied: list[str] = []
+        self.listed: list[set[str]] = []
+        self.follower = StoreFollower(
             MEMBERS,
             Timers(),
-            effects,
+            self.effects,
             random.Random(1),
-            lambda number, **fields: events.append(number),
-            apply,
-            lambda now, names: listed.append(names),
+            lambda number, **fields: self.events.append(number),
+            self.apply,
+            lambda now, names: self.listed.append(names),
         )
-        follower.start(0)
+        self.follower.start(0)
+
+    def apply(self, now: int, item: StoredItem) -> None:
+        """Apply an item; fail for the one named `b`."""
+        if item.name == "b":
+            raise KeyError(item.name)
+        self.applied.append(item.name)
+
+    def answer(self, answer: StoreResult) -> None:
+        """Answer the latest call."""
+        self.follower.on_answer(1, self.effects[-1].purpose, answer)
+
+    def test_a_list_ends_at_a_page_that_cannot_be_continued(self) -> None:
+        items = (StoredItem("a", 1, None),)
+        for after in ("", "a"):
+            with self.subTest(after=after):
+                self.follower.relist(1)
+                for _ in range(3):
+                    if self.effects[-1].request.verb == LIST:
+                        page = StoreResult("done", items, 7, True, after=after)
+                        self.answer(page)
+                self.assertEqual(self.effects[-1].request.since, 7)
+        self.assertEqual((self.listed, self.events), ([], [6305] * 2))
+
+    def test_a_change_between_two_pages_is_watched_for(self) -> None:
+        items = (StoredItem("a", 1, None),)
+        self.answer(StoreResult("done", items, 7, True, after="a"))
+        self.answer(StoreResult("done", (), 9))
+        self.assertEqual(self.effects[-1].request.since, 7)
+
+    def test_the_other_items_are_applied_and_the_store_is_followed(self) -> None:
         items = tuple(StoredItem(name, 1, None) for name in "abc")
         for revision in (7, 8):
             answer = StoreResult("done", items, revision, refused=("no name",))
-            follower.on_answer(1, effects[-1].purpose, answer)
-            self.assertEqual(effects[-1].request.since, revision)
-        self.assertEqual((applied, listed), (["a", "c"] * 2, [{"a", "b", "c"}]))
-        self.assertEqual(events, [6305, 1302] * 2)
+            self.answer(answer)
+            self.assertEqual(self.effects[-1].request.since, revision)
+        self.assertEqual(self.applied, ["a", "c"] * 2)
+        self.assertEqual(self.listed, [{"a", "b", "c"}])
+        self.assertEqual(self.events, [6305, 1302] * 2)
 
 
 if __name__ == "__main__":
