--- a/fuchsiapin/tests/flowprocess.py
+++ b/fuchsiapin/tests/flowprocess.py
@@ -13,9 +13,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
+ROOT = Path(__file__).parent.parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from fuchsiapin_platform.settings import SETTINGS_VARIABLE  # noqa: E402
+
 __all__ = ["HOST", "ROOT", "WAIT_S", "RealProcess", "free_ports", "read_lines"]
 
-ROOT = Path(__file__).parent.parent.parent
 HOST = "127.0.0.1"
 WAIT_S = 60
 
@@ -99,7 +103,7 @@
                     "stderr": log,
                     "env": {
                         "PATH": os.environ["PATH"],
-                        "FUCHSIAPIN_SETTINGS": str(self.path),
+                        SETTINGS_VARIABLE: str(self.path),
                     },
                 }
                 | options,
