--- a/fuchsiapin/fields.py
+++ b/fuchsiapin/fields.py
@@ -56,7 +56,7 @@
 
 
 def read_whole(value: Any, name: str, lowest: int = 0, highest: int = MAX_WHOLE) -> int:
-    """Return a whole number within a range, which may be given as a float.
+    """Return a whole number within a range; the fraction of a float is cut off.
 
     Raises
     ------
