--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -85,10 +85,17 @@
         "flow not found",
         "warning",
         "None of the asked members holds the flow of a packet; the packet is dropped "
-        "or the flow is reset.",
+        "or the flow is reset. `denials` counts the members; all versions of the "
+        "configuration of the last `skipped_ms` are known, so those of services that "
+        "a route had earlier may not have been asked.",
         "Expected for late packets of ended flows; otherwise check whether the VM of "
         "the flow's upstream is gone.",
-        (FLOW, Field("hops", "integer")),
+        (
+            FLOW,
+            Field("hops", "integer"),
+            Field("denials", "integer"),
+            Field("skipped_ms", "integer"),
+        ),
         is_rate_limited=True,
     ),
     Event(
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -135,6 +135,7 @@
         self.configuration_follower = self.make_follower(
             CONFIGURATION, self.configurations.apply_change
         )
+        self.configurations.follower = self.configuration_follower
         self.member_follower = self.make_follower(
             MEMBERS, self.apply_member_change, self.end_member_list
         )
@@ -455,7 +456,7 @@
         if key == CONFIGURATION_KEY:
             configuration = unpack_configuration(value)
             check_identity(key, version, key, configuration.version)
-            return self.configurations.apply(configuration, "peer")
+            return self.configurations.apply(now, configuration, "peer")
         if key == COLD_RATES_KEY:
             # Those of a configuration that isn't known here yet come again.
             is_known = version <= self.routes.version
--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -65,6 +65,8 @@
     ----------
     has_listed : bool
         Whether a complete list was read at least once.
+    listed_at : int
+        When the last complete list was read, in ms, 0 before the first.
     is_reachable : bool
         Whether the last call succeeded, or was answered with `history lost`.
     generation : int
@@ -103,6 +105,7 @@
         self.on_change = on_change
         self.on_list = on_list
         self.has_listed = False
+        self.listed_at = 0
         self.is_reachable = False
         self.is_active = False
         self.revision = 0
@@ -212,6 +215,7 @@
             return
         self.revision = self.listed_revision
         self.has_listed = True
+        self.listed_at = now
         items, self.items = self.items, []
         self.next_call(now)
         self.apply_items(now, items)
--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -173,15 +173,20 @@
         self.dropped: dict[bytes, None] = {}
 
     def put(self, configuration: FlowConfiguration) -> bool:
-        """Put a configuration in force if it is newer; return whether it was."""
+        """Put a configuration in force if it is newer; return whether it was.
+
+        The services of an earlier one may hold open flows, so they are remembered.
+        """
         if configuration.version <= self.version:
+            for earlier in configuration.routes:
+                self.remember_former(earlier, self.routes.get(earlier.address))
             return False
         self.version = configuration.version
         self.idle_timeout_ms = configuration.idle_timeout_ms
         before = self.routes
         self.routes = {route.address: route for route in configuration.routes}
         for address, route in self.routes.items():
-            self.remember_former(address, before.get(address), route)
+            self.remember_former(before.get(address), route)
         for address in self.former_services.keys() - self.routes.keys():
             del self.former_services[address]
         self.remember_dropped(before)
@@ -200,16 +205,16 @@
         return flow[:ROUTE_BYTES] in self.dropped
 
     def remember_former(
-        self, address: bytes, before: FlowRoute | None, route: FlowRoute
+        self, earlier: FlowRoute | None, route: FlowRoute | None
     ) -> None:
-        """Remember services that may still hold flows of a route."""
-        if before is None or before.shares == route.shares:
+        """Remember the services that a route had in an earlier configuration."""
+        if earlier is None or route is None or earlier.shares == route.shares:
             return
         current = [service for service, _ in route.shares]
-        previous = [service for service, _ in before.shares]
-        remembered = self.former_services.get(address, ())
+        previous = [service for service, _ in earlier.shares]
+        remembered = self.former_services.get(route.address, ())
         former = dict.fromkeys([*previous, *remembered])
-        self.former_services[address] = tuple(
+        self.former_services[route.address] = tuple(
             name for name in former if name not in current
         )
 
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -265,12 +265,13 @@
     ) -> Search:
         """Return a search of which no service remains, with those still to be asked.
 
-        A process that started recently doesn't know which services the route had
-        before, so it asks all others too, once all members of the route's own services
+        A process that started recently, or that may have skipped versions of the
+        configuration since a flow's life ago, doesn't know which services the route had
+        before. It asks all others too, once all members of the route's own services
         denied the flow.
         """
         is_complete = search.has_all_services or packet.resets
-        if is_complete or now - self.state.record.started > MAX_FLOW_MS:
+        if is_complete or self.knows_services(now):
             return search
         if self.left_flows.get(packet.flow, now) is not None:
             return search
@@ -283,6 +284,16 @@
             services = [name for name in by_service if name not in own]
         return replace(search, remaining_services=services, has_all_services=True)
 
+    def knows_services(self, now: int) -> bool:
+        """Return whether all services to which open flows may have been sent are known.
+
+        Those of a route change with the versions of the configuration.
+        """
+        unknown_until = max(
+            self.state.record.started, self.state.configurations.skipped_until
+        )
+        return now - unknown_until > MAX_FLOW_MS
+
     def handle_not_found(
         self, now: int, packet: Packet, route: FlowRoute, search: Search, hops: int
     ) -> None:
@@ -295,14 +306,20 @@
             return
         self.open_searches.remove(packet.flow)
         self.sender.counts["not found"] += 1
-        self.report(6105, flow=flow_name(packet.flow), hops=hops)
+        self.report(
+            6105,
+            flow=flow_name(packet.flow),
+            hops=hops,
+            denials=len(search.asked_ids),
+            skipped_ms=now - self.state.configurations.skipped_until,
+        )
         if packet.resets or not search.asked_ids >= self.known_ids(route, search):
             return
         failed = self.failed_searches.get(packet.flow, now)
         if failed is not None and self.may_reset(now, failed):
             self.reset_flow(now, failed)
         elif not search.is_repeated and not self.is_pending(now, failed):
-            self.ask_balancers(now, packet, len(search.asked_ids))
+            self.ask_balancers(now, packet, search.asked_ids)
 
     def known_ids(self, route: FlowRoute, search: Search) -> set[str]:
         """Return the ids of all known members that may hold the flow of a search."""
@@ -351,15 +368,19 @@
             confirmations=len(inquiry.confirming_hosts),
         )
 
-    def ask_balancers(self, now: int, packet: Packet, denials: int) -> None:
+    def ask_balancers(
+        self, now: int, packet: Packet, asked_ids: frozenset[str]
+    ) -> None:
         """Ask other balancers where a flow was last sent and which members they know.
 
+        The members with these ids denied the flow.
+
         Unless their answers lead to the holder or to a reset, the members are searched
         again after a time in which new members usually reach this balancer.
         """
         hosts = self.state.balancers_to_ask(now)
-        inquiry = Inquiry(packet, denials, frozenset(hosts))
-        failed = FailedSearch(inquiry, now, self.table.ids_hash)
+        inquiry = Inquiry(packet, len(asked_ids), frozenset(hosts))
+        failed = FailedSearch(inquiry, now, self.table.ids_hash, asked_ids)
         if self.may_reset(now, failed):
             self.reset_flow(now, failed)
             return
@@ -395,8 +416,8 @@
         failed = self.failed_searches.get(message.flow, now)
         if failed is None:
             return
-        if message.host and self.table.by_host(message.host) is None:
-            self.ask_unknown_host(now, failed, message.host)
+        if message.host and not self.was_asked(failed, message.host):
+            self.ask_named_host(now, failed, message.host)
             if not self.table.has_left(message.host):
                 return
         if message.members == failed.ids_hash:
@@ -405,8 +426,13 @@
             if self.may_reset(now, failed):
                 self.reset_flow(now, failed)
 
-    def ask_unknown_host(self, now: int, failed: FailedSearch, host: str) -> None:
-        """Send a packet to the address of a member that isn't known here.
+    def was_asked(self, failed: FailedSearch, host: str) -> bool:
+        """Return whether a failed search asked the member at an address."""
+        view = self.table.by_host(host)
+        return view is not None and view.member.id in failed.asked_ids
+
+    def ask_named_host(self, now: int, failed: FailedSearch, host: str) -> None:
+        """Send a packet to an address that wasn't asked and that a balancer names.
 
         The flow isn't reset then unless a member is known to have left the address.
         """
@@ -422,11 +448,12 @@
     def ask_host(self, now: int, packet: Packet, host: str) -> None:
         """Send a packet to one address; its member reports the flow if it holds it.
 
-        The member's service isn't known, so the route's service for new flows is sent.
-        A side process of another service returns the packet, and nothing follows.
+        If the member isn't known, the route's service for new flows is sent. A side
+        process of another service returns the packet, and nothing follows.
         """
         route = self.routes.find(packet.flow)
         if route is not None:
-            service = route.service_of(packet.flow)
+            view = self.table.by_host(host)
+            service = view.member.service if view else route.service_of(packet.flow)
             search = Search([], frozenset(), is_repeated=True)
             self.send_search(now, packet, service, (host,), SearchStep(search, 1))
--- a/fuchsiapin/flows/searchstate.py
+++ b/fuchsiapin/flows/searchstate.py
@@ -125,8 +125,11 @@
         When the last member had denied the flow, in ms.
     ids_hash : int
         Hash over the members then.
+    asked_ids : frozenset of str
+        Ids of the members that denied the flow.
     """
 
     inquiry: Inquiry
     failed_at: int
     ids_hash: int
+    asked_ids: frozenset[str] = frozenset()
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -31,7 +31,8 @@
     "requests there as of a report {load_age_ms} ms old, routes of configuration "
     "{configuration}",
     6104: "the flow's holder was unknown; asked {members} members of {service}",
-    6105: "no asked member holds the flow ({hops} forwarded the packet)",
+    6105: "none of {denials} asked members holds the flow ({hops} forwarded the "
+    "packet)",
     6106: "received nothing from {member} at {host} for {silent_ms} ms; new flows go "
     "to others",
     6107: "{member} at {host}, which holds the flow, has left {unanswered_pings} pings "
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -461,7 +461,7 @@
         world.run(3)
         world.routes = (*world.routes, route)
         configuration = FlowConfiguration(2, world.routes, 15_000)
-        world.balancer(0).state.configurations.apply(configuration, "peer")
+        world.balancer(0).state.configurations.apply(world.now, configuration, "peer")
         world.run(50)
         self.assertEqual((caller.resets, caller.is_open), (0, True))
 
