--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -184,7 +184,8 @@
     store_synced_at : int
         Time up to which the store's changes are known, from this balancer's own
         watches or from other balancers, in ms. While the last calls were answered it
-        is the current time, although a watch may have gone silent since.
+        is the current time, although a watch may have gone silent since. What a
+        balancer with a newer configuration says doesn't hold here.
     was_in_step : bool
         Whether the digest of another balancer that knows the store's state, from its
         own calls or from others, has matched the objects here. A balancer that starts
@@ -362,10 +363,11 @@
         peer.last_message_at = now
         peer.name = message.name
         peer.zone = message.zone
-        self.store_synced_at = max(
-            self.store_synced_at, now - max(message.store_age_ms, 0)
-        )
         peer.configuration = message.configuration
+        if message.configuration <= self.version(CONFIGURATION_KEY):
+            self.store_synced_at = max(
+                self.store_synced_at, now - max(message.store_age_ms, 0)
+            )
         is_in_step = message.total == self.total(now)
         # The age that a balancer without knowledge of the store reports is the time
         # since the epoch.
