Drop an era that the store refutes after a second

Callers saw: nothing was followed from the store for 10 s after one message with a plausible but wrong era: no configuration, no member.

Cause: answers of the store counted as outdated until it hadn't confirmed the era for 10 s, although its own answers to calls that were made afterwards contradicted it. Found by test_ordinary_work_goes_on_after_any_messages (Era(1100) at one balancer) once its drawn messages changed with a new message type; fails the same play.

Change: the answer to a call that was made after the era was told refutes it, from a second after that on.

The store of the tests answered a watch with the era in which it was opened; the platform's page says that all answers tell the store's era. With the former one, test_an_era_that_the_store_does_not_tell_ends depended on the phase of the watches: an era of a store that didn't return from a copy could take two watches, 5 s, to be told. Its check and bound are as they were.

Evidence: the new test fails before; the drawn messages pass again. Tests of eras, evacuations and odd messages pass.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -267,7 +267,7 @@
 
     def on_store(self, now: int, purpose: str, answer: StoreResult) -> None:
         """Handle the answer of a call to the store."""
-        answer = self.eras.check(now, answer)
+        answer = self.eras.check(now, purpose, answer)
         was_reachable = self.configuration_follower.is_reachable
         if not any(f.on_answer(now, purpose, answer) for f in self.followers):
             self.writer.on_answer(now, purpose, answer)
--- a/fuchsiapin/flows/erakeeping.py
+++ b/fuchsiapin/flows/erakeeping.py
@@ -66,13 +66,18 @@
         self.report = report
         self.announce = announce
 
-    def check(self, now: int, answer: StoreResult) -> StoreResult:
-        """Learn the store's era from an answer; return what the answer is worth."""
+    def check(self, now: int, purpose: str, answer: StoreResult) -> StoreResult:
+        """Learn the store's era from an answer; return what the answer is worth.
+
+        All followers list again once they are told an era, so the calls that they
+        wait for were made later.
+        """
         problem = self.era.note_answer(answer)
         if problem:
             self.report(6313, error=problem, era=self.era.current)
         former = self.era.current
-        if self.era.retract(now, answer.era, UNCONFIRMED_MS):
+        is_later = any(purpose == follower.purpose for follower in self.followers)
+        if self.era.retract(now, answer.era, UNCONFIRMED_MS, is_later):
             self.report(
                 6312, former=former, era=answer.era, source="store", is_rewritten=False
             )
--- a/fuchsiapin/flows/eras.py
+++ b/fuchsiapin/flows/eras.py
@@ -11,6 +11,9 @@
 MAX_ERA_STEP = 1 << 17
 """Largest step to an era that another process tells. Stores may count eras, or use the
 time in seconds; a step refused wrongly would hide an evacuation."""
+REFUTED_MS = 1_000
+"""Time after which the answer to a later call refutes an era that another process told;
+longer than a call to the store may take."""
 
 
 class StoreEra:
@@ -65,8 +68,24 @@
         self.current = era
         return is_change
 
-    def retract(self, now: int, era: int, unconfirmed_ms: int) -> bool:
-        """Return to an era of the store if it hasn't confirmed the newest one for long.
+    def retract(
+        self, now: int, era: int, unconfirmed_ms: int, is_later: bool = False
+    ) -> bool:
+        """Return to the store's own era if another process told a wrong one.
+
+        The store refutes it by the answer to a call that was made later, or by not
+        confirming it for long.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        era : int
+            Era in an answer of the store.
+        unconfirmed_ms : int
+            Time within which the store confirms an era.
+        is_later : bool
+            Whether the call was made after the newest era was told.
 
         Returns
         -------
@@ -76,7 +95,7 @@
         is_unconfirmed = self.confirmed < self.current
         if not (is_unconfirmed and self.is_stale(era)):
             return False
-        if now - self.told_at <= unconfirmed_ms:
+        if now - self.told_at <= (REFUTED_MS if is_later else unconfirmed_ms):
             return False
         self.doubted = self.current
         self.current = era
--- a/fuchsiapin/tests/flowstore.py
+++ b/fuchsiapin/tests/flowstore.py
@@ -86,11 +86,10 @@
 
     def call(self, call: StoreCall, done: Callable[[StoreResult], None]) -> None:
         """Answer a call, at once or, for a watch, when there is a change."""
-        era = self.era
         inner = done
 
         def done(answer: StoreResult) -> None:
-            inner(replace(answer, era=era))
+            inner(replace(answer, era=self.era))
 
         self.calls[call.verb] += 1
         if self.state.is_silent:
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -266,6 +266,16 @@
         self.world.run(4_000)
         self.assertEqual(self.balancer.state.era.current, 900)
 
+    def test_a_plausible_era_that_the_store_refutes_ends_soon(self) -> None:
+        # No change was followed for the 10 s in which the store may confirm an era.
+        self.world.receive(BALANCER, Era(1_100), "10.0.0.9")
+        self.world.run(2_500)
+        self.world.configure(2)
+        self.world.run(500)
+        for index in range(2):
+            core = self.world.balancer(index)
+            self.assertEqual((core.state.era.current, core.routes.version), (1, 2))
+
     def test_an_evacuation_of_an_odd_era_is_refused(self) -> None:
         # Neither its removal nor a later evacuation would count.
         for version in (2**63 - 1, 2**62 + 1, (200_000 << 44) + 1):
