Send long configurations between balancers in parts

Change: it is sent in datagrams of 60,000 bytes (new message Part). A balancer that learns it pushes a digest instead, as several push each change; one that hears of a newer configuration asks one balancer at a time, and names what is arriving in its other questions. Lost parts come again after the next digest.

Evidence: test_longvalues.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -37,7 +37,7 @@
     read_stored_member,
     unpack_member,
 )
-from fuchsiapin.flows.messages import Copy, Status
+from fuchsiapin.flows.messages import Copy, Part, Status
 from fuchsiapin.flows.pinging import Pinger
 from fuchsiapin.flows.routes import RouteTable, unpack_configuration
 from fuchsiapin.flows.storage import (
@@ -445,6 +445,12 @@
             return
         self.gossip.receive_copy(now, host, message)
 
+    def on_part(self, now: int, host: str, message: Part) -> None:
+        """Handle a part of an object sent by another process."""
+        copy = self.gossip.collect(now, message)
+        if copy is not None:
+            self.on_copy(now, host, copy)
+
     def apply_object(self, now: int, key: str, version: int, value: bytes) -> bool:
         """Apply an object if it is newer; return whether to replicate it further.
 
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -21,7 +21,13 @@
 )
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
-from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Pull
+from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Part, Pull
+from fuchsiapin.flows.parts import (
+    PART_BYTES,
+    TRANSFER_MS,
+    PartCollector,
+    split_copy,
+)
 from fuchsiapin.flows.peers import (
     DIGEST_MS,
     PUSH_PEERS,
@@ -57,9 +63,6 @@
 """A balancer that sent nothing for this long isn't counted as live."""
 WITHHELD_MS = 200
 """Time for which the set of objects that aren't offered is kept."""
-MAX_COPY_BYTES = 60_000
-"""Longest compressed value sent in a datagram; longer ones aren't sent, so only
-balancers that watch the store receive them."""
 MAX_PULL_BYTES = 120_000
 """Bytes after which the answer to one pull ends; the next digest fetches the rest."""
 
@@ -217,6 +220,8 @@
         self.is_store_reachable = is_store_reachable
         self.era = era
         self.replicas = Replicas()
+        self.parts = PartCollector()
+        self.asked_configuration = 0, 0
         self.peers: dict[str, Peer] = {}
         self.store_synced_at = 0
         self.was_in_step = False
@@ -237,9 +242,22 @@
         if not self.replicas.put(key, version, value):
             return False
         for host in push_targets(self.peers, self.record.zone, source, self.rng):
-            self.send_copy(host, key)
+            self.push(host, key)
         return True
 
+    def push(self, host: str, key: str) -> None:
+        """Send a new object, or soon a digest if it is long.
+
+        Several balancers push each change; a long one is sent only to those that then
+        ask for it.
+        """
+        if len(self.replicas.by_key[key].packed) <= PART_BYTES:
+            self.send_copy(host, key)
+            return
+        self.timers.add(
+            0, lambda now: self.effects.append(ToPeer(host, self.digest(now)))
+        )
+
     def remove(self, key: str) -> None:
         """Remove a key here only; each balancer decides that for itself."""
         self.replicas.remove(key)
@@ -251,12 +269,12 @@
             self.effects.append(ToPeer(host, Era(era)))
 
     def send_copy(self, host: str, key: str) -> int:
-        """Send an object; return its length in bytes, 0 if it is too long to send."""
+        """Send an object, in parts if it is long; return its length in bytes."""
         replica = self.replicas.by_key[key]
-        if len(replica.packed) > MAX_COPY_BYTES:
-            return 0
-        self.effects.append(ToPeer(host, Copy(key, replica.version, replica.packed)))
-        return len(replica.packed)
+        copy = Copy(key, replica.version, replica.packed)
+        messages = [copy] if len(copy.value) <= PART_BYTES else split_copy(copy)
+        self.effects.extend(ToPeer(host, message) for message in messages)
+        return len(copy.value)
 
     def zone_hosts(self) -> list[str]:
         """Return the addresses of the other balancers of this availability zone."""
@@ -377,9 +395,28 @@
             self.peers, self.record.zone, host, self.rng
         ):
             self.effects.append(ToPeer(host, Buckets(self.buckets(now))))
-        if is_new:
+        if is_new or self.is_wanted(now, message.configuration):
             self.effects.append(ToPeer(host, self.digest(now)))
 
+    def is_wanted(self, now: int, configuration: int) -> bool:
+        """Return whether to ask for the configuration that another balancer has.
+
+        One balancer is asked at a time. A configuration that it sends in one datagram
+        is usually on the way already.
+        """
+        if configuration <= self.version(CONFIGURATION_KEY):
+            return False
+        asked_version, asked_at = self.asked_configuration
+        is_arriving = self.parts.arriving_version(now, CONFIGURATION_KEY) >= (
+            configuration
+        )
+        if is_arriving or (
+            asked_version == configuration and now - asked_at <= TRANSFER_MS
+        ):
+            return False
+        self.asked_configuration = configuration, now
+        return True
+
     def on_buckets(self, now: int, host: str, message: Buckets) -> None:
         """Pull the contents of the buckets whose hashes differ."""
         self.note_message(now, host)
@@ -389,9 +426,14 @@
         indexes = [
             i for i, ours_hash in enumerate(ours) if message.marks[i] != ours_hash
         ]
-        known = self.replicas.in_buckets(ALL_PREFIXES, indexes)
-        versions = [replica.version for replica in known.values()]
-        self.effects.append(ToPeer(host, Pull(indexes, list(known), versions)))
+        replicas = self.replicas.in_buckets(ALL_PREFIXES, indexes)
+        known = {key: replica.version for key, replica in replicas.items()}
+        for key in self.parts.transfers:
+            if bucket_of(key) in indexes:
+                arriving = self.parts.arriving_version(now, key)
+                known[key] = max(known.get(key, 0), arriving)
+        pull = Pull(indexes, list(known), list(known.values()))
+        self.effects.append(ToPeer(host, pull))
 
     def on_pull(self, now: int, host: str, message: Pull) -> None:
         """Send the objects that are newer here than at the requesting balancer."""
@@ -409,6 +451,18 @@
             if sent > MAX_PULL_BYTES:
                 return
 
+    def collect(self, now: int, message: Part) -> Copy | None:
+        """Keep a part of an object; return the object once it is whole, if it is newer.
+
+        Raises
+        ------
+        MalformedObject
+            If the part has impossible numbers or a wrong length.
+        """
+        if message.version <= self.version(message.key):
+            return None
+        return self.parts.add(now, message)
+
     def receive_copy(self, now: int, host: str, message: Copy) -> None:
         """Apply an object from another process if it is newer.
 
--- a/fuchsiapin/flows/messages.py
+++ b/fuchsiapin/flows/messages.py
@@ -174,3 +174,16 @@
     key: str
     version: int
     value: bytes
+
+
+@dataclass(frozen=True)
+class Part:
+    """
+    A part of an object of the shared state that is longer than a datagram.
+    """
+
+    key: str
+    version: int
+    index: int
+    count: int
+    data: bytes
--- a/fuchsiapin/flows/wire.py
+++ b/fuchsiapin/flows/wire.py
@@ -27,6 +27,7 @@
     messages.Evacuation,
     messages.ColdLimit,
     messages.Silence,
+    messages.Part,
 )
 """Message types, indexed by their number on the wire."""
 TYPE_NUMBERS = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
--- a/fuchsiapin/tests/test_flowwire.py
+++ b/fuchsiapin/tests/test_flowwire.py
@@ -16,6 +16,7 @@
     Forward,
     Held,
     Known,
+    Part,
     Ping,
     Pull,
     Returned,
@@ -65,6 +66,9 @@
             *(ColdLimit(1, limit) for limit in (-1, 2**31)),
             ColdLimit(2**63, 1),
             Silence(LONG),
+            *(Part("members/u1", 1, index, 2, b"") for index in (-1, 2**63)),
+            Part("members/u1", 1, 0, 2**63, b""),
+            Part(LONG, 1, 0, 2, b""),
             Copy(LONG, 1, b""),
             *(Copy("members/u1", version, b"") for version in (-1, 2**63)),
         ):
--- a/fuchsiapin/tests/test_longvalues.py
+++ b/fuchsiapin/tests/test_longvalues.py
@@ -3,10 +3,18 @@
 import random
 import unittest
 
+from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.balancerstate import STALE_MS, WATCHERS
-from fuchsiapin.flows.gossip import CONFIGURATION_KEY, MAX_COPY_BYTES
-from fuchsiapin.flows.messages import Digest
+from fuchsiapin.flows.gossip import CONFIGURATION_KEY
+from fuchsiapin.flows.messages import Buckets, Copy, Digest, Part, Pull
 from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.parts import (
+    MAX_PARTS,
+    PART_BYTES,
+    TRANSFER_MS,
+    PartCollector,
+    split_copy,
+)
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.tests.drivenbalancer import DrivenBalancer
 from fuchsiapin.tests.flowactors import SERVICE, make_route
@@ -63,7 +71,87 @@
             self.assertEqual(versions(self.world), [version] * BALANCERS)
         replicas = self.world.balancer(0).state.gossip.replicas.by_key
         packed = replicas[CONFIGURATION_KEY].packed
-        self.assertGreater(len(packed), MAX_COPY_BYTES)
+        self.assertGreater(len(packed), PART_BYTES)
+
+    def test_they_follow_at_once_and_each_gets_the_value_about_once(self) -> None:
+        calls = sum(self.world.store.calls.values())
+        self.grow(2)
+        self.world.run(500)
+        self.assertEqual(versions(self.world), [2] * BALANCERS)
+        replicas = self.world.balancer(0).state.gossip.replicas.by_key
+        count = -(-len(replicas[CONFIGURATION_KEY].packed) // PART_BYTES)
+        others = BALANCERS - WATCHERS
+        self.assertLessEqual(self.world.sent_messages["Part"], 2 * others * count)
+        # The watches of the three that watch anyway.
+        self.assertLessEqual(sum(self.world.store.calls.values()) - calls, WATCHERS)
+
+    def test_lost_parts_are_sent_again(self) -> None:
+        self.world.loss_rate = 0.3
+        self.grow(2)
+        self.world.run(CONFIG_APPLY_MS)
+        self.assertEqual(versions(self.world), [2] * BALANCERS)
+
+
+class PartTest(unittest.TestCase):
+    """Parts make up one version of one object."""
+
+    def setUp(self) -> None:
+        self.collector = PartCollector()
+        self.copy = Copy(CONFIGURATION_KEY, 7, bytes(range(250)) * 600)
+        self.parts = list(split_copy(self.copy))
+
+    def add(self, *parts: Part, now: int = 0) -> list[Copy | None]:
+        """Add parts; return what each led to."""
+        return [self.collector.add(now, part) for part in parts]
+
+    def test_parts_in_any_order_and_repeated_ones_make_up_the_value(self) -> None:
+        first, second, third = self.parts
+        result = self.add(third, first, third, second)
+        self.assertEqual(result, [None, None, None, self.copy])
+        self.assertEqual(self.collector.transfers, {})
+
+    def test_parts_of_two_versions_are_not_mixed(self) -> None:
+        newer = [Part(p.key, 8, p.index, p.count, p.data) for p in self.parts]
+        self.assertEqual(self.add(*self.parts[:2], *newer[2:]), [None] * 3)
+        self.assertEqual(self.add(*self.parts), [None] * 3)
+        self.assertEqual(self.add(*newer[:2])[-1].version, 8)
+
+    def test_impossible_parts_are_refused(self) -> None:
+        for index, count, size in (
+            (2, 2, 1),
+            (0, 0, 1),
+            (0, MAX_PARTS + 1, 1),
+            (0, 2, PART_BYTES + 1),
+        ):
+            with self.assertRaises(MalformedObject):
+                self.add(Part("configuration/current", 9, index, count, bytes(size)))
+        self.assertEqual(self.collector.transfers, {})
+
+    def test_few_keys_are_kept(self) -> None:
+        for number in range(100):
+            self.add(Part(f"members/{number}", 1, 0, 2, b"z"))
+        self.assertLess(len(self.collector.transfers), 10)
+
+    def test_a_value_that_is_arriving_is_not_pulled_a_second_time(self) -> None:
+        balancer = DrivenBalancer(peers=2)
+        gossip = balancer.core.state.gossip
+        balancer.receive(balancer.peers[0], self.parts[0])
+        for wait, version in ((TRANSFER_MS, 7), (1, 0)):
+            balancer.wait(wait)
+            gossip.on_buckets(balancer.now, balancer.peers[1], Buckets([1] * 64))
+            balancer.collect()
+            pull = balancer.last(Pull)
+            versions = dict(zip(pull.keys, pull.versions, strict=True))
+            self.assertEqual(versions[CONFIGURATION_KEY], version)
+
+    def test_one_balancer_at_a_time_is_asked_for_a_newer_configuration(self) -> None:
+        balancer = DrivenBalancer(peers=2)
+        digest = Digest("entry-2", "z", 7, 7, 0)
+        for wait, asked in ((0, 1), (TRANSFER_MS, 1), (1, 2)):
+            balancer.sent.clear() if not wait else balancer.wait(wait)
+            for host in balancer.peers:
+                balancer.receive(host, digest)
+            self.assertEqual(balancer.counts()["Digest"], asked)
 
 
 class FreshnessTest(unittest.TestCase):
