Ask other balancers before a dropped route's open flow is reset

Callers would see: an open flow is reset by a balancer whose configuration dropped the flow's route, though a newer one has it again and the upstream serves.

Cause: the route's absence from the configuration here was taken for its absence.

Change: the balancer asks the others, and resets the flow at the next round trip if all of them confirm and none has told a newer configuration. A balancer that has the route, or its services, from a newer configuration than the asking one told doesn't vouch for its members, which prevents the reset also in a search for a holder. The caller of a flow whose route stays dropped waits a few ms more.

--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -35,6 +35,7 @@
 from fuchsiapin.flows.opening import FlowOpener
 from fuchsiapin.flows.pacing import LinkPacer, bytes_per_ms
 from fuchsiapin.flows.packets import Packet, PacketFormat, flow_name
+from fuchsiapin.flows.routechecks import RouteCheck
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import HolderSearch
 from fuchsiapin.flows.sending import PacketSender
@@ -96,6 +97,7 @@
             state, self.sender, self.holders, report, placement_policy, refusal_policy
         )
         self.search = HolderSearch(state, self.sender, self.holders, report)
+        self.route_check = RouteCheck(state, self.sender)
         self.counts = self.sender.counts
         self.last_packet_at = 0
         self.is_stopping = False
@@ -213,7 +215,7 @@
         if packet.opens:
             self.opener.refuse_unrouted(now, packet)
         else:
-            self.sender.reset_unrouted(packet)
+            self.route_check.on_packet(now, packet)
 
     def forward(self, now: int, packet: Packet, route: FlowRoute) -> None:
         """Send a packet of an open flow to its holder, or search for the holder.
@@ -299,6 +301,7 @@
             read_host(message.host, "holder")
         self.opener.on_known(now, host, message)
         self.search.on_known(now, host, message)
+        self.route_check.on_known(now, host, message)
 
     def on_status(self, now: int, host: str, message: Status) -> None:
         """Handle the status of a side process."""
--- a/fuchsiapin/flows/openingstate.py
+++ b/fuchsiapin/flows/openingstate.py
@@ -75,16 +75,16 @@
 
 @dataclass(frozen=True)
 class PendingReset:
-    """A new flow that no member takes, as far as this balancer knows.
+    """A flow that can't be served, as far as this balancer knows.
 
-    It is reset unless another balancer knows the flow.
+    It is reset unless another balancer knows more.
 
     Parameters
     ----------
     inquiry : Inquiry
         The question to the other balancers.
     reason : str
-        Why no member takes it.
+        Why it can't be served.
     asked_at : int
         When the question was sent last, in ms.
     """
--- a/fuchsiapin/flows/routes.py
+++ b/fuchsiapin/flows/routes.py
@@ -163,6 +163,8 @@
         address.
     dropped : dict
         Addresses of routes that a configuration dropped, the latest last.
+    changed_versions : dict
+        Version that added a route or changed its services, by address.
     """
 
     def __init__(self) -> None:
@@ -171,6 +173,7 @@
         self.routes: dict[bytes, FlowRoute] = {}
         self.former_services: dict[bytes, tuple[str, ...]] = {}
         self.dropped: dict[bytes, None] = {}
+        self.changed_versions: dict[bytes, int] = {}
 
     def put(self, configuration: FlowConfiguration) -> bool:
         """Put a configuration in force if it is newer; return whether it was.
@@ -178,20 +181,32 @@
         The services of an earlier one may hold open flows, so they are remembered.
         """
         if configuration.version <= self.version:
-            for earlier in configuration.routes:
-                self.remember_former(earlier, self.routes.get(earlier.address))
+            for route in configuration.routes:
+                self.remember_former(route, self.routes.get(route.address))
             return False
         self.version = configuration.version
         self.idle_timeout_ms = configuration.idle_timeout_ms
         before = self.routes
         self.routes = {route.address: route for route in configuration.routes}
         for address, route in self.routes.items():
-            self.remember_former(before.get(address), route)
+            earlier = before.get(address)
+            self.remember_former(earlier, route)
+            if earlier is None or earlier.shares != route.shares:
+                self.changed_versions[address] = self.version
+        for address in self.changed_versions.keys() - self.routes.keys():
+            del self.changed_versions[address]
         for address in self.former_services.keys() - self.routes.keys():
             del self.former_services[address]
         self.remember_dropped(before)
         return True
 
+    def changed_version(self, flow: bytes) -> int:
+        """Return the version that added a flow's route or changed its services.
+
+        0 if there is no such route.
+        """
+        return self.changed_versions.get(flow[:ROUTE_BYTES], 0)
+
     def remember_dropped(self, before: dict[bytes, FlowRoute]) -> None:
         """Remember the routes in force before that are no longer there."""
         for address in self.dropped.keys() & self.routes.keys():
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -402,12 +402,17 @@
         """Answer another balancer where a flow was last sent, empty for nowhere.
 
         The hash over the members is left out if they don't account for that address, or
-        if some may not be known here yet: a member that isn't may hold the flow.
+        if some may not be known here yet: a member that isn't may hold the flow. It is
+        left out, too, if the other balancer told a configuration from before the flow's
+        route or its services.
         """
         is_accounted = (
             not holder or self.table.has_left(holder) or self.table.by_host(holder)
         )
-        is_complete = is_accounted and self.state.knows_members(now)
+        peer = self.state.gossip.peers.get(host)
+        told = peer.configuration if peer else 0
+        is_behind = 0 < told < self.routes.changed_version(flow)
+        is_complete = is_accounted and self.state.knows_members(now) and not is_behind
         ids_hash = self.table.ids_hash if is_complete else 0
         self.sender.send(host, Known(flow, holder, ids_hash))
 
--- a/fuchsiapin/flows/sending.py
+++ b/fuchsiapin/flows/sending.py
@@ -153,16 +153,3 @@
         self.state.effects.append(
             ToCaller(caller_host(packet.flow), data, self.state.record.zone)
         )
-
-    def reset_unrouted(self, packet: Packet) -> None:
-        """Reset an open flow that matches no route, if its route was dropped.
-
-        Otherwise the route may be newer than the configuration here; the caller repeats
-        the packet.
-        """
-        if packet.resets:
-            return
-        if self.state.routes.is_dropped(packet.flow):
-            self.reset(packet, NO_ROUTE)
-        else:
-            self.counts["route not known"] += 1
