--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -127,6 +127,22 @@
         ),
         is_rate_limited=True,
     ),
+    Event(
+        6108,
+        "member keeps searches",
+        "warning",
+        "Members neither claimed nor denied a flow when each was asked for it alone; "
+        "up to 8 are named. They are asked after the others for a second. `members` "
+        "counts all that were asked.",
+        "Check whether their VMs run and whether their upstreams serve.",
+        (
+            FLOW,
+            SERVICE,
+            Field("hosts", "list of text"),
+            Field("members", "integer"),
+        ),
+        is_rate_limited=True,
+    ),
     Event(
         6201,
         "upstream changed",
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -9,7 +9,7 @@
 once that is ruled out.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.flowcache import FlowCache
@@ -52,6 +52,16 @@
 MAX_WAITING_PACKETS = 16
 """Maximum number of packets of a flow that wait; callers send no more before an
 acknowledgement."""
+STEP_MS = 3_000
+"""How long the members that were asked for a flow are remembered; callers retransmit
+at most 1.6 s apart."""
+UNRESPONSIVE_MS = 1_000
+"""How long a member that didn't answer in a search is asked after the others."""
+SPLITS_MS = 100
+MAX_SPLITS = 20
+"""Most searches in `SPLITS_MS` that are continued without an answer, so that late
+answers of all members don't add to what makes them late."""
+MAX_REPORTED_HOSTS = 8
 LEFT_FLOW_MS = 5_000
 """How long a flow is remembered whose holder left, with the holder's address."""
 
@@ -90,6 +100,10 @@
         self.failed_searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
         self.open_searches = FlowCache(MAX_SEARCHES, OPEN_SEARCH_MS)
+        self.steps = FlowCache(MAX_SEARCHES, STEP_MS)
+        self.unresponsive_hosts: dict[str, int] = {}
+        self.splits = 0
+        self.splits_since = 0
 
     def find_holder(
         self, now: int, packet: Packet, route: FlowRoute, excluded_host: str = ""
@@ -106,7 +120,8 @@
             return
         self.open_searches.expire(now)
         self.open_searches.put(packet.flow, OpenSearch(now), now)
-        self.start(now, packet, route, excluded_host)
+        if excluded_host or not self.continue_without_answer(now, packet):
+            self.start(now, packet, route, excluded_host)
 
     def start(
         self,
@@ -137,7 +152,9 @@
             responsive = [view for view in views if not view.is_suspect(now)]
             views = responsive or views
             asked_ids |= {view.member.id for view in views}
-            chains = self.chains([v for v in views if v.member.host != excluded_host])
+            chains = self.chains(
+                now, [v for v in views if v.member.host != excluded_host]
+            )
             if chains:
                 search = replace(
                     search,
@@ -149,14 +166,22 @@
                 self.send_chains(now, packet, search)
                 return
 
-    def chains(self, views: list[MemberView]) -> tuple[tuple[str, ...], ...]:
-        """Return the addresses of members by availability zone, the own one first."""
+    def chains(self, now: int, views: list[MemberView]) -> tuple[tuple[str, ...], ...]:
+        """Return the addresses of members by availability zone, the own one first.
+
+        Members that didn't answer in a recent search follow alone.
+        """
         by_zone: dict[str, list[str]] = {}
+        alone = []
         for view in views:
-            by_zone.setdefault(view.member.zone, []).append(view.member.host)
+            host = view.member.host
+            if self.is_unresponsive(now, host):
+                alone.append([host])
+            else:
+                by_zone.setdefault(view.member.zone, []).append(host)
         own = by_zone.pop(self.state.record.zone, None)
         chains = [own] if own else []
-        return tuple(tuple(chain) for chain in [*chains, *by_zone.values()])
+        return tuple(tuple(chain) for chain in [*chains, *by_zone.values(), *alone])
 
     def send_chains(self, now: int, packet: Packet, search: Search) -> None:
         """Send a packet along the next chains of members, and remember the search.
@@ -164,13 +189,77 @@
         The chain of the own availability zone goes alone, the others together.
         """
         chains = search.next_chains
-        first = self.table.by_host(chains[0][0])
-        if first is not None and first.member.zone == self.state.record.zone:
+        host = chains[0][0]
+        first = self.table.by_host(host)
+        is_own = first is not None and first.member.zone == self.state.record.zone
+        if is_own and not self.is_unresponsive(now, host):
             chains = chains[:1]
         later = search.next_chains[len(chains) :]
-        step = SearchStep(replace(search, next_chains=later), len(chains))
+        step = SearchStep(replace(search, next_chains=later))
+        self.send_step(now, packet, step, chains)
+
+    def send_step(
+        self,
+        now: int,
+        packet: Packet,
+        step: SearchStep,
+        chains: Sequence[tuple[str, ...]],
+    ) -> None:
+        """Send a packet along some chains, and remember them."""
         for hosts in chains:
-            self.send_search(now, packet, search.service, hosts, step)
+            self.send_search(now, packet, step.search.service, hosts, step)
+        self.steps.expire(now)
+        self.steps.put(packet.flow, step, now)
+
+    def continue_without_answer(self, now: int, packet: Packet) -> bool:
+        """Continue a search with the next packet of its flow; return whether it was.
+
+        A member that neither claims nor denies the flow keeps the packet from those
+        that follow it in its chain. The chain is split, until each member that doesn't
+        answer was asked alone. Such members are asked after the others for a while;
+        their silence tells nothing of the flow, so a search without them is no proof.
+        """
+        step = self.steps.get(packet.flow, now)
+        if step is None or step.is_done or not step.waiting_hosts:
+            return False
+        if now - self.splits_since >= SPLITS_MS:
+            self.splits_since, self.splits = now, 0
+        if self.splits >= MAX_SPLITS:
+            return False
+        self.splits += 1
+        parts = step.overdue_parts()
+        search = replace(step.search, is_repeated=False)
+        if parts:
+            step.search = replace(search, next_chains=())
+            self.sender.counts["search split"] += 1
+            self.send_step(now, packet, step, [*parts, *search.next_chains])
+            return True
+        step.is_done = True
+        self.note_unresponsive(now, packet, step)
+        if not search.remaining_services:
+            return False
+        waiting = [self.table.by_host(host) for host in step.waiting_hosts]
+        silent_ids = {view.member.id for view in waiting if view is not None}
+        asked_ids = search.asked_ids - silent_ids
+        self.ask_members(now, packet, replace(search, asked_ids=asked_ids))
+        return True
+
+    def note_unresponsive(self, now: int, packet: Packet, step: SearchStep) -> None:
+        """Record the members that don't answer in a search."""
+        for host in step.waiting_hosts:
+            self.unresponsive_hosts[host] = now
+        self.report(
+            6108,
+            flow=flow_name(packet.flow),
+            service=step.search.service,
+            hosts=sorted(step.waiting_hosts)[:MAX_REPORTED_HOSTS],
+            members=len(step.search.asked_ids),
+        )
+
+    def is_unresponsive(self, now: int, host: str) -> bool:
+        """Return whether a member didn't answer in a recent search."""
+        since = self.unresponsive_hosts.get(host)
+        return since is not None and now - since <= UNRESPONSIVE_MS
 
     def send_search(
         self,
@@ -182,6 +271,7 @@
     ) -> None:
         """Send a packet along one chain of members."""
         self.last_number += 1
+        step.add(self.last_number, hosts)
         self.searches.expire(now)
         self.searches.put(search_key(packet.flow, self.last_number), step, now)
         self.sender.counts["searched"] += 1
@@ -204,7 +294,9 @@
         """Record that a member holds a flow, and send it the packets that wait."""
         self.failed_searches.remove(flow)
         self.left_flows.remove(flow)
+        self.steps.remove(flow)
         search = self.open_searches.get(flow, now)
+        self.unresponsive_hosts.pop(host, None)
         if search is None:
             return
         self.open_searches.remove(flow)
@@ -245,9 +337,12 @@
         if step is None or not step.search.asked_ids:
             return
         self.searches.remove(key)
-        step.open_chains -= 1
-        if step.open_chains:
+        for denying_host in step.chains.get(number, ()):
+            self.unresponsive_hosts.pop(denying_host, None)
+        step.note_returned(number)
+        if step.waiting_hosts or step.is_done:
             return
+        step.is_done = True
         search = step.search
         if search.next_chains:
             self.send_chains(now, packet, search)
@@ -461,4 +556,4 @@
             view = self.table.by_host(host)
             service = view.member.service if view else route.service_of(packet.flow)
             search = Search([], frozenset(), is_repeated=True)
-            self.send_search(now, packet, service, (host,), SearchStep(search, 1))
+            self.send_search(now, packet, service, (host,), SearchStep(search))
--- a/fuchsiapin/flows/searchstate.py
+++ b/fuchsiapin/flows/searchstate.py
@@ -20,6 +20,8 @@
 """Range of the count of hops within one search; more than a deployment has members."""
 MAX_FIRST_NUMBER = 1 << 30
 """Upper bound of the number before that of a process's first search."""
+PARTS_OF_CHAIN = 8
+"""Chains into which one that isn't answered is split."""
 
 
 @dataclass(frozen=True)
@@ -59,15 +61,66 @@
     ----------
     search : Search
         The search that they belong to.
-    open_chains : int
-        Chains that haven't returned the packet yet.
+    chains : dict of int to tuple of str
+        Addresses of the members of each chain that hasn't returned the packet, by the
+        number of the chain.
+    waiting_hosts : set of str
+        Addresses of the members that haven't denied the flow yet. A chain that was
+        split may still return the packet, for all its members.
+    is_done : bool
+        Whether the search went on without the members that don't answer.
     """
 
-    __slots__ = ("open_chains", "search")
+    __slots__ = ("chains", "is_done", "search", "waiting_hosts")
 
-    def __init__(self, search: Search, open_chains: int) -> None:
+    def __init__(self, search: Search) -> None:
         self.search = search
-        self.open_chains = open_chains
+        self.chains: dict[int, tuple[str, ...]] = {}
+        self.waiting_hosts: set[str] = set()
+        self.is_done = False
+
+    def add(self, number: int, hosts: tuple[str, ...]) -> None:
+        """Add a chain that the packet is sent along."""
+        self.chains[number] = hosts
+        self.waiting_hosts.update(hosts)
+
+    def note_returned(self, number: int) -> None:
+        """Record that the last member of a chain returned the packet."""
+        self.waiting_hosts.difference_update(self.chains.pop(number, ()))
+
+    def overdue_parts(self) -> list[tuple[str, ...]]:
+        """Return the parts into which to split the chains that are still open.
+
+        A member that neither holds the flow nor passes the packet on keeps the packet
+        from those that follow it. None are returned once each member that hasn't
+        answered was asked alone.
+        """
+        last_asked = {
+            host: hosts
+            for hosts in self.chains.values()
+            for host in hosts
+            if host in self.waiting_hosts
+        }
+        return [
+            part
+            for hosts in dict.fromkeys(last_asked.values())
+            if len(hosts) > 1
+            for part in split_chain(hosts)
+        ]
+
+
+def split_chain(hosts: tuple[str, ...]) -> list[tuple[str, ...]]:
+    """Return a chain of members as up to `PARTS_OF_CHAIN` chains, in order.
+
+    Examples
+    --------
+    >>> split_chain(("a", "b"))
+    [('a',), ('b',)]
+    >>> [len(part) for part in split_chain(("a",) * 50)]
+    [7, 7, 7, 7, 7, 7, 7, 1]
+    """
+    size = -(-len(hosts) // PARTS_OF_CHAIN)
+    return [hosts[start : start + size] for start in range(0, len(hosts), size)]
 
 
 class OpenSearch:
--- a/fuchsiapin/tests/drivenbalancer.py
+++ b/fuchsiapin/tests/drivenbalancer.py
@@ -54,6 +54,7 @@
         self.reasons: list[str] = []
         self.sent: list[ToPeer] = []
         self.first_hash = 0
+        self.denied = 0
         record = BalancerRecord("entry", now - age, "10.0.0.1", "z")
         self.core = make_flow_balancer_core(
             record, [], PlainPacketFormat(), self.report, random.Random(1)
@@ -120,10 +121,28 @@
         self.core.on_message(self.now, host, message)
         self.collect()
 
+    def searches(self) -> list[ToPeer]:
+        """Return the packets that were sent along members, in order."""
+        return [
+            effect
+            for effect in self.sent
+            if isinstance(effect.message, Forward) and effect.message.is_search
+        ]
+
     def deny(self) -> None:
-        """Receive the packet of the latest search back from its last member."""
-        forward = self.last(Forward)
-        host = [self.hosts_of(Forward)[-1], *forward.rest][-1]
+        """Receive the packets of all searches since the last call back.
+
+        The last member of each chain returns its packet.
+        """
+        searches = self.searches()
+        denied, self.denied = self.denied, len(searches)
+        for search in searches[denied:]:
+            self.deny_chain(search)
+
+    def deny_chain(self, search: ToPeer) -> None:
+        """Receive the packet of one chain back from its last member."""
+        forward = search.message
+        host = [search.host, *forward.rest][-1]
         hops = forward.hops + 1 + len(forward.rest)
         returned = Returned(
             forward.service, "unknown", hops, True, LOAD, forward.packet
--- a/fuchsiapin/tests/test_searching.py
+++ b/fuchsiapin/tests/test_searching.py
@@ -364,8 +364,7 @@
 
     def searches(self) -> int:
         """Return how many packets were sent along the members."""
-        sent = self.balancer.sent
-        return sum(isinstance(e.message, Forward) and e.message.is_search for e in sent)
+        return len(self.balancer.searches())
 
     def direct(self) -> list[str]:
         """Return the addresses to which packets were sent directly, in order."""
@@ -387,9 +386,11 @@
 
     def test_a_retransmission_starts_another_search(self) -> None:
         self.balancer.request()
+        self.assertEqual(self.searches(), 1)
         self.balancer.wait(200)
         self.balancer.request()
-        self.assertEqual(self.searches(), 2)
+        # No member has answered: each of the four is asked alone.
+        self.assertEqual(self.searches(), 1 + 4)
 
     def test_a_failed_search_ends_the_wait(self) -> None:
         self.balancer.search_in_vain()
