--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -196,6 +196,7 @@
             epoch=member.epoch,
         )
         if change == "started" and previous is not None:
+            self.confirm_incarnation(now)
             self.state.lose_flows(now)
             if previous.id != member.id and previous.state != "gone":
                 self.announcer.push_member(replace(previous, state="gone"))
@@ -204,6 +205,16 @@
         self.announcer.report_status(now)
         self.announcer.announce(now)
 
+    def confirm_incarnation(self, now: int) -> None:
+        """Probe which upstream runs here if its flows may be older than this process.
+
+        Its heartbeat may be a late one of an upstream that has ended.
+        """
+        is_young = now - self.state.started_at <= self.record.flow_ms
+        if is_young and not self.upstream.has_seen_all_flows:
+            self.probed_at = now
+            self.effects.append(Probe())
+
     def write_member(self, now: int) -> None:
         """Write the upstream's member to the store if it is ready."""
         member = self.upstream.member
@@ -246,12 +257,14 @@
         member_id : str
             Id of the upstream that answered.
         """
+        if member_id:
+            self.upstream.note_probed(member_id)
         if self.upstream.member is None:
             self.note_probe_of_unknown(now, outcome)
         if outcome == "closed":
             self.upstream.was_port_closed = True
-            if self.upstream.last_heartbeat_at > self.probed_at:
-                return  # started since the probe was sent
+            if self.upstream.last_heartbeat_at >= self.probed_at:
+                return  # it may have started since the probe was sent
             if not self.upstream.is_port_closed and self.upstream.member is not None:
                 self.report(
                     6204, member=self.upstream.member.id, flows=len(self.held.flows)
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -93,11 +93,13 @@
         successful probe.
     has_seen_all_flows : bool
         Whether this process ran before the incarnation started, so that it has
-        seen every flow. Derived from an earlier incarnation or a closed port,
-        because clocks may jump.
-    was_continued : bool
-        Whether an incarnation sent a second heartbeat to this process. A single one may
-        be a late one of an upstream that ended before this process started.
+        seen every flow. Derived from a closed port, or from probes that two upstreams
+        answered: clocks may jump, and heartbeats may be late ones of an upstream that
+        ended before this process started.
+    probed_id : str
+        Id of the first upstream that answered a probe, empty before.
+    was_replaced : bool
+        Whether another upstream answered a later probe.
     has_heartbeat : bool
         Whether `member` comes from a heartbeat; otherwise from a probe.
     last_heartbeat_at : int
@@ -127,7 +129,8 @@
         self.out_of_order = LateHeartbeats()
         self.unanswered_openings: list[int] = []
         self.has_heartbeat = False
-        self.was_continued = False
+        self.probed_id = ""
+        self.was_replaced = False
         self.is_port_closed = False
         self.was_port_closed = False
         self.closed_probes = 0
@@ -172,7 +175,6 @@
                 return "late"
         self.out_of_order = LateHeartbeats()
         self.note_alive(now)
-        self.was_continued = True
         self.sequence = heartbeat.sequence
         self.cold_until = now + heartbeat.cold_ms
         state = "draining" if heartbeat.is_draining else member.state
@@ -186,7 +188,7 @@
     def begin_incarnation(self, now: int, heartbeat: Heartbeat) -> str:
         """Apply the first heartbeat of an incarnation."""
         known = self.member
-        self.has_seen_all_flows = self.was_continued or self.was_port_closed
+        self.has_seen_all_flows = self.was_replaced or self.was_port_closed
         is_same = (
             known is not None and known.id == heartbeat.id and not self.has_heartbeat
         )
@@ -254,6 +256,15 @@
         """Count a probe of an upstream that isn't known yet."""
         self.closed_probes = self.closed_probes + 1 if is_closed else 0
 
+    def note_probed(self, member_id: str) -> None:
+        """Record which upstream answered a probe.
+
+        One that answers after another has started since this process did.
+        """
+        self.probed_id = self.probed_id or member_id
+        if member_id != self.probed_id:
+            self.was_replaced = self.has_seen_all_flows = True
+
     @property
     def is_absent(self) -> bool:
         """Return whether no upstream runs here, nor has since this process started."""
--- a/fuchsiapin/tests/test_resetproofs.py
+++ b/fuchsiapin/tests/test_resetproofs.py
@@ -402,6 +402,38 @@
         world.run(200)
         self.assertEqual((caller.answers, caller.resets), (1, 0))
 
+    def test_two_late_heartbeats_of_a_former_upstream_after_a_restart(self) -> None:
+        # review/3: they counted as proof that the living one started afterwards.
+        world, caller, host = world_with_flow(members=3)
+        upstream = world.upstreams[host]
+        former = replace(upstream.next_heartbeat(), id="former", born=1, sequence=900)
+        world.start_side(host)
+        later = replace(former, sequence=901)
+        for heartbeat in (former, later, upstream.next_heartbeat()):
+            world.side(host).on_heartbeat(world.now, heartbeat)
+            world.run_effects(host)
+            world.run(20)
+        for balancer in world.balancer_hosts:
+            world.start_balancer(balancer)
+        world.run(1_500)
+        caller.request(world.balancer_hosts[1])
+        world.run(3 * PROPAGATION_MS)
+        self.assertEqual((caller.answers, caller.resets), (1, 0))
+
+    def test_an_upstream_that_replaced_a_probed_one_has_no_older_flows(self) -> None:
+        world, _, host = world_with_flow(members=3)
+        upstream = world.upstreams[host]
+        world.start_side(host)
+        world.run(1_000)
+        side = world.side(host)
+        self.assertFalse(side.upstream.has_seen_all_flows)
+        upstream.restart()
+        side.on_heartbeat(world.now, upstream.next_heartbeat())
+        world.run_effects(host)
+        self.assertFalse(side.upstream.has_seen_all_flows)
+        world.run(20)
+        self.assertTrue(side.upstream.has_seen_all_flows)
+
     def test_a_closed_port_that_was_probed_before_the_upstream_started(self) -> None:
         world = settled_world(members=1)
         host, upstream = next(iter(world.upstreams.items()))
