Send long configurations to one balancer at a time

Callers would see: packets that wait behind a burst of parts on a balancer's link. All balancers that hear of a long configuration asked the first one that had it, which sent it to each of them at once: with 16 of them and two parts 1.9 MB.

Cause: nothing limited what one balancer sends, and several pulls of the same value could be under way before its first part arrived.

Change: a balancer sends a long object every 100 ms at most, a balancer that gets nothing in that time asks the next one, and a version that was pulled isn't pulled again meanwhile. The asked members of at most 20,000 flows are remembered.

All 959 tests pass.

--- a/fuchsiapin/daemons/flowbalancer.py
+++ b/fuchsiapin/daemons/flowbalancer.py
@@ -11,7 +11,7 @@
 from fuchsiapin.daemons.processends import run_process
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
 from fuchsiapin.flows.coldrates import ColdBounds
-from fuchsiapin.flows.gossip import BalancerRecord
+from fuchsiapin.flows.peerrecords import BalancerRecord
 
 if TYPE_CHECKING:
     from fuchsiapin.flows.adapter import FlowAdapter, FlowSettings
--- a/fuchsiapin/daemons/flowgathering.py
+++ b/fuchsiapin/daemons/flowgathering.py
@@ -11,8 +11,8 @@
 from fuchsiapin.daemons.httpcalls import HttpClient, HttpResponse
 from fuchsiapin.exceptions import MalformedObject, SettingsError
 from fuchsiapin.fields import shown
-from fuchsiapin.flows.gossip import BalancerRecord, read_stored_balancer
 from fuchsiapin.flows.members import FlowMember, read_stored_member
+from fuchsiapin.flows.peerrecords import BalancerRecord, read_stored_balancer
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.flows.storage import (
     BALANCERS,
--- a/fuchsiapin/flows/balancercore.py
+++ b/fuchsiapin/flows/balancercore.py
@@ -15,7 +15,6 @@
 from fuchsiapin.flows.balancerstate import BalancerState
 from fuchsiapin.flows.coldrates import NO_BOUNDS, ColdBounds
 from fuchsiapin.flows.flowcache import FlowCache
-from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import MemberView, read_load
 from fuchsiapin.flows.messages import (
     Ask,
@@ -35,6 +34,7 @@
 from fuchsiapin.flows.opening import FlowOpener
 from fuchsiapin.flows.pacing import LinkPacer, bytes_per_ms
 from fuchsiapin.flows.packets import Packet, PacketFormat, flow_name
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.routechecks import RouteCheck
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.flows.searching import HolderSearch
--- a/fuchsiapin/flows/balancerrecords.py
+++ b/fuchsiapin/flows/balancerrecords.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.flows.gossip import (
+from fuchsiapin.flows.gossip import Gossip
+from fuchsiapin.flows.peerrecords import (
     BalancerRecord,
-    Gossip,
     pack_balancer,
     read_stored_balancer,
 )
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -22,12 +22,7 @@
 from fuchsiapin.flows.evacuating import EvacuationKeeper
 from fuchsiapin.flows.evacuations import EVACUATIONS_PREFIX, EvacuatedZones
 from fuchsiapin.flows.following import StoreFollower
-from fuchsiapin.flows.gossip import (
-    CONFIGURATION_KEY,
-    BalancerRecord,
-    Gossip,
-    unpack_balancer,
-)
+from fuchsiapin.flows.gossip import CONFIGURATION_KEY, Gossip
 from fuchsiapin.flows.members import (
     FlowMember,
     MemberTable,
@@ -38,6 +33,7 @@
     unpack_member,
 )
 from fuchsiapin.flows.messages import Copy, Part, Status
+from fuchsiapin.flows.peerrecords import BalancerRecord, unpack_balancer
 from fuchsiapin.flows.pinging import Pinger
 from fuchsiapin.flows.routes import RouteTable, unpack_configuration
 from fuchsiapin.flows.storage import (
--- a/fuchsiapin/flows/gossip.py
+++ b/fuchsiapin/flows/gossip.py
@@ -7,27 +7,16 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
-import msgpack
-
-from fuchsiapin.exceptions import MalformedObject
-from fuchsiapin.fields import (
-    MAX_TIME_MS,
-    read_host,
-    read_text,
-    read_whole,
-    shown,
-)
 from fuchsiapin.flows.effects import ToPeer
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Era, Part, Pull
 from fuchsiapin.flows.parts import (
     PART_BYTES,
-    TRANSFER_MS,
     PartCollector,
     split_copy,
 )
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.peers import (
     DIGEST_MS,
     PUSH_PEERS,
@@ -38,18 +27,18 @@
     push_targets,
     starts_repair,
 )
-from fuchsiapin.lightclasses import dataclass
-from fuchsiapin.replicas import BUCKETS, Replicas, bucket_of, unpack_value
+from fuchsiapin.replicas import (
+    BUCKETS,
+    Replica,
+    Replicas,
+    bucket_of,
+    unpack_value,
+)
 from fuchsiapin.timers import Timers
 
 __all__ = [
     "CONFIGURATION_KEY",
-    "BalancerRecord",
     "Gossip",
-    "pack_balancer",
-    "read_balancer",
-    "read_stored_balancer",
-    "unpack_balancer",
 ]
 
 CONFIGURATION_KEY = "configuration/current"
@@ -58,108 +47,17 @@
 REPEATED_PREFIXES = ["coldrates/", "evacuations/"]
 """Prefixes of the few objects that the previous build refuses. They are left out of
 digests, which would differ for as long as both builds run, and sent again instead."""
-BALANCER_FIELDS = 5
 LIVE_PEER_MS = 2_000
 """A balancer that sent nothing for this long isn't counted as live."""
 WITHHELD_MS = 200
 """Time for which the set of objects that aren't offered is kept."""
+LONG_PAUSE_MS = 100
+"""Time between two long objects that this balancer sends, whoever asks, as they fill
+its link; meanwhile those that have it send it on."""
 MAX_PULL_BYTES = 120_000
 """Bytes after which the answer to one pull ends; the next digest fetches the rest."""
 
 
-@dataclass(frozen=True)
-class BalancerRecord:
-    """Record of one balancer, as stored and replicated.
-
-    Parameters
-    ----------
-    name : str
-        Name of the balancer.
-    started : int
-        Start of the process, ms since the epoch.
-    host, zone : str
-        Address and availability zone.
-    is_leaving : bool
-        Whether it is stopping.
-    """
-
-    name: str
-    started: int
-    host: str
-    zone: str
-    is_leaving: bool = False
-
-    @property
-    def version(self) -> int:
-        """Return a number that increases with each change of the record."""
-        return self.started * 2 + self.is_leaving
-
-
-def pack_balancer(record: BalancerRecord) -> bytes:
-    """Return a balancer record as bytes, for other processes."""
-    fields = (
-        record.name,
-        record.started,
-        record.host,
-        record.zone,
-        record.is_leaving,
-    )
-    return msgpack.packb(fields)
-
-
-def unpack_balancer(data: bytes) -> BalancerRecord:
-    """Return the balancer record in bytes from another process.
-
-    Raises
-    ------
-    MalformedObject
-        If the bytes hold no balancer record.
-    """
-    try:
-        fields = msgpack.unpackb(data)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise MalformedObject(f"balancer: {error!r}") from error
-    return read_balancer(fields)
-
-
-def read_balancer(fields: Any) -> BalancerRecord:
-    """Return a balancer record from its fields.
-
-    Raises
-    ------
-    MalformedObject
-        If a field has an invalid value.
-    """
-    if not isinstance(fields, list | tuple) or len(fields) != BALANCER_FIELDS:
-        raise MalformedObject(
-            f"balancer {shown(fields)} has no {BALANCER_FIELDS} fields"
-        )
-    name, started, host, zone, is_leaving = fields
-    if not isinstance(is_leaving, bool):
-        raise MalformedObject(f"leaving flag {shown(is_leaving)} is not a truth value")
-    return BalancerRecord(
-        read_text(name, "name"),
-        read_whole(started, "start", highest=MAX_TIME_MS),
-        read_host(host, "address"),
-        read_text(zone, "zone", is_empty_allowed=True),
-        is_leaving,
-    )
-
-
-def read_stored_balancer(name: str, fields: Any) -> BalancerRecord:
-    """Return the record in the object that the store has under a name.
-
-    Raises
-    ------
-    MalformedObject
-        If a field has an invalid value, or the name isn't that of the balancer.
-    """
-    record = read_balancer(fields)
-    if record.name != name:
-        raise MalformedObject(f"name {record.name!r} is not that of the object")
-    return record
-
-
 class Gossip:
     """Replicates the shared state between this balancer and the others.
 
@@ -222,6 +120,8 @@
         self.replicas = Replicas()
         self.parts = PartCollector()
         self.asked_configuration = 0, 0
+        self.pulled_configuration = 0, 0
+        self.sent_long_at = 0
         self.peers: dict[str, Peer] = {}
         self.store_synced_at = 0
         self.was_in_step = False
@@ -401,8 +301,8 @@
     def is_wanted(self, now: int, configuration: int) -> bool:
         """Return whether to ask for the configuration that another balancer has.
 
-        One balancer is asked at a time. A configuration that it sends in one datagram
-        is usually on the way already.
+        One balancer is asked at a time, the next one if nothing arrives from it. A
+        configuration of one datagram is usually on the way already.
         """
         if configuration <= self.version(CONFIGURATION_KEY):
             return False
@@ -411,7 +311,7 @@
             configuration
         )
         if is_arriving or (
-            asked_version == configuration and now - asked_at <= TRANSFER_MS
+            asked_version == configuration and now - asked_at <= LONG_PAUSE_MS
         ):
             return False
         self.asked_configuration = configuration, now
@@ -428,13 +328,26 @@
         ]
         replicas = self.replicas.in_buckets(ALL_PREFIXES, indexes)
         known = {key: replica.version for key, replica in replicas.items()}
-        for key in self.parts.transfers:
-            if bucket_of(key) in indexes:
-                arriving = self.parts.arriving_version(now, key)
-                known[key] = max(known.get(key, 0), arriving)
+        if bucket_of(CONFIGURATION_KEY) in indexes:
+            own = known.get(CONFIGURATION_KEY, 0)
+            known[CONFIGURATION_KEY] = max(own, self.expected_version(now, host))
         pull = Pull(indexes, list(known), list(known.values()))
         self.effects.append(ToPeer(host, pull))
 
+    def expected_version(self, now: int, host: str) -> int:
+        """Return the version of the configuration that is on the way, 0 if none is.
+
+        If none is, it is now pulled from the balancer at an address.
+        """
+        version, pulled_at = self.pulled_configuration
+        if now - pulled_at > LONG_PAUSE_MS:
+            version = 0
+        version = max(version, self.parts.arriving_version(now, CONFIGURATION_KEY))
+        peer = self.peers.get(host)
+        if peer is not None and peer.configuration > version:
+            self.pulled_configuration = peer.configuration, now
+        return version
+
     def on_pull(self, now: int, host: str, message: Pull) -> None:
         """Send the objects that are newer here than at the requesting balancer."""
         self.note_message(now, host)
@@ -446,11 +359,21 @@
         for key, replica in self.replicas.in_buckets(
             ALL_PREFIXES, message.places
         ).items():
-            if replica.version > theirs.get(key, 0) and key not in withheld:
+            is_newer = replica.version > theirs.get(key, 0) and key not in withheld
+            if is_newer and self.may_send(now, replica):
                 sent += self.send_copy(host, key)
             if sent > MAX_PULL_BYTES:
                 return
 
+    def may_send(self, now: int, replica: Replica) -> bool:
+        """Return whether to send an object now: long ones at intervals only."""
+        if len(replica.packed) <= PART_BYTES:
+            return True
+        if now - self.sent_long_at < LONG_PAUSE_MS:
+            return False
+        self.sent_long_at = now
+        return True
+
     def collect(self, now: int, message: Part) -> Copy | None:
         """Keep a part of an object; return the object once it is whole, if it is newer.
 
--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -52,6 +52,9 @@
 MAX_WAITING_PACKETS = 16
 """Maximum number of packets of a flow that wait; callers send no more before an
 acknowledgement."""
+MAX_STEPS = 20_000
+"""Maximum number of flows for which the asked members are remembered; about 1 KB each
+where a service has a dozen members."""
 STEP_MS = 3_000
 """How long the members that were asked for a flow are remembered; callers retransmit
 at most 1.6 s apart."""
@@ -100,7 +103,7 @@
         self.failed_searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
         self.open_searches = FlowCache(MAX_SEARCHES, OPEN_SEARCH_MS)
-        self.steps = FlowCache(MAX_SEARCHES, STEP_MS)
+        self.steps = FlowCache(MAX_STEPS, STEP_MS)
         self.unresponsive_hosts: dict[str, int] = {}
         self.splits = 0
         self.splits_since = 0
--- a/fuchsiapin/flowsnapshot.py
+++ b/fuchsiapin/flowsnapshot.py
@@ -7,9 +7,9 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.fields import MAX_VERSION, read_number
-from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.opening import ZONES_EVACUATED
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.phrases import count, join_first_words
 
--- a/fuchsiapin/tests/drivenbalancer.py
+++ b/fuchsiapin/tests/drivenbalancer.py
@@ -6,10 +6,10 @@
 
 from fuchsiapin.flows.balancercore import make_flow_balancer_core
 from fuchsiapin.flows.effects import ToPeer
-from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.messages import Ask, Forward, Held, Known, Returned
 from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.tests.flowactors import (
     ACK,
--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -9,7 +9,7 @@
 from fuchsiapin.flows import storage
 from fuchsiapin.flows.balancercore import FlowBalancerCore, make_flow_balancer_core
 from fuchsiapin.flows.effects import Probe, ToCaller, ToPeer, ToStore, ToUpstream
-from fuchsiapin.flows.gossip import BalancerRecord
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.routes import FlowConfiguration, FlowRoute
 from fuchsiapin.flows.sidecore import FlowSideCore, SideSettings, make_flow_side_core
 from fuchsiapin.flows.storage import StoreResult
--- a/fuchsiapin/tests/test_flowsnapshot.py
+++ b/fuchsiapin/tests/test_flowsnapshot.py
@@ -11,10 +11,10 @@
 
 from fuchsiapin.daemons.commandresults import ExitCode
 from fuchsiapin.daemons.flowcommandresults import FLOW_RESULTS
-from fuchsiapin.flows.gossip import BalancerRecord
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.metrics import render_counts
 from fuchsiapin.flows.opening import ZONES_EVACUATED
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.flowsnapshot import (
     BalancerMetrics,
--- a/fuchsiapin/tests/test_longvalues.py
+++ b/fuchsiapin/tests/test_longvalues.py
@@ -5,7 +5,7 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.balancerstate import STALE_MS, WATCHERS
-from fuchsiapin.flows.gossip import CONFIGURATION_KEY
+from fuchsiapin.flows.gossip import CONFIGURATION_KEY, LONG_PAUSE_MS
 from fuchsiapin.flows.messages import Buckets, Copy, Digest, Part, Pull
 from fuchsiapin.flows.packets import endpoint
 from fuchsiapin.flows.parts import (
@@ -16,6 +16,7 @@
     split_copy,
 )
 from fuchsiapin.flows.routes import FlowRoute
+from fuchsiapin.replicas import bucket_of
 from fuchsiapin.tests.drivenbalancer import DrivenBalancer
 from fuchsiapin.tests.flowactors import SERVICE, make_route
 from fuchsiapin.tests.flowworld import FlowWorld, settled_world
@@ -144,10 +145,22 @@
             versions = dict(zip(pull.keys, pull.versions, strict=True))
             self.assertEqual(versions[CONFIGURATION_KEY], version)
 
+    def test_a_balancer_sends_one_long_object_at_a_time(self) -> None:
+        balancer = DrivenBalancer(peers=2)
+        gossip = balancer.core.state.gossip
+        value = random.Random(1).randbytes(150_000)
+        gossip.replicas.put(CONFIGURATION_KEY, 7, value)
+        pull = Pull([bucket_of(CONFIGURATION_KEY)], [], [])
+        for wait, parts in ((0, 3), (LONG_PAUSE_MS - 1, 3), (1, 6)):
+            balancer.wait(wait)
+            for host in balancer.peers:
+                balancer.receive(host, pull)
+            self.assertEqual(balancer.counts()["Part"], parts)
+
     def test_one_balancer_at_a_time_is_asked_for_a_newer_configuration(self) -> None:
         balancer = DrivenBalancer(peers=2)
         digest = Digest("entry-2", "z", 7, 7, 0)
-        for wait, asked in ((0, 1), (TRANSFER_MS, 1), (1, 2)):
+        for wait, asked in ((0, 1), (LONG_PAUSE_MS, 1), (1, 2)):
             balancer.sent.clear() if not wait else balancer.wait(wait)
             for host in balancer.peers:
                 balancer.receive(host, digest)
--- a/fuchsiapin/tests/test_oddentries.py
+++ b/fuchsiapin/tests/test_oddentries.py
@@ -55,7 +55,7 @@
 from fuchsiapin.daemons.shell import Shell
 from fuchsiapin.exceptions import MalformedEnvelope, ObjectApiError
 from fuchsiapin.faults import render_faults
-from fuchsiapin.flows.gossip import BalancerRecord
+from fuchsiapin.flows.peerrecords import BalancerRecord
 from fuchsiapin.flows.storage import StoredItem, StoreResult
 from fuchsiapin.flowsnapshot import (
     BalancerMetrics,
--- a/fuchsiapin/tests/test_oddmessages.py
+++ b/fuchsiapin/tests/test_oddmessages.py
@@ -14,7 +14,6 @@
 from fuchsiapin.flows.effects import ToCaller, ToPeer, ToStore
 from fuchsiapin.flows.erakeeping import UNCONFIRMED_MS
 from fuchsiapin.flows.evacuations import evacuation_version
-from fuchsiapin.flows.gossip import BalancerRecord, pack_balancer
 from fuchsiapin.flows.inquiries import Inquiry
 from fuchsiapin.flows.members import (
     MAX_EPOCH,
@@ -41,6 +40,7 @@
     Status,
 )
 from fuchsiapin.flows.packets import endpoint
+from fuchsiapin.flows.peerrecords import BalancerRecord, pack_balancer
 from fuchsiapin.flows.routes import FlowConfiguration, pack_configuration
 from fuchsiapin.flows.searchstate import FailedSearch
 from fuchsiapin.flows.wire import TYPE_NUMBERS, decode_message, encode_message
