--- a/fuchsiapin/flows/searching.py
+++ b/fuchsiapin/flows/searching.py
@@ -31,6 +31,7 @@
     search_number,
 )
 from fuchsiapin.flows.sending import PacketSender
+from fuchsiapin.flows.unanswered import UnansweredSearches
 from fuchsiapin.lightclasses import replace
 
 __all__ = ["HolderSearch"]
@@ -52,19 +53,8 @@
 MAX_WAITING_PACKETS = 16
 """Maximum number of packets of a flow that wait; callers send no more before an
 acknowledgement."""
-MAX_STEPS = 20_000
-"""Maximum number of flows for which the asked members are remembered; about 1 KB each
-where a service has a dozen members."""
-STEP_MS = 3_000
-"""How long the members that were asked for a flow are remembered; callers retransmit
-at most 1.6 s apart."""
-UNRESPONSIVE_MS = 1_000
-"""How long a member that didn't answer in a search is asked after the others."""
-SPLITS_MS = 100
-MAX_SPLITS = 20
-"""Most searches in `SPLITS_MS` that are continued without an answer, so that late
-answers of all members don't add to what makes them late."""
 MAX_REPORTED_HOSTS = 8
+"""Maximum number of members that one event names."""
 LEFT_FLOW_MS = 5_000
 """How long a flow is remembered whose holder left, with the holder's address."""
 
@@ -103,10 +93,7 @@
         self.failed_searches = FlowCache(MAX_SEARCHES, SEARCH_MS)
         self.left_flows = FlowCache(MAX_SEARCHES, LEFT_FLOW_MS)
         self.open_searches = FlowCache(MAX_SEARCHES, OPEN_SEARCH_MS)
-        self.steps = FlowCache(MAX_STEPS, STEP_MS)
-        self.unresponsive_hosts: dict[str, int] = {}
-        self.splits = 0
-        self.splits_since = 0
+        self.unanswered = UnansweredSearches()
 
     def find_holder(
         self, now: int, packet: Packet, route: FlowRoute, excluded_host: str = ""
@@ -178,7 +165,7 @@
         alone = []
         for view in views:
             host = view.member.host
-            if self.is_unresponsive(now, host):
+            if self.unanswered.is_unresponsive(now, host):
                 alone.append([host])
             else:
                 by_zone.setdefault(view.member.zone, []).append(host)
@@ -195,7 +182,7 @@
         host = chains[0][0]
         first = self.table.by_host(host)
         is_own = first is not None and first.member.zone == self.state.record.zone
-        if is_own and not self.is_unresponsive(now, host):
+        if is_own and not self.unanswered.is_unresponsive(now, host):
             chains = chains[:1]
         later = search.next_chains[len(chains) :]
         step = SearchStep(replace(search, next_chains=later))
@@ -211,8 +198,7 @@
         """Send a packet along some chains, and remember them."""
         for hosts in chains:
             self.send_search(now, packet, step.search.service, hosts, step)
-        self.steps.expire(now)
-        self.steps.put(packet.flow, step, now)
+        self.unanswered.remember(now, packet.flow, step)
 
     def continue_without_answer(self, now: int, packet: Packet) -> bool:
         """Continue a search with the next packet of its flow; return whether it was.
@@ -222,14 +208,9 @@
         answer was asked alone. Such members are asked after the others for a while;
         their silence tells nothing of the flow, so a search without them is no proof.
         """
-        step = self.steps.get(packet.flow, now)
-        if step is None or step.is_done or not step.waiting_hosts:
+        step = self.unanswered.take_overdue(now, packet.flow)
+        if step is None:
             return False
-        if now - self.splits_since >= SPLITS_MS:
-            self.splits_since, self.splits = now, 0
-        if self.splits >= MAX_SPLITS:
-            return False
-        self.splits += 1
         parts = step.overdue_parts()
         search = replace(step.search, is_repeated=False)
         if parts:
@@ -238,7 +219,7 @@
             self.send_step(now, packet, step, [*parts, *search.next_chains])
             return True
         step.is_done = True
-        self.note_unresponsive(now, packet, step)
+        self.report_unresponsive(now, packet, step)
         if not search.remaining_services:
             return False
         waiting = [self.table.by_host(host) for host in step.waiting_hosts]
@@ -247,10 +228,9 @@
         self.ask_members(now, packet, replace(search, asked_ids=asked_ids))
         return True
 
-    def note_unresponsive(self, now: int, packet: Packet, step: SearchStep) -> None:
-        """Record the members that don't answer in a search."""
-        for host in step.waiting_hosts:
-            self.unresponsive_hosts[host] = now
+    def report_unresponsive(self, now: int, packet: Packet, step: SearchStep) -> None:
+        """Record and report the members that don't answer in a search."""
+        self.unanswered.note_unresponsive(now, step.waiting_hosts)
         self.report(
             6108,
             flow=flow_name(packet.flow),
@@ -259,11 +239,6 @@
             members=len(step.search.asked_ids),
         )
 
-    def is_unresponsive(self, now: int, host: str) -> bool:
-        """Return whether a member didn't answer in a recent search."""
-        since = self.unresponsive_hosts.get(host)
-        return since is not None and now - since <= UNRESPONSIVE_MS
-
     def send_search(
         self,
         now: int,
@@ -297,9 +272,9 @@
         """Record that a member holds a flow, and send it the packets that wait."""
         self.failed_searches.remove(flow)
         self.left_flows.remove(flow)
-        self.steps.remove(flow)
+        self.unanswered.forget(flow)
         search = self.open_searches.get(flow, now)
-        self.unresponsive_hosts.pop(host, None)
+        self.unanswered.note_answers([host])
         if search is None:
             return
         self.open_searches.remove(flow)
@@ -340,8 +315,7 @@
         if step is None or not step.search.asked_ids:
             return
         self.searches.remove(key)
-        for denying_host in step.chains.get(number, ()):
-            self.unresponsive_hosts.pop(denying_host, None)
+        self.unanswered.note_answers(step.chains.get(number, ()))
         step.note_returned(number)
         if step.waiting_hosts or step.is_done:
             return
--- a/fuchsiapin/tests/test_silentmembers.py
+++ b/fuchsiapin/tests/test_silentmembers.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from fuchsiapin.flows.searching import (
+from fuchsiapin.flows.searchstate import Search, SearchStep
+from fuchsiapin.flows.unanswered import (
     MAX_SPLITS,
     SPLITS_MS,
     STEP_MS,
     UNRESPONSIVE_MS,
 )
-from fuchsiapin.flows.searchstate import Search, SearchStep
 from fuchsiapin.tests.drivenbalancer import DrivenBalancer, make_member
 from fuchsiapin.tests.flowactors import Caller
 from fuchsiapin.tests.flowworld import FlowWorld, open_flow, settled_world
@@ -160,8 +160,10 @@
         self.assertEqual((balancer.asked(), balancer.reasons), ([], []))
 
     def test_few_searches_are_continued_at_a_time(self) -> None:
-        self.balancer.core.search.splits_since = self.balancer.now + RETRANSMIT_MS
-        self.balancer.core.search.splits = MAX_SPLITS
+        self.balancer.core.search.unanswered.splits_since = (
+            self.balancer.now + RETRANSMIT_MS
+        )
+        self.balancer.core.search.unanswered.splits = MAX_SPLITS
         self.balancer.request()
         chain = " ".join(self.hosts())
         self.assertEqual(self.retransmit(), [chain])
