--- a/fuchsiapin/tests/test_longvalues.py
+++ b/fuchsiapin/tests/test_longvalues.py
@@ -86,6 +86,14 @@
         # The watches of the three that watch anyway.
         self.assertLessEqual(sum(self.world.store.calls.values()) - calls, WATCHERS)
 
+    def test_a_balancer_that_starts_while_the_store_is_away_gets_it(self) -> None:
+        self.grow(2)
+        self.world.run(CONFIG_APPLY_MS)
+        self.world.store.state.is_up = False
+        self.world.start_balancer(self.world.balancer_hosts[0])
+        self.world.run(1_000)
+        self.assertEqual(versions(self.world), [2] * BALANCERS)
+
     def test_lost_parts_are_sent_again(self) -> None:
         self.world.loss_rate = 0.3
         self.grow(2)
--- a/fuchsiapin/tests/test_routechecks.py
+++ b/fuchsiapin/tests/test_routechecks.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiapin.flows.gossip import LIVE_PEER_MS
 from fuchsiapin.flows.messages import Ask, Digest, Known
 from fuchsiapin.flows.routechecks import ANSWER_MS
 from fuchsiapin.flows.routes import FlowConfiguration
@@ -62,6 +63,25 @@
             world.run(50)
             self.assertEqual(caller.resets, resets)
 
+    def test_a_dead_balancer_delays_the_reset_until_it_counts_as_dead(self) -> None:
+        world = settled_world(balancers=4)
+        route = make_route(port=444)
+        former = world.routes
+        world.routes = (*former, route)
+        world.configure(2)
+        world.run(500)
+        caller = world.caller(route)
+        caller.open(world.balancer_hosts[0])
+        world.run(50)
+        world.routes = former
+        world.configure(3)
+        world.run(1_000)
+        world.kill(world.balancer_hosts[3])
+        for wait, resets in ((100, 0), (LIVE_PEER_MS, 0), (100, 1)):
+            caller.request(world.balancer_hosts[0])
+            world.run(wait)
+            self.assertEqual(caller.resets, resets)
+
 
 class RouteAnswerTest(unittest.TestCase):
     """Which answers of other balancers allow the reset."""
