--- a/review/bed.py
+++ b/review/bed.py
@@ -25,7 +25,19 @@
 
 from soak.store import StoreStandIn  # noqa: E402
 
-__all__ = ["Bed", "CallerHost", "Process", "Upstream", "run_case"]
+__all__ = [
+    "BROKEN",
+    "HELD",
+    "NOT_RUN",
+    "Bed",
+    "CallerHost",
+    "Process",
+    "Upstream",
+    "call_once",
+    "most_in_a_second",
+    "run_case",
+    "send_traffic",
+]
 
 HEADER = struct.Struct(">IB5s4s6s6sIIH")
 """Fields: echo, flags, pad, sum, destination, source, seq, ack, len."""
@@ -37,6 +49,7 @@
 OPENING_S = 1.4
 """Time after which a caller gives up to open a flow."""
 RETRANSMIT_S = 0.2
+DEADLINE_S = 1.5
 PROBE_S = 0.5
 RESTART_S = 0.3
 """Delay until the platform starts a process again that has ended."""
@@ -177,11 +190,11 @@
         self.service = service
         self.zone = zone
         self.work_s = work_s
-        self.cold_s = cold_s
         self.name = name or f"i-{bed.rng.getrandbits(32):08x}"
         self.born_s = time.time()
         self.sequence = 0
         self.state = "ready"
+        self.cold_until_s = self.born_s + cold_s
         self.slots = asyncio.Semaphore(bed.slots)
         self.flows: dict[bytes, dict] = {}
         self.taken: list[tuple[float, float, bytes]] = []
@@ -214,7 +227,7 @@
     @property
     def cold_left_s(self) -> float:
         """Return for how much longer it is cold."""
-        return max(0.0, self.cold_s - (time.time() - self.born_s))
+        return max(0.0, self.cold_until_s - time.time())
 
     async def on_health_check(self, reader: Any, writer: Any) -> None:
         """Answer one health check."""
@@ -251,6 +264,12 @@
         path = f"/fuchsiapin/instances/{self.name}/{verb}"
         return await call_http(*self.control, "POST", path, body, ACK_TIMEOUT_S)
 
+    async def await_heartbeat(self, sequence: int = 0) -> None:
+        """Wait until a heartbeat with this number was sent, by default the next one."""
+        sequence = sequence or self.sequence + 1
+        while self.sequence < sequence:
+            await asyncio.sleep(0.005)
+
     async def send_heartbeat(self) -> int:
         """Send a heartbeat; return the status of the response."""
         return await self.post("heartbeat", self.heartbeat_body())
@@ -415,6 +434,52 @@
                 event.set()
 
 
+async def call_once(
+    bed: "Bed", callers: CallerHost, route: tuple[str, int], body: bytes
+) -> str:
+    """Make one request on a flow of its own; return its outcome."""
+    state = callers.open_flow(route)
+    outcome = await callers.connect(state)
+    if outcome == "open":
+        outcome = await callers.request(state, body, DEADLINE_S)
+        callers.close(state)
+    bed.note_quietly(f"{body.decode()} is {outcome}")
+    return outcome
+
+
+async def send_traffic(
+    bed: "Bed",
+    callers: CallerHost,
+    route: tuple[str, int],
+    flows_per_s: float,
+    duration_s: float,
+) -> list[str]:
+    """Make requests at random intervals; return their outcomes."""
+    calls = []
+    due = time.monotonic()
+    end = due + duration_s
+    while due < end:
+        body = f"request-{len(calls)}-of-{callers.host.split('.')[-1]}".encode()
+        calls.append(asyncio.create_task(call_once(bed, callers, route, body)))
+        due += bed.rng.expovariate(flows_per_s)
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+    return list(await asyncio.gather(*calls))
+
+
+def most_in_a_second(
+    taken: list[tuple[float, float, bytes]], since: float, until: float
+) -> int:
+    """Return the most openings sent and taken within one second of a span of time."""
+    found = [(sent, at) for sent, at, _ in taken if since <= sent and at <= until]
+    return max(
+        (
+            sum(sent >= start and at <= start + 1.0 for sent, at in found)
+            for start, _ in found
+        ),
+        default=0,
+    )
+
+
 class Bed:
     """The deployment of one case.
 
