--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 from bed import BROKEN, HELD, NOT_RUN, Bed, CallerHost, Upstream, run_case  # noqa: E402
 
 WORK_S = 0.029
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.18.0.1", 443)
 DRAIN_S = 3.0
 CUT_S = 2.0
 """Time for which the old upstream waits in vain, and for which it is cut off."""
--- a/review/bed.py
+++ b/review/bed.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -374,6 +375,7 @@
     async def connect(self, state: dict) -> str:
         """Open a flow; return `open`, `reset` or `silent`."""
         begin = time.monotonic()
+        self.bed.note_quietly(f"flow {state['flow'].hex()} is requested")
         for copy, pause in enumerate((*OPENING_COPIES_S[1:], OPENING_S)):
             self.bed.sent_at[state["flow"], copy] = time.monotonic()
             self.send(state, SYN, state["seq"], copy, b"")
@@ -394,6 +396,8 @@
     async def request(self, state: dict, body: bytes, deadline_s: float) -> str:
         """Send a request on an open flow; return `served`, `reset` or `silent`."""
         answered = state["answers"].setdefault(b"answer to " + body, asyncio.Event())
+        name = f"{body.decode()} on {state['flow'].hex()}"
+        self.bed.note_quietly(f"{name} is sent")
         end = time.monotonic() + deadline_s
         pause = RETRANSMIT_S
         seq = state["seq"] + 1
@@ -404,9 +408,11 @@
                 break
             pause *= 2
         state["seq"] += len(body)
+        outcome = "reset" if state["reset"].is_set() else "silent"
         if answered.is_set():
-            return "served"
-        return "reset" if state["reset"].is_set() else "silent"
+            outcome = "served"
+        self.bed.note_quietly(f"{name} is {outcome}")
+        return outcome
 
     def close(self, state: dict) -> None:
         """Close a flow."""
@@ -443,7 +449,6 @@
     if outcome == "open":
         outcome = await callers.request(state, body, DEADLINE_S)
         callers.close(state)
-    bed.note_quietly(f"{body.decode()} is {outcome}")
     return outcome
 
 
@@ -691,6 +696,7 @@
         for name, text_name in ((self.network, "net"), (str(self.folder), "folder")):
             text = text.replace(name, text_name)
         (self.case_folder / "record.txt").write_text(text + "\n")
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(play: Callable[[bool], Awaitable[int]]) -> None:
