--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,6 +21,8 @@
 1.4, 3.0 and 6.2 s after the first time."""
 SETTLED_S = 1.0
 FLOWS = 24
+OTHER_VMS = 4
+"""VMs of another service; with them, one backend of six is cut off."""
 
 
 class HeldLink:
@@ -85,8 +87,12 @@
 
 async def play(has_trouble: bool) -> int:
     """Play the case; return its status."""
-    services = [{"Name": "swapdesk", "HealthPath": "/health", "MaxConns": 2000}]
-    bed = Bed(FOLDER, services, [(*ROUTE, "swapdesk", "safe")])
+    services = [
+        {"Name": name, "HealthPath": "/health", "MaxConns": 2000}
+        for name in ("swapdesk", "intake")
+    ]
+    routes = [(*ROUTE, "swapdesk", "safe"), (ROUTE[0], 444, "intake", "upload")]
+    bed = Bed(FOLDER, services, routes)
     try:
         bed.configure()
         for zone in ("bole", "arada"):
@@ -94,6 +100,7 @@
         for number in (1, 2):
             bed.add_side(number, "swapdesk", "bole")
             await bed.add_upstream(number, "swapdesk", "bole", WORK_S)
+        await bed.add_others(3, OTHER_VMS)
         callers = CallerHost(bed, bed.address(200))
         await callers.start()
         await bed.until_ready()
--- a/review/bed.py
+++ b/review/bed.py
@@ -655,6 +655,14 @@
         self.upstreams.append(upstream)
         return upstream
 
+    async def add_others(self, first: int, count: int) -> None:
+        """Start VMs of the service `intake`, which gets no requests here."""
+        zones = sorted({process.settings["zone"] for process in self.balancers})
+        for number in range(first, first + count):
+            zone = zones[number % len(zones)]
+            self.add_side(number, "intake", zone)
+            await self.add_upstream(number, "intake", zone, 0.005)
+
     async def probe(self, host: str) -> None:
         """Probe the readiness of a balancer, as the routers do."""
         while True:
