--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,8 @@
 
 WORK_S = 0.029
 ROUTE = ("127.18.0.1", 443)
-DRAIN_S = 3.0
+DRAIN_S = 5.0
+"""`DrainMs`."""
 CUT_S = 2.0
 """Time for which the old upstream waits in vain, and for which it is cut off."""
 HELD_S = 6.2
--- a/review/bed.py
+++ b/review/bed.py
@@ -589,7 +589,7 @@
                 for number, (host, port, service, kind) in enumerate(self.routes)
             ],
             "Services": self.services,
-            "Limits": {"IdleTimeoutMs": 12_000},
+            "Limits": {"IdleTimeoutMs": 15_000},
         }
         self.store.put("config", "main", spec)
         self.note(f"configuration {self.version} is written")
