Apply a late deregistration to the start that it names only

Cause: a deregistration was read without the start that it names, so one that was delayed behind a cut marked the restarted upstream of the same id as gone; and no later heartbeat of that upstream took this back. Balancers that had started since never heard of it, and took the denials of all others for proof.

Change: a notice that names the known start counts at once, as before; one of an earlier start is ignored while the present one sends heartbeats. Any other one stops new flows until a closed port, another upstream or missing heartbeats confirm it, or a healthy answer refutes it. An upstream that is taken for gone returns with a higher epoch when it speaks and a probe finds it. New events 6219 and 6220 tell both starts and the decision.

The soak restarts every third replaced upstream under its id.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -102,7 +102,7 @@
         if message is None:
             return Reply(404, b"{}")
         if isinstance(message, LeaveNotice):
-            is_handled = self.feed(self.core.on_leave, message.id)
+            is_handled = self.feed(self.core.on_leave, message.id, message.born)
             return Reply(200 if is_handled else 503, b"{}")
         reason = foreign_reason(self.settings, self.latest_time(), message)
         if reason:
@@ -132,10 +132,13 @@
 
         It may after `MAX_STOP_MS`. Before, it may once the store is up to date if the
         upstream is gone, else once no request is unanswered and no packet was forwarded
-        to this process for `IN_TRANSIT_MS`.
+        to this process for `IN_TRANSIT_MS`. It waits for the decision whether the
+        upstream left.
         """
         if elapsed_ms >= MAX_STOP_MS:
             return True
+        if self.core.upstream.leave_noticed_at:
+            return False
         member = self.core.upstream.member
         is_gone = member is None or member.state == "gone"
         if is_gone:
--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -147,7 +147,8 @@
         6201,
         "upstream changed",
         "info",
-        "The upstream of this VM started, changed its state, or left.",
+        "The upstream of this VM started, changed its state, left, or returned though "
+        "it was taken for gone.",
         NO_ACTION,
         (MEMBER, STATE, Field("change"), Field("epoch", "integer")),
     ),
@@ -296,6 +297,32 @@
         ),
         is_rate_limited=True,
     ),
+    Event(
+        6219,
+        "leave notice not applied",
+        "warning",
+        "A notice that an upstream leaves isn't of the incarnation that runs here, or "
+        "may not be. `born` is the start that it names, 0 for none, `known_born` that "
+        "of the known incarnation. With the verdict `unclear` the upstream takes no "
+        "new flows until a health check or missing heartbeats decide.",
+        "If it persists: find out which upstream sends it late.",
+        (
+            MEMBER,
+            Field("born", "integer"),
+            Field("known_born", "integer"),
+            Field("verdict"),
+        ),
+        is_rate_limited=True,
+    ),
+    Event(
+        6220,
+        "leave notice dropped",
+        "info",
+        "The upstream is healthy, or sends heartbeats for long, after a notice that it "
+        "leaves, which another incarnation had sent. It takes new flows again.",
+        NO_ACTION,
+        (MEMBER, STATE),
+    ),
     Event(
         6301,
         "message refused",
--- a/fuchsiapin/flows/adapter.py
+++ b/fuchsiapin/flows/adapter.py
@@ -84,9 +84,18 @@
 
 @dataclass(frozen=True)
 class LeaveNotice:
-    """Notice of an upstream that it leaves; platforms may call it deregistration."""
+    """Notice of an upstream that it leaves; platforms may call it deregistration.
+
+    Parameters
+    ----------
+    id : str
+        Id of the upstream.
+    born : int or None
+        Time of its start by the VM's clock, ms since the epoch, None if it isn't told.
+    """
 
     id: str
+    born: int | None = None
 
 
 class FlowAdapter(Protocol):
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -15,6 +15,7 @@
 from fuchsiapin.flows.effects import Probe
 from fuchsiapin.flows.eras import StoreEra
 from fuchsiapin.flows.evacuations import era_error
+from fuchsiapin.flows.leaving import LeaveDecision
 from fuchsiapin.flows.members import FlowMember
 from fuchsiapin.flows.messages import ColdLimit, Evacuation, Forward, Ping
 from fuchsiapin.flows.packets import PacketFormat
@@ -75,6 +76,9 @@
         self.announcer = Announcer(self.state)
         self.delivery = FlowDelivery(self.state, packet_format, self.announcer.zone_of)
         self.writer = ObjectWriter(MEMBERS, self.timers, self.effects, rng)
+        self.leaving = LeaveDecision(
+            self.state, self.announcer, self.writer, self.probe, self.on_return
+        )
         self.era = StoreEra()
         self.probed_at = 0
         self.is_review_scheduled = False
@@ -88,8 +92,7 @@
     def start(self, now: int) -> None:
         """Probe the upstream and start the periodic checks."""
         self.state.started_at = now
-        self.effects.append(Probe())
-        self.probed_at = now
+        self.probe(now)
         self.tick(now)
 
     def stop(self, now: int) -> None:
@@ -99,6 +102,10 @@
 
     def on_suspended(self, now: int) -> None:
         """Probe the upstream after the process was suspended."""
+        self.probe(now)
+
+    def probe(self, now: int) -> None:
+        """Check the health of the upstream."""
         self.probed_at = now
         self.effects.append(Probe())
 
@@ -178,6 +185,8 @@
         change = self.upstream.apply_heartbeat(now, heartbeat)
         if change in ("started", "changed"):
             self.on_upstream_change(now, change, previous)
+        elif change == "disputed" and now - self.probed_at > MIN_PROBE_INTERVAL_MS:
+            self.probe(now)
         self.held.times.set_slots(self.state.slots)
         self.held.times.cold_until = self.upstream.cold_until
         return change
@@ -212,8 +221,7 @@
         """
         is_young = now - self.state.started_at <= self.record.flow_ms
         if is_young and not self.upstream.has_seen_all_flows:
-            self.probed_at = now
-            self.effects.append(Probe())
+            self.probe(now)
 
     def write_member(self, now: int) -> None:
         """Write the upstream's member to the store if it is ready."""
@@ -231,18 +239,16 @@
         ]
         self.writer.put(now, member.id, value, is_new=not self.writer.written_at)
 
-    def on_leave(self, now: int, member_id: str) -> bool:
-        """Mark an upstream that leaves as gone; return whether it is the known one."""
-        member = self.upstream.member
-        if member is None or member.id != member_id:
-            return False
-        gone = self.upstream.mark_gone()
-        assert gone is not None
-        self.report(6201, member=gone.id, state="gone", change="left", epoch=gone.epoch)
-        self.writer.delete(now, gone.id)
-        self.announcer.report_status(now)
-        self.announcer.push_member(gone)
-        return True
+    def on_leave(self, now: int, member_id: str, born: int | None = None) -> bool:
+        """Handle a notice that an upstream leaves; return whether it is gone by it.
+
+        `born` is its start, ms since the epoch, None if the notice doesn't tell it.
+        """
+        return self.leaving.on_notice(now, member_id, born)
+
+    def on_return(self, now: int) -> None:
+        """Use an upstream again that was taken for gone."""
+        self.on_upstream_change(now, "returned", None)
 
     def on_probe(self, now: int, outcome: str, member_id: str) -> None:
         """Handle the outcome of a health check.
@@ -265,6 +271,8 @@
             self.upstream.was_port_closed = True
             if self.upstream.last_heartbeat_at >= self.probed_at:
                 return  # it may have started since the probe was sent
+        self.leaving.on_probe(now, outcome, member_id)
+        if outcome == "closed":
             if not self.upstream.is_port_closed and self.upstream.member is not None:
                 self.report(
                     6204, member=self.upstream.member.id, flows=len(self.held.flows)
@@ -354,6 +362,7 @@
         self.held.times.update_use()
         self.announcer.tick(now)
         self.check_upstream(now)
+        self.leaving.review(now)
         self.state.cold_start.review(now)
         self.held.expire(now, self.record.flow_ms)
         self.delivery.let_in(now)
@@ -364,12 +373,16 @@
     def check_upstream(self, now: int) -> None:
         """Probe an upstream that is stalled, misses heartbeats or isn't known yet.
 
+        One that may have left is probed, too.
+
         An upstream that is still unknown two heartbeat intervals after the start isn't
         probed any more, and neither is one that left or whose port is closed.
         """
         is_unknown = self.upstream.member is None
-        may_be_down = self.upstream.is_stalled(now) or (
-            self.upstream.is_silent(now) and not is_unknown
+        may_be_down = (
+            self.upstream.is_stalled(now)
+            or (self.upstream.is_silent(now) and not is_unknown)
+            or self.upstream.leave_noticed_at > 0
         )
         if is_unknown and now - self.state.started_at > 2 * self.record.interval_ms:
             return
@@ -378,8 +391,7 @@
                 self.upstream.member.state == "gone" or self.upstream.is_port_closed
             )
             if not is_known_down:
-                self.probed_at = now
-                self.effects.append(Probe())
+                self.probe(now)
 
     def on_store(self, now: int, purpose: str, answer: StoreResult) -> None:
         """Handle the answer of a call to the store.
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -113,6 +113,16 @@
     unanswered_openings : list of int
         Times of the latest opening packets since the last packet from the
         upstream, in ms.
+    leave_noticed_at : int
+        When a notice that the upstream leaves was received that may be one of another
+        incarnation, in ms, 0 for none. It takes no new flows until that is decided.
+    has_told_leave : bool
+        Whether a notice names the known incarnation.
+    disputed_state : str
+        State that a later heartbeat tells of an upstream that is taken for gone, empty
+        without one.
+    disputed_at : int
+        When the first such heartbeat was received, in ms.
     """
 
     def __init__(self, host: str, service: str, zone: str, interval_ms: int) -> None:
@@ -135,6 +145,10 @@
         self.was_port_closed = False
         self.closed_probes = 0
         self.has_seen_all_flows = False
+        self.leave_noticed_at = 0
+        self.has_told_leave = False
+        self.disputed_state = ""
+        self.disputed_at = 0
 
     def apply_heartbeat(self, now: int, heartbeat: Heartbeat) -> str:
         """Apply a heartbeat.
@@ -143,8 +157,9 @@
         -------
         str
             `same`, `changed` (its state or slots, or the first heartbeat of an
-            upstream known from a probe), `started` (a new incarnation), or `late`
-            (from an earlier one or out of order).
+            upstream known from a probe), `started` (a new incarnation), `disputed`
+            (of an upstream that is taken for gone), or `late` (from an earlier one or
+            out of order).
         """
         member = self.member
         if member is None or not self.has_heartbeat:
@@ -177,6 +192,8 @@
         self.note_alive(now)
         self.sequence = heartbeat.sequence
         self.cold_until = now + heartbeat.cold_ms
+        if member.state == "gone":
+            return self.note_heartbeat_of_gone(now, heartbeat)
         state = "draining" if heartbeat.is_draining else member.state
         if state == "starting":
             state = "ready"
@@ -185,6 +202,17 @@
         self.member = make_member(self, heartbeat, member.epoch, state)
         return "changed"
 
+    def note_heartbeat_of_gone(self, now: int, heartbeat: Heartbeat) -> str:
+        """Record a heartbeat of an upstream that is taken for gone.
+
+        One that told itself that it leaves may go on draining until it ends.
+        """
+        if heartbeat.is_draining and self.has_told_leave:
+            return "same"
+        self.disputed_at = self.disputed_at if self.disputed_state else now
+        self.disputed_state = "draining" if heartbeat.is_draining else "ready"
+        return "disputed"
+
     def begin_incarnation(self, now: int, heartbeat: Heartbeat) -> str:
         """Apply the first heartbeat of an incarnation."""
         known = self.member
@@ -204,6 +232,10 @@
         self.out_of_order = LateHeartbeats()
         self.has_heartbeat = True
         self.is_port_closed = False
+        self.has_told_leave = False
+        self.disputed_state = ""
+        if not is_same:
+            self.leave_noticed_at = 0
         self.unanswered_openings = []
         self.note_alive(now)
         return "changed" if is_same else "started"
@@ -226,6 +258,38 @@
         self.member = replace(member, epoch=version // VERSIONS_PER_EPOCH + 1)
         return True
 
+    def judge_leave(self, now: int, member_id: str, born: int | None) -> str:
+        """Judge a notice that an upstream leaves.
+
+        It may be late, and of an earlier incarnation with the same id.
+
+        Parameters
+        ----------
+        now : int
+            Time in ms.
+        member_id : str
+            Id that the notice names.
+        born : int or None
+            Start that it names, ms since the epoch, None for none.
+
+        Returns
+        -------
+        str
+            `left`, `foreign` (of another upstream, or of an earlier incarnation than
+            the one that sends heartbeats), or `unclear`.
+        """
+        if self.member is None or self.member.id != member_id:
+            return "foreign"
+        if self.is_port_closed or self.member.state == "gone":
+            return "left"
+        if born is None or not self.has_heartbeat:
+            return "unclear"
+        if born == self.born:
+            return "left"
+        # The clock may have been set back before the start of one that isn't heard yet.
+        is_outdated = born < self.born and self.is_heard(now)
+        return "foreign" if is_outdated else "unclear"
+
     def is_leaving(self, member_id: str) -> bool:
         """Return whether the upstream has this id, and drains or left."""
         member = self.member
@@ -235,13 +299,46 @@
             and member.state in ("draining", "gone")
         )
 
-    def mark_gone(self) -> FlowMember | None:
-        """Mark the upstream as gone; return it, None if there is none."""
-        if self.member is None:
-            return None
+    def mark_gone(self, has_told: bool = False) -> FlowMember:
+        """Mark the upstream as gone; return it.
+
+        `has_told` is whether a notice names this incarnation.
+        """
+        assert self.member is not None
         self.member = replace(self.member, state="gone")
+        self.has_told_leave = self.has_told_leave or has_told
+        self.leave_noticed_at = 0
+        self.disputed_state = ""
         return self.member
 
+    def mark_returned(self) -> FlowMember:
+        """Mark an upstream as used again that was taken for gone; return it.
+
+        Its epoch is raised, because `gone` is the last state of an epoch.
+        """
+        assert self.member is not None
+        self.has_told_leave = False
+        epoch = self.member.epoch + 1
+        self.member = replace(self.member, epoch=epoch, state=self.disputed_state)
+        self.disputed_state = ""
+        return self.member
+
+    def has_left(self, now: int) -> bool:
+        """Return whether an unclear notice is followed by no heartbeat for long."""
+        last_sign_at = max(self.leave_noticed_at, self.last_heartbeat_at)
+        limit = MISSED_HEARTBEATS * self.interval_ms
+        return self.leave_noticed_at > 0 and now - last_sign_at > limit
+
+    def has_outlasted_leave(self) -> bool:
+        """Return whether heartbeats have gone on for long after an upstream left.
+
+        That is after an unclear notice, or, of one that is taken for gone, after the
+        first heartbeat that contradicts it.
+        """
+        since = self.disputed_at if self.disputed_state else self.leave_noticed_at
+        limit = MISSED_HEARTBEATS * self.interval_ms
+        return since > 0 and self.last_heartbeat_at - since > limit
+
     def is_heard(self, now: int) -> bool:
         """Return whether the upstream sent a heartbeat lately."""
         is_recent = now - self.last_heartbeat_at <= 2 * self.interval_ms
@@ -298,6 +395,8 @@
             return self.member.state
         if self.is_port_closed:
             return "its port is closed"
+        if self.leave_noticed_at:
+            return "it may have left"
         if self.is_stalled(now):
             return "no reaction to opening packets"
         if self.is_silent(now):
--- a/fuchsiapin/tests/chaosactions.py
+++ b/fuchsiapin/tests/chaosactions.py
@@ -9,7 +9,7 @@
 from fuchsiapin.registry import Registry
 from fuchsiapin.tests.flowactors import SERVICE, make_route
 
-__all__ = ["actions"]
+__all__ = ["actions", "restart_under_id"]
 
 actions = Registry("action")
 
@@ -151,14 +151,13 @@
 
 
 def leave(world: Any, host: str, upstream: Any) -> None:
-    """Let an upstream leave, and its VM end."""
+    """Let an upstream leave, and its VM end; every other notice lacks its start."""
     if world.upstreams[host] is not upstream:
         return
     world.note("leave", host=host)
     upstream.is_leaving = True
-    if world.processes[host].is_up:
-        world.processes[host].core.on_leave(world.now, upstream.id)
-        world.run_effects(host)
+    born = upstream.born if upstream.incarnation % 2 else None
+    send_notice(world, host, upstream.id, born)
 
     def end() -> None:
         upstream.is_up = False
@@ -168,6 +167,48 @@
     world.after(world.plan.randint(1, 100), end)
 
 
+def send_notice(world: Any, host: str, member_id: str, born: int | None) -> None:
+    """Let a notice that an upstream leaves arrive if its side process runs."""
+    if world.processes[host].is_up:
+        world.processes[host].core.on_leave(world.now, member_id, born)
+        world.run_effects(host)
+
+
+def restart_under_id(world: Any) -> None:
+    """Let an upstream drain, end and start again under its id.
+
+    The notice that it leaves is late, and may lack its start.
+    """
+    hosts = live_members(world)
+    if not hosts:
+        return
+    host = world.plan.choice(hosts)
+    upstream = world.upstreams[host]
+    name, born = upstream.id, world.plan.choice((upstream.born, None))
+    upstream.is_draining = True
+    world.send_heartbeat(host, upstream.next_heartbeat())
+    ended_at = world.plan.randint(100, 800)
+    started_at = ended_at + world.plan.randint(100, 800)
+    noticed_at = ended_at + world.plan.randint(50, 3_000)
+    world.note("restart under id", host=host, born=born, noticed_ms=noticed_at)
+
+    def end() -> None:
+        if world.upstreams[host] is upstream:
+            upstream.is_up = False
+
+    def start() -> None:
+        if world.upstreams[host] is not upstream or upstream.is_leaving:
+            return
+        upstream.restart()
+        upstream.id = name
+        upstream.is_draining, upstream.is_up = False, True
+        world.send_heartbeat(host, upstream.next_heartbeat())
+
+    world.after(ended_at, end)
+    world.after(started_at, start)
+    world.after(noticed_at, lambda: send_notice(world, host, name, born))
+
+
 @actions.register("join")
 def join(world: Any, host: str = "") -> None:
     """Start an upstream on a new VM, or at a former address."""
--- a/fuchsiapin/tests/flowactors.py
+++ b/fuchsiapin/tests/flowactors.py
@@ -154,6 +154,12 @@
         data = make_packet(flags, flow[6:], flow[:6], seq, 0, length)
         self.world.send_from_upstream(self.host, data)
 
+    def answer_probe(self) -> tuple[str, str]:
+        """Return the outcome of a health check, and the id that its answer has."""
+        if not self.is_up:
+            return "closed", ""
+        return ("unhealthy", "") if self.is_draining else ("healthy", self.id)
+
     def next_heartbeat(self) -> Heartbeat:
         """Return the next heartbeat."""
         self.sequence += 1
--- a/fuchsiapin/tests/flowchaos.py
+++ b/fuchsiapin/tests/flowchaos.py
@@ -11,6 +11,7 @@
 from fuchsiapin.flows.packets import flow_name
 from fuchsiapin.flows.routes import FlowRoute
 from fuchsiapin.tests.chaosactions import actions as registered_actions
+from fuchsiapin.tests.chaosactions import restart_under_id
 from fuchsiapin.tests.evacuationchaos import Evacuations, WrongFlow
 from fuchsiapin.tests.flowactors import Caller, Upstream, make_route
 from fuchsiapin.tests.flowworld import SETTLE_MS, FlowWorld
@@ -177,6 +178,9 @@
         Number of times that the store comes back from an older copy.
     evacuations : int
         Number of evacuations of zones; a world without any has one zone.
+    late_notices : int
+        Number of upstreams that start again under their id, and whose former start's
+        notice that it leaves arrives late.
     **options
         Options of `FlowWorld`.
 
@@ -203,6 +207,7 @@
         callers: int = 60,
         drills: int = 0,
         evacuations: int = 0,
+        late_notices: int = 0,
         **options: Any,
     ) -> None:
         self.plan = random.Random(f"plan {seed}")
@@ -237,6 +242,8 @@
         for _ in range(drills):
             self.after(self.plan.randrange(span_ms), self.start_drill)
         self.evacuations.start(evacuations, span_ms)
+        for _ in range(late_notices):
+            self.after(self.plan.randrange(span_ms), partial(restart_under_id, self))
 
     def start_drill(self) -> None:
         """Let the store be away for a moment, and come back from an older copy."""
--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -321,11 +321,11 @@
     def probe(self, host: str) -> None:
         """Answer a health check."""
         process, upstream = self.processes[host], self.upstreams[host]
-        outcome = "healthy" if upstream.is_up else "closed"
+        outcome, name = upstream.answer_probe()
 
         def handle() -> None:
             if process.is_up:
-                process.core.on_probe(self.now, outcome, upstream.id)
+                process.core.on_probe(self.now, outcome, name)
                 self.run_effects(host)
 
         self.enter(host, handle, is_local=True)
--- a/fuchsiapin/tests/test_eras.py
+++ b/fuchsiapin/tests/test_eras.py
@@ -51,7 +51,8 @@
 def leave(world: FlowWorld, host: str) -> str:
     """Let an upstream leave, with its VM; return its id."""
     upstream = world.upstreams[host]
-    world.side(host).on_leave(world.now, upstream.id)
+    upstream.is_draining = True
+    world.side(host).on_leave(world.now, upstream.id, upstream.born)
     world.run_effects(host)
     world.run(100)
     upstream.is_up = False
--- a/fuchsiapin/tests/test_flowresets.py
+++ b/fuchsiapin/tests/test_flowresets.py
@@ -223,6 +223,16 @@
                 }
                 self.assertEqual(versions, {max(1, len(world.routes))})
 
+    def test_no_open_flow_is_reset_after_a_late_notice_of_an_earlier_start(
+        self,
+    ) -> None:
+        restarts = ("restart balancer", "restart side")
+        for seed in range(1, 13):
+            with self.subTest(seed=seed):
+                kinds = restarts if seed % 2 else ()
+                world = ChaosWorld(seed, kinds, callers=100, late_notices=5)
+                self.assertEqual(world.run_all(), [])
+
     def test_evacuated_zones_get_no_new_flow(self) -> None:
         for seed in range(1, 7):
             with self.subTest(seed=seed):
--- a/fuchsiapin/tests/test_foreignentries.py
+++ b/fuchsiapin/tests/test_foreignentries.py
@@ -148,7 +148,9 @@
         world = FlowWorld(balancers=1, members=2)
         world.run(2_000)
         [side, *_] = world.upstreams
-        world.side(side).on_leave(world.now, world.upstreams[side].id)
+        upstream = world.upstreams[side]
+        upstream.is_up = False
+        world.side(side).on_leave(world.now, upstream.id, upstream.born)
         world.run_effects(side)
         world.run(1_000)
         before = world.sent_messages["Ping"]
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -1,5 +1,6 @@
 """Stand-ins for callers and upstreams, which check each packet they receive."""
 
+import json
 import random
 import socket
 from collections.abc import Callable
@@ -25,6 +26,11 @@
 """Time after which an unanswered request is late."""
 ANSWER_BYTES = 700
 """Size of an answer."""
+REUSED_ID = 3
+"""Every so many starts an upstream keeps its former id, and the deregistration of its
+former start is late; every other one of these doesn't tell that start."""
+LATE_MS = 1_500
+"""Delay of such a deregistration."""
 ENDED = "ended"
 """Key of a flow's state at an upstream, set after FIN or RST."""
 
@@ -94,7 +100,8 @@
     def start_incarnation(self) -> None:
         """Start a new incarnation."""
         self.soak.incarnations += 1
-        self.id = f"u{self.soak.incarnations}"
+        self.number = self.soak.incarnations
+        self.id = f"u{self.number}"
         self.born = self.loop.clock.now() + self.soak.clock_offset_ms()
         self.sequence = 0
         self.flows: dict[bytes, dict] = {}
@@ -158,10 +165,10 @@
             return
         state["answers"][body] = None
         self.soak.check_run(self, body)
-        incarnation = self.id
+        number = self.number
 
         def finish(now: int) -> None:
-            if incarnation == self.id and self.is_up:
+            if number == self.number and self.is_up:
                 state["answers"][body] = state["seq"] + 1
                 state["seq"] += ANSWER_BYTES
                 answer = answer_to(body, self.service)
@@ -186,23 +193,23 @@
         state = "draining" if self.is_draining else "ready"
         return self.soak.make_heartbeat(self, state)
 
-    def post_state(self, verb: str, body: bytes) -> None:
-        """Send a heartbeat or deregistration.
+    def post_state(self, verb: str, body: bytes, name: str = "") -> None:
+        """Send a heartbeat or deregistration of this or of another id.
 
         Records when a heartbeat that announces the drain is first acknowledged.
         """
-        was_draining, incarnation = self.is_draining and verb == "heartbeat", self.id
+        was_draining, number = self.is_draining and verb == "heartbeat", self.number
 
         def done(answer: Any) -> None:
             # An answer to a deregistration or to an earlier incarnation does not
             # acknowledge the drain of this one.
             is_first = (
-                was_draining and incarnation == self.id and not self.drain_acked_at
+                was_draining and number == self.number and not self.drain_acked_at
             )
             if answer.status == 200 and is_first:
                 self.drain_acked_at = self.loop.clock.now()
 
-        path = f"/fuchsiapin/instances/{self.id}/{verb}"
+        path = f"/fuchsiapin/instances/{name or self.id}/{verb}"
         self.control.call("POST", path, body, 1_000, done)
 
     def crash(self) -> None:
@@ -216,8 +223,17 @@
 
     def replace(self) -> None:
         """Deregister, and start a new incarnation at the same address."""
-        self.post_state("deregister", b"")
+        name, body = self.id, json.dumps({"born": self.born}).encode()
+        if (self.soak.incarnations + 1) % REUSED_ID:
+            self.post_state("deregister", body)
+            self.start_incarnation()
+            return
         self.start_incarnation()
+        self.id = name
+        body = body if self.number % 2 else b""
+        self.loop.call_later(
+            LATE_MS, lambda now: self.post_state("deregister", body, name)
+        )
 
 
 class CallerStandIn:
