Refuse no new flow whose caller has given up

Cause: its first opening packet came back from a member that had stood still for 2.5 s. A copy had opened the flow through another balancer meanwhile, which had forgotten it in a restart, so that all others confirmed that they don't know the flow.

A caller gives up after 1.4 s. A flow that comes back later than that after its first packet is neither offered again nor refused, as nobody waits for it.

LateReturnTest fails before.

--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -26,8 +26,10 @@
 MAX_OPENINGS = 100_000
 """Maximum number of openings remembered; about 300 bytes each."""
 OPENING_MS = 3_000
-"""How long an opening stays remembered after its last use; callers give up after 1.4
-s."""
+"""How long an opening stays remembered after its last use."""
+ATTEMPT_MS = 1_400
+"""Time after which a caller gives up a flow that hasn't opened. By then the flow may be
+open, and those that placed it may have forgotten it."""
 UNANSWERED_MS = 150
 """Minimum time after an offer before a retransmission may go to another member."""
 MAX_OFFERS = 4
@@ -331,13 +333,21 @@
         host: str,
         reason: str,
     ) -> None:
-        """Offer a new flow that a member returned to another member."""
+        """Offer a new flow that a member returned to another member.
+
+        One whose caller has given up since is neither offered nor refused.
+        """
         view = self.table.by_host(host)
         if view is not None and reason == "refused":
             view.refused_until = now + self.state.refusal_ms
-        opening = self.openings.get(packet.flow, now) or Opening("", now, [])
+        opening = self.openings.get(packet.flow, now)
+        if opening is None:
+            opening = Opening("", now, [], received_at=now)
         if opening.is_held:
             return
+        if now - opening.received_at > ATTEMPT_MS:
+            self.sender.counts["returned after the attempt"] += 1
+            return
         if reason != OVERLOADED:
             opening.early_returns = -1
         elif opening.early_returns >= 0:
--- a/fuchsiapin/tests/test_inquiries.py
+++ b/fuchsiapin/tests/test_inquiries.py
@@ -5,14 +5,15 @@
 from fuchsiapin.flows.balancerstate import MAX_ASKED_BALANCERS
 from fuchsiapin.flows.flowcache import FlowCache
 from fuchsiapin.flows.inquiries import Inquiry
-from fuchsiapin.flows.messages import Ask, Forward, Known
+from fuchsiapin.flows.messages import Ask, Forward, Known, Returned
 from fuchsiapin.flows.opening import (
+    ATTEMPT_MS,
     HOLD_BACK_MS,
     MAX_PEER_QUESTIONS,
     PEER_ANSWER_MS,
 )
 from fuchsiapin.flows.openingstate import Opening
-from fuchsiapin.tests.drivenbalancer import DrivenBalancer
+from fuchsiapin.tests.drivenbalancer import LOAD, DrivenBalancer
 from fuchsiapin.tests.flowactors import SYN, PlainPacketFormat, make_packet
 
 
@@ -137,6 +138,32 @@
         self.assertEqual(self.balancer.reasons, [])
 
 
+class LateReturnTest(unittest.TestCase):
+    """A member that was late returns a flow that a copy may have opened elsewhere."""
+
+    def reasons_after(self, duration: int) -> tuple[list[str], int]:
+        """Return the reasons of resets, and the number of offers.
+
+        The first of two members returns the flow after a time, the other one at once.
+        """
+        balancer = DrivenBalancer(members=2)
+        balancer.open()
+        balancer.wait(duration)
+        for _ in range(2):
+            host, forward = balancer.hosts_of(Forward)[-1], balancer.last(Forward)
+            returned = Returned("desk", "full", 0, False, LOAD, forward.packet)
+            balancer.receive(host, returned)
+        for host in balancer.peers:
+            balancer.receive(host, Known(balancer.flow, "", 0))
+        return balancer.reasons, len(balancer.hosts_of(Forward))
+
+    def test_it_is_offered_again_and_refused_while_its_caller_waits(self) -> None:
+        self.assertEqual(self.reasons_after(ATTEMPT_MS), (["every member refused"], 2))
+
+    def test_it_is_neither_offered_nor_reset_once_its_caller_gave_up(self) -> None:
+        self.assertEqual(self.reasons_after(ATTEMPT_MS + 1), ([], 1))
+
+
 class HeldBackFlowTest(unittest.TestCase):
     """A flow that another balancer is about to refuse isn't offered for a while."""
 
