Let a closed port end the dispute over an upstream that has left

Late heartbeats of an upstream that left are answered by a probe sent in the same ms; its closed port counted as older than the heartbeat, so that heartbeats spread over more than three intervals would have brought the upstream back. A probe that was sent with the heartbeat now decides; for other decisions the guard is as before. A repeated unclear notice no longer extends the first one.

test_a_late_heartbeat_does_not_bring_it_back plays six of them and failed before.

--- a/fuchsiapin/flows/leaving.py
+++ b/fuchsiapin/flows/leaving.py
@@ -74,7 +74,7 @@
             verdict=verdict,
         )
         if verdict == "unclear":
-            self.upstream.leave_noticed_at = now
+            self.upstream.leave_noticed_at = self.upstream.leave_noticed_at or now
             self.announcer.report_status(now)
             self.probe(now)
         return False
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -267,12 +267,13 @@
             self.upstream.note_probed(member_id)
         if self.upstream.member is None:
             self.note_probe_of_unknown(now, outcome)
-        if outcome == "closed":
-            self.upstream.was_port_closed = True
+        is_closed = outcome == "closed"
+        self.upstream.was_port_closed |= is_closed
+        if not is_closed or self.upstream.last_heartbeat_at <= self.probed_at:
+            self.leaving.on_probe(now, outcome, member_id)
+        if is_closed:
             if self.upstream.last_heartbeat_at >= self.probed_at:
                 return  # it may have started since the probe was sent
-        self.leaving.on_probe(now, outcome, member_id)
-        if outcome == "closed":
             if not self.upstream.is_port_closed and self.upstream.member is not None:
                 self.report(
                     6204, member=self.upstream.member.id, flows=len(self.held.flows)
--- a/fuchsiapin/tests/test_leaving.py
+++ b/fuchsiapin/tests/test_leaving.py
@@ -225,7 +225,7 @@
         self.check_forgotten()
 
     def test_a_late_heartbeat_does_not_bring_it_back(self) -> None:
-        late = [self.upstream.next_heartbeat() for _ in range(3)]
+        late = [self.upstream.next_heartbeat() for _ in range(2 * MISSED_HEARTBEATS)]
         notify(self.world, self.host, self.upstream.born)
         self.upstream.is_up = False
         for heartbeat in late:
