Tell apart a leave notice that is ignored and one that is checked

So the warning of 6219 came with every usual departure, and told operators to look for its sender.

6219 is now for notices of another upstream or an earlier start only; 6220, of level info, tells that a check began, and 6221 that the upstream hasn't left.

--- a/fuchsiapin/flowevents.py
+++ b/fuchsiapin/flowevents.py
@@ -299,24 +299,29 @@
     ),
     Event(
         6219,
-        "leave notice not applied",
+        "leave notice ignored",
         "warning",
-        "A notice that an upstream leaves isn't of the incarnation that runs here, or "
-        "may not be. `born` is the start that it names, 0 for none, `known_born` that "
-        "of the known incarnation. With the verdict `unclear` the upstream takes no "
-        "new flows until a health check or missing heartbeats decide.",
+        "A notice that an upstream leaves is of another one than runs here, or of an "
+        "earlier start. `born` is the start that it names, 0 for none, `known_born` "
+        "that of the upstream which sends heartbeats.",
         "If it persists: find out which upstream sends it late.",
-        (
-            MEMBER,
-            Field("born", "integer"),
-            Field("known_born", "integer"),
-            Field("verdict"),
-        ),
+        (MEMBER, Field("born", "integer"), Field("known_born", "integer")),
         is_rate_limited=True,
     ),
     Event(
         6220,
-        "leave notice dropped",
+        "leave notice unconfirmed",
+        "info",
+        "A notice that an upstream leaves doesn't name the start that is known. The "
+        "upstream takes no new flows until a health check or missing heartbeats decide "
+        "whether it left.",
+        NO_ACTION,
+        (MEMBER, Field("born", "integer"), Field("known_born", "integer")),
+        is_rate_limited=True,
+    ),
+    Event(
+        6221,
+        "leave notice refuted",
         "info",
         "The upstream is healthy, or sends heartbeats for long, after a notice that it "
         "leaves, which another incarnation had sent. It takes new flows again.",
--- a/fuchsiapin/flows/leaving.py
+++ b/fuchsiapin/flows/leaving.py
@@ -66,17 +66,14 @@
             has_told = self.upstream.has_heartbeat and born == self.upstream.born
             self.leave(now, has_told)
             return True
-        self.report(
-            6219,
-            member=member_id,
-            born=born or 0,
-            known_born=self.upstream.born,
-            verdict=verdict,
-        )
-        if verdict == "unclear":
-            self.upstream.leave_noticed_at = self.upstream.leave_noticed_at or now
-            self.announcer.report_status(now)
-            self.probe(now)
+        told, known = born or 0, self.upstream.born
+        if verdict == "foreign":
+            self.report(6219, member=member_id, born=told, known_born=known)
+            return False
+        self.report(6220, member=member_id, born=told, known_born=known)
+        self.upstream.leave_noticed_at = self.upstream.leave_noticed_at or now
+        self.announcer.report_status(now)
+        self.probe(now)
         return False
 
     def leave(self, now: int, has_told: bool = False) -> None:
@@ -122,7 +119,7 @@
     def keep(self, now: int, member: FlowMember) -> None:
         """Drop a notice that was of another incarnation."""
         self.upstream.leave_noticed_at = 0
-        self.report(6220, member=member.id, state=member.state)
+        self.report(6221, member=member.id, state=member.state)
         self.announcer.report_status(now)
 
     def bring_back(self, now: int) -> None:
--- a/fuchsiapin/stories.py
+++ b/fuchsiapin/stories.py
@@ -18,7 +18,7 @@
     {1101, 1102, 1103, 1104, 1105, 1107, 1108, 1111, 6302, 6303, 6304, 6311}
 )
 """Events that affect all flows of a process."""
-MEMBER_EVENTS = frozenset({6106, 6201, 6204, 6219, 6220, 6306, 6307, 6308})
+MEMBER_EVENTS = frozenset({6106, 6201, 6204, 6219, 6220, 6221, 6306, 6307, 6308})
 """Events about one member."""
 
 RESET = 6103
@@ -44,9 +44,10 @@
     6207: "returned the new flow to the balancer after {waited_ms} ms in the queue",
     6208: "admitted the flow to its upstream after {waited_ms} ms; {waiting} requests "
     "there",
-    6219: "didn't apply the notice that {member} leaves, which started at {born}: "
-    "{verdict}; the known start is {known_born}",
-    6220: "dropped the notice that {member} leaves, which is {state}",
+    6219: "ignored the notice that {member}, started at {born}, leaves; the start that "
+    "runs is {known_born}",
+    6220: "began to check whether {member}, started at {known_born}, has left",
+    6221: "found that {member}, which is {state}, has not left",
     6304: "configuration {configuration} with {routes} routes is in force, from "
     "{source}",
     6306: "received from {source}: {member} at {host} is {state}",
