Don't take a good health answer of a draining upstream for proof that it stays

An upstream that drains answers health checks with a failure. A platform may have wrong health answers, though, and such an answer to the check that follows an unnamed leave notice dropped the notice of an upstream that then ended: it was removed only after 10 s of silence.

test_a_wrong_health_answer_does_not_keep_one_that_drains fails before.

--- a/fuchsiapin/flows/leaving.py
+++ b/fuchsiapin/flows/leaving.py
@@ -95,8 +95,8 @@
         now : int
             Time in ms.
         outcome : str
-            `healthy`, which a leaving upstream isn't, `unhealthy`, `closed` or
-            `silent`.
+            `healthy`, which one that drains or leaves isn't, `unhealthy`, `closed` or
+            `silent`. Health answers may be wrong; a closed port isn't.
         member_id : str
             Id of the upstream that answered, empty if it isn't known.
         """
@@ -107,7 +107,7 @@
         if self.upstream.leave_noticed_at:
             if outcome == "closed" or is_other:
                 self.leave(now)
-            elif outcome == "healthy":
+            elif outcome == "healthy" and member.state == "ready":
                 self.keep(now, member)
         elif self.upstream.disputed_state:
             is_draining = self.upstream.disputed_state == "draining"
--- a/fuchsiapin/tests/test_leaving.py
+++ b/fuchsiapin/tests/test_leaving.py
@@ -206,6 +206,16 @@
         self.world.run((MISSED_HEARTBEATS + 1) * HEARTBEAT_MS)
         self.check_forgotten()
 
+    def test_a_wrong_health_answer_does_not_keep_one_that_drains(self) -> None:
+        drain(self.world, self.host)
+        self.upstream.answer_probe = lambda: ("healthy", self.upstream.id)
+        notify(self.world, self.host)
+        self.world.run(PROBE_MS)
+        self.upstream.is_up = False
+        del self.upstream.answer_probe
+        self.world.run(REPEATED_PROBE_MS)
+        self.check_forgotten()
+
     def test_another_upstream_answers_in_its_place(self) -> None:
         notify(self.world, self.host)
         self.upstream.answer_probe = lambda: ("healthy", "u99")
