Hold the limit of cold upstreams when their zone is in use again

Cause: the side process applied the cold time of the last heartbeat before the end of the evacuation, and no limit, as balancers tell it of members only that report to be cold. In a world of the tests both are 0 until the next heartbeat, with 27 openings in a second of 20 allowed, and never above 20 after it.

Change: the end of an evacuation makes both outdated. No new flow is taken until a balancer tells the limit (1.5 s at most), and the upstream counts as cold until its next heartbeat. Balancers tell the limit, 0 for none, to members that take no new flows. Nothing changes where the settings have no bounds for cold upstreams.

--- a/fuchsiapin/daemons/flowside.py
+++ b/fuchsiapin/daemons/flowside.py
@@ -45,6 +45,7 @@
                 settings.heartbeat_ms,
                 settings.flow_ms,
                 list(settings.seeds),
+                settings.cold_overage > 0,
             )
             return make_flow_side_core(record, adapter.packets, report, rng)
 
--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -382,13 +382,14 @@
             )
         was_cold = view.load.cold_ms > 0
         view.note_message(now, load)
-        if not was_cold and self.cold_rates.notices(now, view):
+        turned_cold = view.load.cold_ms > 0 and not was_cold
+        if turned_cold and self.cold_rates.notices(now, view):
             self.pinger.ping(now, view)  # tells it the limit before its first flows
         was_refusing = view.refused_until > now
         view.refused_until = 0 if message.takes_flows else now + REPORTED_REFUSAL_MS
         if not message.takes_flows and not was_refusing:
             # With many members, the next ping from here comes much later.
-            for notice in self.evacuations.notices(now, view):
+            for notice in self.pinger.notices(now, view):
                 self.effects.append(ToPeer(host, notice))
 
     def known_version(self, member_id: str) -> int:
--- a/fuchsiapin/flows/coldrates.py
+++ b/fuchsiapin/flows/coldrates.py
@@ -177,9 +177,14 @@
         self.gossip.put(COLD_RATES_KEY, self.version, pack_cold_rates(self.rates))
 
     def notices(self, now: int, view: MemberView) -> list[Any]:
-        """Return the messages that go with a ping to a member: its limit if cold."""
-        limit = self.limits.get(view.member.service)
-        if not limit or view.load.cold_ms <= 0:
+        """Return the messages that go with a ping to a member.
+
+        They tell its limit if it is cold, and if it takes no new flows, 0 for none: it
+        may be waiting for that.
+        """
+        limit = self.limits.get(view.member.service, 0)
+        is_asking = self.bounds.overage > 0 and view.refused_until > now
+        if not self.version or not (is_asking or (limit and view.load.cold_ms > 0)):
             return []
         return [ColdLimit(self.version, limit)]
 
--- a/fuchsiapin/flows/coldstart.py
+++ b/fuchsiapin/flows/coldstart.py
@@ -19,6 +19,11 @@
 RENEWAL_MS = 1_500
 """A limit that no balancer has repeated for this long while the upstream is cold has
 ended. Each side process gets about six pings a second at any deployment size."""
+NEWS_MS = 1_500
+"""How long a side process waits for a balancer to tell the limit. Balancers of the
+previous build tell it of cold upstreams only."""
+ASSUMED_COLD_MS = 1_000
+"""Remaining cold time that is reported of an upstream whose cold time isn't known."""
 
 
 class OpeningWindow:
@@ -64,12 +69,17 @@
 class ColdStart:
     """The limit of one upstream while it is cold.
 
-    A process that doesn't know a limit yet applies none.
+    What is known of it may be outdated, as after an evacuation, in which upstreams may
+    have turned cold. The upstream takes no new flows then until a balancer tells the
+    limit, and counts as cold until its next heartbeat.
 
     Parameters
     ----------
     upstream : UpstreamState
         State of the upstream.
+    is_bounded : bool
+        Whether the settings bound the openings of cold upstreams; without it a limit
+        that isn't known is none.
 
     Attributes
     ----------
@@ -81,10 +91,14 @@
         Openings in any span of one second, 0 for no limit.
     window : OpeningWindow
         Openings given to the upstream, whether it was cold or not.
+    outdated_at : int
+        Time up to which what was told is outdated, in ms, 0 if nothing is.
     """
 
-    def __init__(self, upstream: UpstreamState) -> None:
+    def __init__(self, upstream: UpstreamState, is_bounded: bool = False) -> None:
         self.upstream = upstream
+        self.is_bounded = is_bounded
+        self.outdated_at = 0
         self.configuration = 0
         self.limit = 0
         self.received_at = 0
@@ -106,11 +120,29 @@
         self.limit = message.openings_per_s
         self.renewed_at = now
 
+    def require_news(self, now: int) -> None:
+        """Treat all that was told up to now as outdated."""
+        if self.is_bounded:
+            self.outdated_at = now
+
+    def awaits_limit(self, now: int) -> bool:
+        """Return whether a balancer has still to tell the limit."""
+        is_outdated = self.outdated_at > 0 and self.received_at < self.outdated_at
+        return is_outdated and now - self.outdated_at <= NEWS_MS
+
+    @property
+    def awaits_heartbeat(self) -> bool:
+        """Return whether the upstream has still to tell its cold time."""
+        return self.limit > 0 and self.upstream.heartbeat_at < self.outdated_at
+
+    def cold_ms(self, now: int) -> int:
+        """Return for how much longer the upstream is slow, as far as known, in ms."""
+        assumed = ASSUMED_COLD_MS if self.awaits_heartbeat else 0
+        return max(assumed, self.upstream.cold_ms(now))
+
     def limit_at(self, now: int) -> int:
         """Return the limit in force, 0 for none, as while the upstream is warm."""
-        if not self.limit or not self.upstream.cold_ms(now):
-            return 0
-        return self.limit
+        return self.limit if self.cold_ms(now) else 0
 
     def has_room(self, now: int) -> bool:
         """Return whether the upstream may be given another opening now."""
@@ -128,7 +160,7 @@
         """
         limit = self.limit_at(now)
         end = now + duration
-        if not limit or not self.upstream.cold_ms(end):
+        if not limit or not (self.awaits_heartbeat or self.upstream.cold_ms(end)):
             return None
         return max(0, limit - self.window.count(end))
 
@@ -142,7 +174,7 @@
         They send nothing for a service without a limit. The limit of an earlier cold
         time stays in force when the upstream starts again, until it could be repeated.
         """
-        is_cold = self.upstream.cold_ms(now) > 0
+        is_cold = self.cold_ms(now) > 0
         if is_cold and not self.was_cold:
             self.renewed_at = max(self.renewed_at, now)
         self.was_cold = is_cold
--- a/fuchsiapin/flows/delivery.py
+++ b/fuchsiapin/flows/delivery.py
@@ -201,7 +201,7 @@
         Called after `let_in`, so that none is returned while the upstream has room.
         None is returned while it is cold either: the rate of admissions rises soon.
         """
-        if self.upstream.cold_ms(now) > 0:
+        if self.cold_start.cold_ms(now) > 0:
             return
         for found in self.admission.find_unservable(
             now, self.queue, self.held.service_ms
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -341,13 +341,19 @@
         """Learn from a balancer whether the zone of this VM is evacuated.
 
         Queued new flows are returned at once, so that they are offered in other zones.
+        The upstream may have turned cold shortly before its zone is in use again, also
+        if the evacuation itself wasn't heard of here.
         """
         if message.zone != self.record.zone:
             return
         if error := era_error(message.version, self.era.current):
             self.report(6301, host=host, error=error)
             return
-        if not self.state.zones.put(now, message.zone, message.version):
+        known = self.state.zones.version(message.zone)
+        is_changed = self.state.zones.put(now, message.zone, message.version)
+        if message.version > known and not self.state.is_evacuated:
+            self.state.cold_start.require_news(now)
+        if not is_changed:
             return
         flows = self.held.open_count()
         if self.state.is_evacuated:
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -39,6 +39,8 @@
         Longest life of a flow.
     seeds : list of str
         Addresses of balancers to announce its member to.
+    bounds_cold : bool
+        Whether the settings bound the openings that a cold upstream gets.
     """
 
     host: str
@@ -47,6 +49,7 @@
     interval_ms: int
     flow_ms: int
     seeds: list[str]
+    bounds_cold: bool = False
 
 
 class SideState:
@@ -89,7 +92,7 @@
         self.upstream = UpstreamState(
             record.host, record.service, record.zone, record.interval_ms
         )
-        self.cold_start = ColdStart(self.upstream)
+        self.cold_start = ColdStart(self.upstream, record.bounds_cold)
         self.held = HeldFlows()
         self.queue = OpeningQueue()
         self.admission = AdmissionControl()
@@ -107,6 +110,8 @@
             return "stopping"
         if self.is_evacuated:
             return "its zone is evacuated"
+        if self.cold_start.awaits_limit(now):
+            return "its limit while cold isn't known"
         return self.upstream.refusal_reason(now)
 
     @property
@@ -120,7 +125,7 @@
             self.held.unanswered_requests + len(self.held.reserved) + len(self.queue),
             int(self.mean_waiting * THOUSANDTHS),
             len(self.held.flows),
-            self.upstream.cold_ms(now),
+            self.cold_start.cold_ms(now),
             int(self.held.service_ms),
         )
 
--- a/fuchsiapin/flows/upstreams.py
+++ b/fuchsiapin/flows/upstreams.py
@@ -105,6 +105,8 @@
     last_heartbeat_at : int
         When the last heartbeat, or the probe of a healthy upstream before it, was
         received, in ms.
+    heartbeat_at : int
+        When the last heartbeat that was applied was received, in ms, 0 for never.
     closed_probes : int
         Probes in a row that found the port closed before any upstream was known.
     earlier_start, out_of_order : LateHeartbeats
@@ -134,6 +136,7 @@
         self.born = 0
         self.sequence = -1
         self.last_heartbeat_at = 0
+        self.heartbeat_at = 0
         self.cold_until = 0
         self.earlier_start = LateHeartbeats()
         self.out_of_order = LateHeartbeats()
@@ -345,8 +348,8 @@
         return is_recent and not self.is_port_closed
 
     def note_alive(self, now: int) -> None:
-        """Record that the upstream is alive."""
-        self.last_heartbeat_at = now
+        """Record that a heartbeat was applied: the upstream is alive."""
+        self.last_heartbeat_at = self.heartbeat_at = now
         self.is_port_closed = False
 
     def note_probe(self, is_closed: bool) -> None:
--- a/fuchsiapin/tests/test_coldstart.py
+++ b/fuchsiapin/tests/test_coldstart.py
@@ -8,9 +8,22 @@
 
 from fuchsiapin.exceptions import MalformedObject
 from fuchsiapin.flows.coldrates import COLD_RATES_KEY, NO_BOUNDS, ColdBounds
-from fuchsiapin.flows.coldstart import RENEWAL_MS, SPAN_MS, OpeningWindow
+from fuchsiapin.flows.coldstart import (
+    NEWS_MS,
+    RENEWAL_MS,
+    SPAN_MS,
+    OpeningWindow,
+)
+from fuchsiapin.flows.evacuations import removal_version
 from fuchsiapin.flows.members import Load, pack_load
-from fuchsiapin.flows.messages import ColdLimit, Copy, Forward, Ping, Status
+from fuchsiapin.flows.messages import (
+    ColdLimit,
+    Copy,
+    Evacuation,
+    Forward,
+    Ping,
+    Status,
+)
 from fuchsiapin.flows.routes import FlowConfiguration
 from fuchsiapin.flows.storage import CONFIGURATION
 from fuchsiapin.flows.upstreams import Heartbeat
@@ -54,9 +67,11 @@
 class ColdWorld(FlowWorld):
     """Three balancers, two warm upstreams; then these restart, and are cold."""
 
-    def __init__(self, rates: tuple = RATES, bounds: ColdBounds = BOUNDS) -> None:
+    def __init__(
+        self, rates: tuple = RATES, bounds: ColdBounds = BOUNDS, **options: object
+    ) -> None:
         self.rates, self.bounds = rates, bounds
-        super().__init__(members=2, slots=20)
+        super().__init__(members=2, slots=20, **options)
         self.run(COLD_MS + 1_000)
         for host, upstream in self.upstreams.items():
             upstream.restart()
@@ -66,6 +81,10 @@
         self.upstreams[host] = ColdUpstream(self, host, service, slots, service_ms)
         self.start_side(host)
 
+    def start_side(self, host: str) -> None:
+        super().start_side(host)
+        self.side(host).state.cold_start.is_bounded = self.bounds.overage > 0
+
     def configure(self, version: int) -> None:
         value = FlowConfiguration(version, tuple(self.routes), 15_000, self.rates)
         self.store.put(CONFIGURATION, "main", value)
@@ -164,6 +183,60 @@
         self.assertEqual(side.counts["waited in vain"], 1)
 
 
+class EvacuatedZoneTest(unittest.TestCase):
+    """An upstream that turned cold just before its zone is in use again (review/7)."""
+
+    def world_in_use_again(self, rates: tuple = RATES) -> ColdWorld:
+        """Return a world whose first upstream was evacuated, and is cold since."""
+        world = ColdWorld(rates, zones=("a", "b"), evacuates=True)
+        world.run(COLD_MS)
+        world.evacuate("a")
+        world.run(3_000)
+        host, upstream = next(iter(world.upstreams.items()))
+        world.send_heartbeat(host, upstream.next_heartbeat())
+        upstream.cold_until = world.now + COLD_MS
+        world.run(50)
+        world.reinstate("a")
+        return world
+
+    def test_the_limit_holds_before_the_next_heartbeat(self) -> None:
+        world = self.world_in_use_again()
+        [most, _] = world.run_callers(COLD_MS - 500)
+        self.assertLessEqual(most, LIMIT)
+        self.assertGreater(most, LIMIT // 2)
+
+    def test_the_limit_is_asked_for_though_the_evacuation_was_not_heard_of(
+        self,
+    ) -> None:
+        world = ColdWorld(zones=("a", "b"), evacuates=True)
+        side = world.side(next(iter(world.upstreams)))
+        balancer, notice = (
+            world.balancer_hosts[0],
+            Evacuation("a", removal_version(0, 9)),
+        )
+        side.on_message(world.now, balancer, notice)
+        self.assertNotEqual(side.not_ready(world.now), "")
+        side.on_message(world.now, balancer, ColdLimit(1, LIMIT))
+        side.on_message(world.now, balancer, notice)  # repeated, it tells nothing new
+        self.assertEqual(side.not_ready(world.now), "")
+        self.assertEqual(side.state.cold_start.limit_at(world.now), LIMIT)
+
+    def test_without_a_rate_new_flows_come_at_once(self) -> None:
+        world = self.world_in_use_again(())
+        world.run(600)
+        host = next(iter(world.upstreams))
+        self.assertEqual(world.side(host).not_ready(world.now), "")
+        self.assertGreater(world.run_callers(1_000)[0], 2 * LIMIT)
+
+    def test_a_limit_that_nobody_tells_is_not_awaited_for_long(self) -> None:
+        world = self.world_in_use_again()
+        for index in range(3):
+            world.balancer(index).state.cold_rates.bounds = NO_BOUNDS
+        world.run(600 + NEWS_MS)
+        host = next(iter(world.upstreams))
+        self.assertEqual(world.side(host).not_ready(world.now), "")
+
+
 class BalancerTest(unittest.TestCase):
     """Rates at a balancer, and placement by what is left of a limit."""
 
