Hold the limit of cold upstreams over a restart of the side process

Cause: the process learns of the upstream by a health check, which tells nothing of its cold time, knows no limit yet, and has lost the times of the openings before. A world of the tests has 40 openings in a second of 20 allowed.

Change: at its start the process treats limit and cold time as outdated, as at the end of an evacuation, and gives a cold upstream no openings for a second. A balancer that gets a new flow back as refused tells the limit at once, 0 for none. Nothing changes where the settings have no bounds.

test_the_limit_holds_over_a_restart_of_the_side_process fails before.

--- a/fuchsiapin/flows/balancerstate.py
+++ b/fuchsiapin/flows/balancerstate.py
@@ -392,6 +392,11 @@
             for notice in self.pinger.notices(now, view):
                 self.effects.append(ToPeer(host, notice))
 
+    def tell_cold_limit(self, now: int, view: MemberView) -> None:
+        """Tell a member that refused a new flow its limit, if it may wait for it."""
+        for notice in self.cold_rates.notices(now, view):
+            self.effects.append(ToPeer(view.member.host, notice))
+
     def known_version(self, member_id: str) -> int:
         """Return the highest known version of a member, also a gone one, 0 for none."""
         gone_version, _ = self.table.gone_versions.get(member_id, (0, 0))
--- a/fuchsiapin/flows/coldstart.py
+++ b/fuchsiapin/flows/coldstart.py
@@ -70,8 +70,10 @@
     """The limit of one upstream while it is cold.
 
     What is known of it may be outdated, as after an evacuation, in which upstreams may
-    have turned cold. The upstream takes no new flows then until a balancer tells the
-    limit, and counts as cold until its next heartbeat.
+    have turned cold, or missing, as after a start of this process. The upstream takes
+    no new flows then until a balancer tells the limit, and counts as cold until its
+    next heartbeat. A process that has just started doesn't know which openings a former
+    one gave to the upstream either; a cold one gets no new flows for a second.
 
     Parameters
     ----------
@@ -93,12 +95,16 @@
         Openings given to the upstream, whether it was cold or not.
     outdated_at : int
         Time up to which what was told is outdated, in ms, 0 if nothing is.
+    window_known_at : int
+        Time from which on the window has all openings, in ms.
     """
 
     def __init__(self, upstream: UpstreamState, is_bounded: bool = False) -> None:
         self.upstream = upstream
         self.is_bounded = is_bounded
         self.outdated_at = 0
+        self.window_known_at = 0
+        self.window_known_at = 0
         self.configuration = 0
         self.limit = 0
         self.received_at = 0
@@ -120,6 +126,19 @@
         self.limit = message.openings_per_s
         self.renewed_at = now
 
+    def start(self, now: int) -> None:
+        """Begin without any knowledge of the upstream, which may run already."""
+        self.require_news(now)
+        self.window_known_at = now + SPAN_MS + SEND_DELAY_MS
+
+    def refusal_reason(self, now: int) -> str:
+        """Return why the upstream may get no new flows, empty if it may."""
+        if self.awaits_limit(now):
+            return "its limit while cold isn't known"
+        if self.limit_at(now) and now <= self.window_known_at:
+            return "it is cold, and its latest openings aren't known"
+        return ""
+
     def require_news(self, now: int) -> None:
         """Treat all that was told up to now as outdated."""
         if self.is_bounded:
--- a/fuchsiapin/flows/opening.py
+++ b/fuchsiapin/flows/opening.py
@@ -339,7 +339,10 @@
         """
         view = self.table.by_host(host)
         if view is not None and reason == "refused":
+            was_refusing = view.refused_until > now
             view.refused_until = now + self.state.refusal_ms
+            if not was_refusing:
+                self.state.tell_cold_limit(now, view)
         opening = self.openings.get(packet.flow, now)
         if opening is None:
             opening = Opening("", now, [], received_at=now)
--- a/fuchsiapin/flows/sidecore.py
+++ b/fuchsiapin/flows/sidecore.py
@@ -92,6 +92,7 @@
     def start(self, now: int) -> None:
         """Probe the upstream and start the periodic checks."""
         self.state.started_at = now
+        self.state.cold_start.start(now)
         self.probe(now)
         self.tick(now)
 
--- a/fuchsiapin/flows/sidestate.py
+++ b/fuchsiapin/flows/sidestate.py
@@ -110,9 +110,7 @@
             return "stopping"
         if self.is_evacuated:
             return "its zone is evacuated"
-        if self.cold_start.awaits_limit(now):
-            return "its limit while cold isn't known"
-        return self.upstream.refusal_reason(now)
+        return self.cold_start.refusal_reason(now) or self.upstream.refusal_reason(now)
 
     @property
     def is_evacuated(self) -> bool:
