Read a store that is slow for long

Cause: a call before the first complete list gets 350 ms, whatever the calls before it took. The same holds above 700 ms for later lists, 600 ms beyond the wait of a watch, and 800 ms for writes, which were repeated for ever.

Change: every other call after a failed one waits longer, up to four times; once an answer has come, calls wait for twice its time until a fast one comes. The calls between are as short as before, so that the end of an outage is noticed soon: within 1.6 s after silences of 2 to 5 s in a test.

--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -5,6 +5,7 @@
 
 from fuchsiapin.exceptions import error_location
 from fuchsiapin.flows.effects import ToStore
+from fuchsiapin.flows.patience import answer_timeout
 from fuchsiapin.flows.storage import (
     LIST,
     WATCH,
@@ -21,7 +22,7 @@
 milliseconds when slow."""
 FIRST_LIST_TIMEOUT_MS = 350
 """Timeout before the first complete list; short, so that a call made during an outage
-doesn't outlast it."""
+doesn't outlast it. Failed calls and slow answers lengthen all of these timeouts."""
 WATCH_WAIT_MS = 2_500
 """How long a watch may wait for changes; bounds the time until a dead connection is
 detected."""
@@ -77,6 +78,12 @@
         Names after which pages of the current list were requested.
     listed_revision : int
         Revision of the store that the first page of the current list reflects.
+    called_at : int
+        When the last call was made, in ms.
+    wait_ms : int
+        Time for which that call lets the store wait for changes, in ms.
+    answer_ms : int
+        Time that the last answer took without that, as far as known, in ms.
     checks_era : bool
         Whether the next watch returns at once, to learn the store's era after calls
         that failed.
@@ -115,6 +122,9 @@
         self.positions: set[str] = set()
         self.listed_revision = 0
         self.failures = 0
+        self.called_at = 0
+        self.wait_ms = 0
+        self.answer_ms = 0
         self.generation = 0
         self.last_outcome = ""
 
@@ -150,19 +160,27 @@
         if self.revision:
             wait_ms = 0 if self.checks_era else WATCH_WAIT_MS
             watch = StoreCall(WATCH, self.kind, since=self.revision, wait_ms=wait_ms)
-            timeout = wait_ms + WATCH_SLACK_MS
+            timeout = wait_ms + self.timeout(WATCH_SLACK_MS)
+            self.called_at, self.wait_ms = now, wait_ms
             self.effects.append(ToStore(self.purpose, watch, timeout))
             return
         self.items = []
         self.positions = set()
-        self.list_page("")
+        self.list_page(now, "")
 
-    def list_page(self, after: str) -> None:
+    def timeout(self, base_ms: int) -> int:
+        """Return the timeout of a call that the store answers at once, in ms."""
+        return answer_timeout(base_ms, self.failures, self.answer_ms)
+
+    def list_page(self, now: int, after: str) -> None:
         """Request the page after a name."""
-        timeout = LIST_TIMEOUT_MS if self.has_listed else FIRST_LIST_TIMEOUT_MS
+        self.called_at, self.wait_ms = now, 0
+        base_ms = LIST_TIMEOUT_MS if self.has_listed else FIRST_LIST_TIMEOUT_MS
+        timeout = self.timeout(base_ms)
         # Calls have failed while the store is reachable only if the first answer after
         # the failures was that the history is lost.
-        timeout <<= min(self.failures, 2) if self.is_reachable else 0
+        if self.is_reachable:
+            timeout = max(timeout, base_ms << min(self.failures, 2))
         self.effects.append(
             ToStore(self.purpose, StoreCall(LIST, self.kind, after), timeout)
         )
@@ -192,6 +210,7 @@
         """
         self.failures = 0
         self.is_reachable = True
+        self.note_answer_time(now, answer)
         self.checks_era = False
         is_continued = self.revision > 0 or len(self.items) > 0
         if is_continued and answer.era != self.era:
@@ -211,7 +230,7 @@
         self.items.extend(answer.items)
         if answer.has_more and answer.after and answer.after not in self.positions:
             self.positions.add(answer.after)
-            self.list_page(answer.after)
+            self.list_page(now, answer.after)
             return
         self.revision = self.listed_revision
         self.has_listed = True
@@ -225,6 +244,14 @@
             return  # what it lacks may be on the pages that weren't read
         self.on_list(now, {item.name for item in items})
 
+    def note_answer_time(self, now: int, answer: StoreResult) -> None:
+        """Record how long the store took, apart from its wait for changes."""
+        elapsed = now - self.called_at
+        if self.wait_ms and answer.items:
+            self.answer_ms = min(self.answer_ms, elapsed)
+        else:
+            self.answer_ms = max(0, elapsed - self.wait_ms)
+
     def apply_items(self, now: int, items: Iterable[StoredItem]) -> None:
         """Apply items one by one; the failure of one doesn't affect the others."""
         for item in items:
--- a/fuchsiapin/flows/writing.py
+++ b/fuchsiapin/flows/writing.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from fuchsiapin.flows.effects import ToStore
+from fuchsiapin.flows.patience import answer_timeout
 from fuchsiapin.flows.storage import (
     CREATE,
     DELETE,
@@ -16,7 +17,7 @@
 __all__ = ["ObjectWriter"]
 
 WRITE_TIMEOUT_MS = 800
-"""Timeout of a call that writes or deletes the object."""
+"""Timeout of a call that writes or deletes the object; failed calls lengthen it."""
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 800
 """Bounds of the exponential backoff after failed writes."""
@@ -82,7 +83,8 @@
         self.pending_verb = verb
         self.generation += 1
         call = StoreCall(verb, self.kind, self.name, self.value)
-        self.effects.append(ToStore(self.purpose, call, WRITE_TIMEOUT_MS))
+        timeout = answer_timeout(WRITE_TIMEOUT_MS, self.failures)
+        self.effects.append(ToStore(self.purpose, call, timeout))
 
     def on_answer(self, now: int, purpose: str, answer: StoreResult) -> bool:
         """Handle an answer; return whether it belongs to this writer."""
--- a/fuchsiapin/tests/flowstore.py
+++ b/fuchsiapin/tests/flowstore.py
@@ -18,6 +18,7 @@
 
     is_up: bool = True
     is_silent: bool = False
+    delay_ms: int = 0
 
 
 class FakeStore:
--- a/fuchsiapin/tests/flowworld.py
+++ b/fuchsiapin/tests/flowworld.py
@@ -302,7 +302,8 @@
                 self.run_effects(host)
 
         def answered(answer: StoreResult) -> None:
-            self.after(2, lambda: self.enter(host, lambda: done(answer), False))
+            delay = 2 + self.store.state.delay_ms
+            self.after(delay, lambda: self.enter(host, lambda: done(answer), False))
 
         def check_connection(failed_probes: int) -> None:
             if not open_call[0]:
