Lengthen the timeout only from the second failure in a row on

The first call after a failure is as short as ever now; the second one waits longer.

The module and its tests are named after what they hold: timeouts.

--- a/fuchsiapin/flows/following.py
+++ b/fuchsiapin/flows/following.py
@@ -5,7 +5,6 @@
 
 from fuchsiapin.exceptions import error_location
 from fuchsiapin.flows.effects import ToStore
-from fuchsiapin.flows.patience import answer_timeout
 from fuchsiapin.flows.storage import (
     LIST,
     WATCH,
@@ -13,6 +12,7 @@
     StoredItem,
     StoreResult,
 )
+from fuchsiapin.flows.timeouts import answer_timeout
 from fuchsiapin.timers import Timers
 
 __all__ = ["StoreFollower"]
--- a/fuchsiapin/flows/patience.py
+++ b/fuchsiapin/flows/timeouts.py
@@ -1,4 +1,4 @@
-"""How long a process waits for an answer of the store, which may be slow for long."""
+"""Timeouts of calls to the store, which may be slow for long."""
 
 __all__ = ["MAX_TIMEOUT_MS", "answer_timeout"]
 
@@ -11,8 +11,8 @@
     """Return the timeout of the next call, in ms.
 
     A short timeout notices the end of an outage soon, but never reads the answers of a
-    slow store. So every other call after a failed one waits for longer, and once an
-    answer has come, calls wait for twice its time.
+    slow store. So from the second failure in a row on every other call waits longer,
+    and once an answer has come, calls wait for twice its time.
 
     Parameters
     ----------
@@ -25,10 +25,10 @@
 
     Examples
     --------
-    >>> [answer_timeout(350, failures) for failures in range(6)]
-    [350, 700, 350, 1400, 350, 1400]
+    >>> [answer_timeout(350, failures) for failures in range(7)]
+    [350, 350, 700, 350, 1400, 350, 1400]
     >>> answer_timeout(350, 0, 400)
     800
     """
-    doublings = min((failures + 1) // 2, MAX_DOUBLINGS) if failures % 2 else 0
+    doublings = 0 if failures % 2 else min(failures // 2, MAX_DOUBLINGS)
     return max(base_ms << doublings, min(2 * last_answer_ms, MAX_TIMEOUT_MS))
--- a/fuchsiapin/flows/writing.py
+++ b/fuchsiapin/flows/writing.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from fuchsiapin.flows.effects import ToStore
-from fuchsiapin.flows.patience import answer_timeout
 from fuchsiapin.flows.storage import (
     CREATE,
     DELETE,
@@ -12,6 +11,7 @@
     StoreCall,
     StoreResult,
 )
+from fuchsiapin.flows.timeouts import answer_timeout
 from fuchsiapin.timers import Timers
 
 __all__ = ["ObjectWriter"]
