Test that a stopping side process waits for the decision on its upstream

An unclear leave notice is decided by a health check; a process that ended before it left the record of the upstream in the store.

--- a/fuchsiapin/tests/test_leaving.py
+++ b/fuchsiapin/tests/test_leaving.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiapin.daemons.flowside import MAX_STOP_MS, FlowSideShell
 from fuchsiapin.flows.storage import MEMBERS
 from fuchsiapin.flows.upstreams import MISSED_HEARTBEATS
 from fuchsiapin.tests.flowactors import HEARTBEAT_MS, Caller
@@ -244,6 +245,25 @@
         self.check_forgotten()
 
 
+class StopTest(unittest.TestCase):
+    """A planned stop waits until it is decided whether the upstream left."""
+
+    def test_the_record_is_deleted_before_the_process_ends(self) -> None:
+        world, _, host = world_with_flow(members=2)
+        shell = object.__new__(FlowSideShell)
+        shell.core = side = world.side(host)
+        world.upstreams[host].answer_probe = lambda: ("silent", "")
+        notify(world, host)
+        side.stop(world.now)
+        world.run(500)
+        self.assertFalse(shell.may_exit(world.now, 500))
+        self.assertTrue(shell.may_exit(world.now, MAX_STOP_MS))
+        world.upstreams[host].answer_probe = lambda: ("closed", "")
+        world.run(REPEATED_PROBE_MS)
+        self.assertTrue(shell.may_exit(world.now, 500))
+        self.assertNotIn(world.upstreams[host].id, world.store.kinds[MEMBERS])
+
+
 class ReturnTest(unittest.TestCase):
     """An upstream that was taken for gone returns if it still sends heartbeats."""
 
