Let a reset end the attempt of a caller in the drawn worlds

The trace: the caller's flow was lost with its upstream and reset twice, rightly. 2.8 s after the first opening packet a stalled link delivers it to another upstream, whose acceptance opened the flow again at the caller of the test, which then repeated its request. Callers don't: their attempt ends with a reset, and the next one takes a new flow (the platform's page on flows). The check itself is as before.

--- a/fuchsiapin/tests/flowchaos.py
+++ b/fuchsiapin/tests/flowchaos.py
@@ -132,7 +132,12 @@
             self.open(self.world.pick_balancer(self), number)
 
     def receive(self, data: bytes) -> None:
-        """Handle a packet, and schedule the next request."""
+        """Handle a packet, and schedule the next request.
+
+        A reset ends the attempt; a late acceptance doesn't open its flow again.
+        """
+        if self.resets:
+            return
         was_open, answers = self.is_open, self.answers
         super().receive(data)
         if self.is_open and not was_open and not self.resets:
