--- a/review/11/play.py
+++ b/review/11/play.py
@@ -47,11 +47,11 @@
 
 
 class Record:
-    """Writes what happens to `record.txt`."""
+    """Writes what happens to `record.txt` in the folder of a case."""
 
-    def __init__(self) -> None:
+    def __init__(self, folder: Path) -> None:
         self.started = time.monotonic()
-        self.file = (FOLDER / "record.txt").open("w")
+        self.file = (folder / "record.txt").open("w")
 
     def note(self, text: str) -> None:
         """Write one line with the time since the start."""
@@ -354,9 +354,9 @@
 class Play:
     """The processes and stand-ins of one run."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, case: Path = FOLDER) -> None:
         self.folder = folder
-        self.record = Record()
+        self.record = Record(case)
         self.store = Store()
         self.net = f"127.{random.randrange(20, 220)}"
         first = random.randrange(20_000, 28_000) // 64 * 64
